--- /dev/null
+++ b/internal/protocol/peer/peer.go
@@ -0,0 +1,161 @@
+// Package peer defines the messages between daemons and their CBOR codec.
+// They travel as bodies of HTTP/3 requests.
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jackdawloom/jackdawloom/internal/state/table"
+)
+
+// Paths of the peer endpoints.
+const (
+	PathHeartbeat = "/peer/heartbeat"
+	PathFence     = "/peer/fence"
+	PathReport    = "/peer/report"
+	PathDocument  = "/peer/document"
+	PathForward   = "/peer/forward"
+)
+
+// MaxMessage is the largest control message in bytes. It holds a table of
+// 65,536 shards with room to spare.
+const MaxMessage = 4 << 20
+
+// ErrMalformed reports a message that cannot be decoded.
+var ErrMalformed = errors.New("malformed peer message")
+
+// Revisions are the document revisions that a daemon holds.
+type Revisions struct {
+	Config uint64 `cbor:"1,keyasint"`
+	Table  uint64 `cbor:"2,keyasint"`
+}
+
+// Heartbeat asks a voter to renew the sender's serving lease.
+type Heartbeat struct {
+	From      table.MemberID `cbor:"1,keyasint"`
+	Sequence  uint64         `cbor:"2,keyasint"`
+	Revisions Revisions      `cbor:"3,keyasint"`
+}
+
+// HeartbeatReply answers a heartbeat. Renewed is the voter's promise; Fenced
+// says that the sender's incarnation has ended for good.
+type HeartbeatReply struct {
+	From      table.MemberID `cbor:"1,keyasint"`
+	Sequence  uint64         `cbor:"2,keyasint"`
+	Renewed   bool           `cbor:"3,keyasint"`
+	Fenced    bool           `cbor:"4,keyasint"`
+	Revisions Revisions      `cbor:"5,keyasint"`
+}
+
+// FenceRequest asks a voter to agree that a member's lease has ended.
+type FenceRequest struct {
+	From   table.MemberID `cbor:"1,keyasint"`
+	Member table.MemberID `cbor:"2,keyasint"`
+}
+
+// FenceReply answers a fence request. If Agreed is false, RemainingMs tells how
+// long the voter's promise still binds it.
+type FenceReply struct {
+	From        table.MemberID `cbor:"1,keyasint"`
+	Member      table.MemberID `cbor:"2,keyasint"`
+	Agreed      bool           `cbor:"3,keyasint"`
+	RemainingMs int64          `cbor:"4,keyasint"`
+}
+
+// TargetHealth is a front's verdict on a target.
+type TargetHealth uint8
+
+// Verdicts of a front.
+const (
+	TargetUnknown TargetHealth = iota
+	TargetServing
+	// TargetEnded means that the target is unreachable or failing and that
+	// its grant has certainly ended.
+	TargetEnded
+	// TargetLeaving means that the target announced that it drains.
+	TargetLeaving
+)
+
+// TargetReport is what a front tells of one target.
+type TargetReport struct {
+	Service string       `cbor:"1,keyasint"`
+	Target  string       `cbor:"2,keyasint"`
+	Epoch   uint64       `cbor:"3,keyasint"`
+	Health  TargetHealth `cbor:"4,keyasint"`
+	// ReleasedShards lists the moving shards that the front has released.
+	ReleasedShards []uint32 `cbor:"5,keyasint,omitempty"`
+	// ReleasedHot lists the moving overrides that the front has released.
+	ReleasedHot []uint64 `cbor:"6,keyasint,omitempty"`
+	// ReleasedFront says that the front has stopped fronting the target.
+	ReleasedFront bool `cbor:"7,keyasint,omitempty"`
+	// Load is the number of requests dispatched per shard since the last
+	// report, for the busiest shards only.
+	Load []ShardLoad `cbor:"8,keyasint,omitempty"`
+}
+
+// ShardLoad is the number of requests of one shard.
+type ShardLoad struct {
+	Shard    uint32 `cbor:"1,keyasint"`
+	Requests uint32 `cbor:"2,keyasint"`
+}
+
+// HotKeyLoad is the estimated request rate of one key.
+type HotKeyLoad struct {
+	Service  string `cbor:"1,keyasint"`
+	Hash     uint64 `cbor:"2,keyasint"`
+	Requests uint32 `cbor:"3,keyasint"`
+}
+
+// Report is a daemon's periodic message to the coordinator. A daemon that is
+// no member yet asks to join by it.
+type Report struct {
+	From      table.MemberID `cbor:"1,keyasint"`
+	Daemon    string         `cbor:"2,keyasint"`
+	Address   string         `cbor:"3,keyasint"`
+	Admin     string         `cbor:"4,keyasint"`
+	Domain    string         `cbor:"5,keyasint"`
+	Sequence  uint64         `cbor:"6,keyasint"`
+	Revisions Revisions      `cbor:"7,keyasint"`
+	// Leaving says that the daemon is shutting down and wants to be drained.
+	Leaving  bool             `cbor:"8,keyasint,omitempty"`
+	Targets  []TargetReport   `cbor:"9,keyasint,omitempty"`
+	HotKeys  []HotKeyLoad     `cbor:"10,keyasint,omitempty"`
+	Fenced   []table.MemberID `cbor:"11,keyasint,omitempty"`
+	LostVote []table.MemberID `cbor:"12,keyasint,omitempty"`
+}
+
+// ReportReply answers a report.
+type ReportReply struct {
+	Coordinator bool      `cbor:"1,keyasint"`
+	Term        int64     `cbor:"2,keyasint"`
+	Revisions   Revisions `cbor:"3,keyasint"`
+}
+
+// DocumentReply carries the encoded documents whose revision is higher than
+// asked for.
+type DocumentReply struct {
+	Revisions Revisions `cbor:"1,keyasint"`
+	Config    []byte    `cbor:"2,keyasint,omitempty"`
+	Table     []byte    `cbor:"3,keyasint,omitempty"`
+}
+
+// Encode returns the CBOR form of a message.
+func Encode(m any) ([]byte, error) { return cbor.Marshal(m) }
+
+// Decode reads one message of at most MaxMessage bytes into m.
+func Decode(r io.Reader, m any) error {
+	b, err := io.ReadAll(io.LimitReader(r, MaxMessage+1))
+	if err != nil {
+		return fmt.Errorf("read peer message: %w", err)
+	}
+	if len(b) > MaxMessage {
+		return fmt.Errorf("%w: longer than %d bytes", ErrMalformed, MaxMessage)
+	}
+	if err := cbor.Unmarshal(b, m); err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/topo/topo.go
@@ -0,0 +1,131 @@
+// Package topo defines the interfaces to the platform: the key-value store
+// that keeps what must last, and the list of instances. Back ends live in
+// sub-packages.
+package topo
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Errors returned by stores. ErrUnknownResult means that a write may or may not
+// have taken effect; the writer resolves it by reading back.
+var (
+	ErrUnavailable   = errors.New("store unavailable")
+	ErrUnknownResult = errors.New("store write result unknown")
+	ErrLeaseNotFound = errors.New("store lease not found")
+	ErrBadReply      = errors.New("store reply not understood")
+)
+
+// LeaseID names a store lease. Zero means no lease.
+type LeaseID int64
+
+// Entry is a stored key with the store revisions of its creation and its last
+// change. CreateRev is 0 if the key does not exist.
+type Entry struct {
+	Key       string
+	Value     []byte
+	CreateRev int64
+	ModRev    int64
+	Lease     LeaseID
+}
+
+// Exists reports whether the key is in the store.
+func (e Entry) Exists() bool { return e.CreateRev != 0 }
+
+// CompareField selects the revision that a Compare looks at.
+type CompareField int
+
+// Fields of a Compare.
+const (
+	CompareCreateRev CompareField = iota
+	CompareModRev
+)
+
+// Compare is a condition that the key's revision equals Rev. Rev 0 means that
+// the key does not exist.
+type Compare struct {
+	Key   string
+	Field CompareField
+	Rev   int64
+}
+
+// Put is one write of a transaction.
+type Put struct {
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// Txn writes all Puts and Deletes if all Compares hold, and nothing otherwise.
+type Txn struct {
+	Compares []Compare
+	Puts     []Put
+	Deletes  []string
+}
+
+// TxnResult tells whether the conditions held, and the store revision after
+// the transaction.
+type TxnResult struct {
+	Succeeded bool
+	Rev       int64
+}
+
+// Event is a change of a watched key. A deleted key has an Entry that does not
+// exist.
+type Event struct {
+	Entry Entry
+}
+
+// Store is the platform's key-value store. All methods are safe for concurrent
+// use and honour the context's deadline. Reads are linearizable unless the
+// store lies.
+type Store interface {
+	// Get returns the entry of key; a missing key is no error.
+	Get(ctx context.Context, key string) (Entry, error)
+	// List returns all entries whose key has the prefix, ordered by key.
+	List(ctx context.Context, prefix string) ([]Entry, error)
+	// Commit runs the transaction. On ErrUnknownResult it may have run.
+	Commit(ctx context.Context, txn Txn) (TxnResult, error)
+	// GrantLease creates a lease that ends ttl after its last renewal. ttl is
+	// rounded up to whole seconds.
+	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// KeepAlive renews the lease; ErrLeaseNotFound means that it has ended.
+	KeepAlive(ctx context.Context, id LeaseID) error
+	// RevokeLease ends the lease and deletes its keys.
+	RevokeLease(ctx context.Context, id LeaseID) error
+	// Watch sends changes of keys with the prefix until ctx ends or the
+	// connection fails; then the channel is closed.
+	Watch(ctx context.Context, prefix string, fromRev int64) (<-chan Event, error)
+}
+
+// InstanceState is the state of an instance in the platform's list.
+type InstanceState string
+
+// States of an instance.
+const (
+	InstanceLive    InstanceState = "live"
+	InstanceLeaving InstanceState = "leaving"
+)
+
+// Instance is an entry of the platform's list.
+type Instance struct {
+	ID      string        `json:"id"`
+	Address string        `json:"address"`
+	State   InstanceState `json:"state"`
+}
+
+// InstanceList reads the platform's list of instances, which lags behind.
+type InstanceList interface {
+	Instances(ctx context.Context) ([]Instance, error)
+}
+
+// Keys in the store.
+const (
+	Prefix         = "/jackdawloom/"
+	KeyConfig      = Prefix + "config"
+	KeyCoordinator = Prefix + "coordinator"
+	KeyTable       = Prefix + "table"
+	PrefixPresence = Prefix + "presence/"
+)
