--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -33,11 +33,14 @@
 	Table  uint64 `cbor:"2,keyasint"`
 }
 
-// Heartbeat asks a voter to renew the sender's serving lease.
+// Heartbeat asks a voter to renew the sender's serving lease. To names the
+// voter's incarnation: a restarted voter has forgotten its promises and must
+// not answer for its predecessor.
 type Heartbeat struct {
 	From      table.MemberID `cbor:"1,keyasint"`
-	Sequence  uint64         `cbor:"2,keyasint"`
-	Revisions Revisions      `cbor:"3,keyasint"`
+	To        table.MemberID `cbor:"2,keyasint"`
+	Sequence  uint64         `cbor:"3,keyasint"`
+	Revisions Revisions      `cbor:"4,keyasint"`
 }
 
 // HeartbeatReply answers a heartbeat. Renewed is the voter's promise; Fenced
@@ -53,7 +56,8 @@
 // FenceRequest asks a voter to agree that a member's lease has ended.
 type FenceRequest struct {
 	From   table.MemberID `cbor:"1,keyasint"`
-	Member table.MemberID `cbor:"2,keyasint"`
+	To     table.MemberID `cbor:"2,keyasint"`
+	Member table.MemberID `cbor:"3,keyasint"`
 }
 
 // FenceReply answers a fence request. If Agreed is false, RemainingMs tells how
