--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -124,11 +124,11 @@
 	Sequence  uint64         `cbor:"6,keyasint"`
 	Revisions Revisions      `cbor:"7,keyasint"`
 	// Leaving says that the daemon is shutting down and wants to be drained.
-	Leaving  bool             `cbor:"8,keyasint,omitempty"`
-	Targets  []TargetReport   `cbor:"9,keyasint,omitempty"`
-	HotKeys  []HotKeyLoad     `cbor:"10,keyasint,omitempty"`
-	Fenced   []table.MemberID `cbor:"11,keyasint,omitempty"`
-	LostVote []table.MemberID `cbor:"12,keyasint,omitempty"`
+	Leaving bool           `cbor:"8,keyasint,omitempty"`
+	Targets []TargetReport `cbor:"9,keyasint,omitempty"`
+	HotKeys []HotKeyLoad   `cbor:"10,keyasint,omitempty"`
+	// Fenced lists members that a majority of their voters agreed to fence.
+	Fenced []table.MemberID `cbor:"11,keyasint,omitempty"`
 }
 
 // ReportReply answers a report.
--- a/internal/state/table/table.go
+++ b/internal/state/table/table.go
@@ -6,6 +6,8 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,20 +17,36 @@
 // ErrMalformed reports a table that cannot be decoded or contradicts itself.
 var ErrMalformed = errors.New("malformed assignment table")
 
-// MemberID names one incarnation of a daemon. It is never reused.
+// MemberID names one incarnation of a daemon, as RUN/N: RUN is one run of the
+// daemon's process and N counts its memberships. It is never reused. Voters are
+// named by their run alone, since a run keeps its promises through all of its
+// memberships.
 type MemberID string
 
+// NewMemberID returns the id of the n-th membership of a run.
+func NewMemberID(run MemberID, n int) MemberID {
+	return MemberID(fmt.Sprintf("%s/%d", run, n))
+}
+
+// Run returns the run that the member belongs to.
+func (id MemberID) Run() MemberID {
+	run, _, _ := strings.Cut(string(id), "/")
+	return MemberID(run)
+}
+
 // StoreVoter is the voter that stands for the platform's store.
 const StoreVoter MemberID = "store"
 
 // Member is one incarnation of a daemon that may hold authority.
 type Member struct {
-	ID      MemberID   `cbor:"1,keyasint"`
-	Daemon  string     `cbor:"2,keyasint"`
-	Address string     `cbor:"3,keyasint"`
-	Admin   string     `cbor:"4,keyasint"`
-	Domain  string     `cbor:"5,keyasint"`
-	Voters  []MemberID `cbor:"6,keyasint"`
+	ID      MemberID `cbor:"1,keyasint"`
+	Daemon  string   `cbor:"2,keyasint"`
+	Address string   `cbor:"3,keyasint"`
+	Admin   string   `cbor:"4,keyasint"`
+	Domain  string   `cbor:"5,keyasint"`
+	// Voters are the runs, or the store, that renew this member's serving
+	// lease. The set never changes.
+	Voters []MemberID `cbor:"6,keyasint"`
 	// Draining members keep what they front until it is handed over, and get
 	// nothing new.
 	Draining bool `cbor:"7,keyasint,omitempty"`
@@ -185,6 +203,64 @@
 	return NoOwner
 }
 
+// Refers reports whether any unit is owned by the target or moves to it.
+func (s *Service) Refers(target uint16) bool {
+	if slices.Contains(s.Owners, target) {
+		return true
+	}
+	toTarget := func(m Move) bool { return m.To == target }
+	hotAt := func(o Override) bool { return o.Owner == target || o.To == target }
+	return slices.ContainsFunc(s.Moves, toTarget) || slices.ContainsFunc(s.Overrides, hotAt)
+}
+
+// Vacate leaves the target's units without an owner, under the epoch, and
+// cancels the moves from and to it. Its overrides are dropped: their keys fall
+// back to their shards.
+func (s *Service) Vacate(target uint16, epoch uint32) {
+	s.Moves = slices.DeleteFunc(s.Moves, func(m Move) bool {
+		return m.To == target || s.Owners[m.Shard] == target
+	})
+	for shard, owner := range s.Owners {
+		if owner == target {
+			s.Owners[shard] = NoOwner
+			s.Epochs[shard] = epoch
+		}
+	}
+	s.Overrides = slices.DeleteFunc(s.Overrides, func(o Override) bool { return o.Owner == target })
+	for i := range s.Overrides {
+		if s.Overrides[i].To == target {
+			s.Overrides[i].To = NoOwner
+		}
+	}
+}
+
+// RemoveTarget takes a target that no unit refers to out of the service and
+// renumbers those behind it.
+func (s *Service) RemoveTarget(target uint16) {
+	s.Targets = slices.Delete(s.Targets, int(target), int(target)+1)
+	renumber := func(i *uint16) {
+		if *i != NoOwner && *i > target {
+			*i--
+		}
+	}
+	for i := range s.Owners {
+		renumber(&s.Owners[i])
+	}
+	for i := range s.Moves {
+		renumber(&s.Moves[i].To)
+	}
+	for i := range s.Overrides {
+		renumber(&s.Overrides[i].Owner)
+		renumber(&s.Overrides[i].To)
+	}
+}
+
+// Vacant reports whether no shard has an owner and nothing moves.
+func (s *Service) Vacant() bool {
+	owned := slices.ContainsFunc(s.Owners, func(o uint16) bool { return o != NoOwner })
+	return !owned && len(s.Moves) == 0 && len(s.Overrides) == 0
+}
+
 // Clone returns a deep copy, the starting point of the next revision.
 func (t *Table) Clone() *Table {
 	c := *t
