Add stand-in store, its in-memory state and the gateway client

Cause: coordination and the daemon need the platform's store and instance list, in process for tests of logic and over HTTP for tests of processes. Ruled out: a second copy of the state in the stand-in; both it and the in-process store use memstore.State, which takes the time as an argument. Ruled out: http.Client for calls, since it resends a POST on a 307 or 308; RoundTrip with a body that cannot be rewound sends once. Before: only the interfaces. Conclusion: other packages can build on the interfaces; tests follow.

--- /dev/null
+++ b/internal/standin/storesrv/control.go
@@ -0,0 +1,97 @@
+package storesrv
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/topo/etcdwire"
+	"github.com/jackdawloom/jackdawloom/internal/topo/memstore"
+)
+
+// Paths of the stand-in's own controls.
+const (
+	PathFaults   = "/faults"
+	PathCounters = "/counters"
+)
+
+// InstanceList is the document at etcdwire.PathInstances.
+type InstanceList struct {
+	Instances []topo.Instance `json:"instances"`
+}
+
+// Control returns a handler for the controls alone. They are not subject to
+// faults:
+//
+//	GET, PUT /faults    memstore.Faults
+//	GET /counters       memstore.Counters
+//	PUT /instances      InstanceList
+func (s *Server) Control() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathFaults, s.getFaults)
+	mux.HandleFunc("PUT "+PathFaults, s.putFaults)
+	mux.HandleFunc("GET "+PathCounters, s.getCounters)
+	mux.HandleFunc("PUT "+etcdwire.PathInstances, s.putInstances)
+	return mux
+}
+
+func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request) {
+	answer{status: http.StatusOK, body: s.shared.Faults()}.write(w)
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f memstore.Faults
+	if !decode(w, r, &f) {
+		return
+	}
+	if err := s.SetFaults(f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.getFaults(w, r)
+}
+
+// SetFaults replaces the injected faults. DownRefuse needs a Listener; without
+// one, connections are reset instead.
+func (s *Server) SetFaults(f memstore.Faults) error {
+	if err := s.shared.SetFaults(f); err != nil {
+		return err
+	}
+	if s.applyDown == nil {
+		return nil
+	}
+	return s.applyDown(f.Down)
+}
+
+func (s *Server) getCounters(w http.ResponseWriter, _ *http.Request) {
+	answer{status: http.StatusOK, body: s.shared.Counters()}.write(w)
+}
+
+func (s *Server) getInstances([]byte) answer {
+	list := s.shared.Instances()
+	if list == nil {
+		list = []topo.Instance{}
+	}
+	return answer{status: http.StatusOK, body: InstanceList{Instances: list}}
+}
+
+func (s *Server) putInstances(w http.ResponseWriter, r *http.Request) {
+	var list InstanceList
+	if !decode(w, r, &list) {
+		return
+	}
+	s.shared.SetInstances(list.Instances)
+	s.getInstances(nil).write(w)
+}
+
+// decode reads a control document; it refuses unknown fields, so that a
+// misspelled fault is noticed.
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/storesrv/fault.go
@@ -0,0 +1,107 @@
+package storesrv
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/topo/memstore"
+)
+
+// oversizedBytes is the size of an oversized reply, far above any client's
+// bound.
+const oversizedBytes = 64 << 20
+
+// withFaults counts a call and performs it with the injected faults.
+func (s *Server) withFaults(call memstore.Call, fn answerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, bad, ok := readBody(r)
+		faults := s.shared.Admit(call)
+		if faults.Down != memstore.DownNo {
+			reset(w)
+		}
+		if !ok {
+			bad.write(w)
+			return
+		}
+		if faults.Drop {
+			s.loseAnswer(r, faults)
+		}
+		s.delay(faults.Delay)
+		reply := fn(body)
+		if faults.Lose {
+			s.loseAnswer(r, faults)
+		}
+		if faults.Nonsense != memstore.NonsenseNo {
+			writeNonsense(w, faults.Nonsense)
+			return
+		}
+		reply.write(w)
+	}
+}
+
+// delay waits for d or until the server ends. It goes on when the caller has
+// left, since a slow store also applies a write whose caller has given up.
+func (s *Server) delay(d time.Duration) {
+	if d == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.done, d)
+	defer cancel()
+	<-ctx.Done()
+}
+
+// loseAnswer breaks the connection, after the caller has given up if the fault
+// says so. It does not return.
+func (s *Server) loseAnswer(r *http.Request, f memstore.CallFaults) {
+	if f.Hang {
+		select {
+		case <-r.Context().Done():
+		case <-s.done.Done():
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset closes the connection with a TCP reset. It does not return.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // without it the close is an ordinary one
+	}
+	_ = conn.Close()
+	panic(http.ErrAbortHandler)
+}
+
+func writeNonsense(w http.ResponseWriter, n memstore.Nonsense) {
+	w.Header().Set("Content-Type", "application/json")
+	switch n {
+	case memstore.NonsenseEmpty:
+		_, _ = io.WriteString(w, "{}")
+	case memstore.NonsenseTypes:
+		_, _ = io.WriteString(w, `{"header":[],"kvs":"x","succeeded":7,"ID":{},"result":{"header":3},"instances":1}`)
+	case memstore.NonsenseTruncated:
+		_, _ = io.WriteString(w, `{"header":{"revision":"12"`)
+	case memstore.NonsenseOversized:
+		writeOversized(w)
+	default:
+		_, _ = io.WriteString(w, "<html>502 Bad Gateway</html>")
+	}
+}
+
+// writeOversized writes a reply of oversizedBytes, unless the caller leaves.
+func writeOversized(w http.ResponseWriter) {
+	const chunk = 64 << 10
+	filler := strings.Repeat(" ", chunk)
+	for range oversizedBytes / chunk {
+		if _, err := io.WriteString(w, filler); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/topo/etcdgw/call.go
@@ -0,0 +1,98 @@
+package etcdgw
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/topo/etcdwire"
+)
+
+// checker is a reply that can tell whether it answers its request.
+type checker interface {
+	check() error
+}
+
+// readCall performs a read and decodes its reply into res.
+func (c *Client) readCall(ctx context.Context, method, path string, req any, res checker) error {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return fmt.Errorf("%w: %w", topo.ErrRefused, err)
+	}
+	r, err := c.read(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	return decode(r, res)
+}
+
+// writeCall performs a write, once, and decodes its reply into res. An error
+// that leaves open whether the write took effect is topo.ErrUnknownResult.
+func (c *Client) writeCall(ctx context.Context, path string, req any, res checker) error {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return fmt.Errorf("%w: %w", topo.ErrRefused, err)
+	}
+	r, err := c.write(ctx, path, body)
+	if err != nil {
+		return err
+	}
+	err = decode(r, res)
+	if errors.Is(err, topo.ErrBadReply) || errors.Is(err, topo.ErrUnavailable) {
+		return fmt.Errorf("%w: %w", topo.ErrUnknownResult, err)
+	}
+	return err
+}
+
+// decode reads a reply into res.
+func decode(r reply, res checker) error {
+	if r.status != http.StatusOK {
+		return refusal(r)
+	}
+	if err := json.Unmarshal(r.body, res); err != nil {
+		return badReply(err)
+	}
+	if err := res.check(); err != nil {
+		return badReply(err)
+	}
+	return nil
+}
+
+// refusal returns the error of a reply with an error status. Only a well-formed
+// error of the gateway with a 4xx status proves that the call had no effect;
+// after any other the store may still perform it.
+func refusal(r reply) error {
+	var e etcdwire.Error
+	if err := json.Unmarshal(r.body, &e); err != nil || e.Code == 0 {
+		return badReply(fmt.Errorf("status %d", r.status))
+	}
+	message := e.Message
+	if message == "" {
+		message = e.Error
+	}
+	switch {
+	case r.status >= http.StatusInternalServerError && e.Code != etcdwire.CodeUnimplemented:
+		return fmt.Errorf("%w: status %d: %s", topo.ErrUnavailable, r.status, message)
+	case e.Code == etcdwire.CodeNotFound:
+		return fmt.Errorf("%w: %s", topo.ErrLeaseNotFound, message)
+	default:
+		return fmt.Errorf("%w: %s", topo.ErrRefused, message)
+	}
+}
+
+func badReply(cause error) error {
+	return fmt.Errorf("%w: %w", topo.ErrBadReply, cause)
+}
+
+// errNoHeader reports a reply without a revision, which etcd never sends.
+var errNoHeader = errors.New("no revision in header")
+
+func checkHeader(h *etcdwire.Header) error {
+	if h == nil || h.Revision <= 0 {
+		return errNoHeader
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/topo/etcdgw/client.go
@@ -0,0 +1,77 @@
+// Package etcdgw is a client of the platform's store through the JSON gateway
+// of etcd's v3 API, and of the platform's instance list. It implements
+// topo.Store and topo.InstanceList.
+//
+// A call that may change the store is sent at most once. If its result cannot
+// be known, it returns topo.ErrUnknownResult; the caller must read back. A read
+// is sent a second time if its connection broke.
+package etcdgw
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+)
+
+// Defaults of Options.
+const (
+	// DefaultMaxReplyBytes holds two values of the largest size in base64.
+	DefaultMaxReplyBytes = 4 << 20
+	// DefaultCallTimeout bounds a call whose context has no earlier deadline.
+	DefaultCallTimeout = 5 * time.Second
+)
+
+const (
+	dialTimeout      = 2 * time.Second
+	idleConnTimeout  = 30 * time.Second
+	maxIdleConns     = 8
+	maxHeaderBytes   = 32 << 10
+	keepAliveSeconds = 15
+)
+
+// Options configures a client; zero fields take the defaults.
+type Options struct {
+	// MaxReplyBytes bounds a reply and each message of a watch.
+	MaxReplyBytes int64
+	// CallTimeout bounds a call, and the opening of a watch.
+	CallTimeout time.Duration
+}
+
+// Client is a client of one store address. It is safe for concurrent use.
+type Client struct {
+	base      string
+	transport *http.Transport
+	maxReply  int64
+	timeout   time.Duration
+}
+
+var (
+	_ topo.Store        = (*Client)(nil)
+	_ topo.InstanceList = (*Client)(nil)
+)
+
+// New returns a client of the store at base, such as http://192.0.2.1:2379. It
+// does not connect.
+func New(base string, o Options) (*Client, error) {
+	u, err := url.Parse(base)
+	if err != nil {
+		return nil, fmt.Errorf("store address: %w", err)
+	}
+	if u.Scheme != "http" || u.Host == "" || (u.Path != "" && u.Path != "/") {
+		return nil, fmt.Errorf("store address %q is not of the form http://host:port", base)
+	}
+	c := &Client{base: "http://" + u.Host, transport: newTransport(), maxReply: o.MaxReplyBytes, timeout: o.CallTimeout}
+	if c.maxReply <= 0 {
+		c.maxReply = DefaultMaxReplyBytes
+	}
+	if c.timeout <= 0 {
+		c.timeout = DefaultCallTimeout
+	}
+	return c, nil
+}
+
+// Close closes idle connections. Calls and watches end with their contexts.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
--- /dev/null
+++ b/internal/topo/etcdgw/kv.go
@@ -0,0 +1,166 @@
+package etcdgw
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/topo/etcdwire"
+	"github.com/jackdawloom/jackdawloom/internal/topo/keyrange"
+)
+
+// Get implements topo.Store.
+func (c *Client) Get(ctx context.Context, key string) (topo.Entry, error) {
+	list, err := c.list(ctx, keyrange.One(key))
+	if err != nil {
+		return topo.Entry{}, err
+	}
+	if len(list) == 0 {
+		return topo.Entry{Key: key}, nil
+	}
+	return list[0], nil
+}
+
+// List implements topo.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]topo.Entry, error) {
+	return c.list(ctx, keyrange.Prefix(prefix))
+}
+
+func (c *Client) list(ctx context.Context, r keyrange.Range) ([]topo.Entry, error) {
+	req := etcdwire.RangeRequest{Key: []byte(r.Key), RangeEnd: []byte(r.End)}
+	res := rangeReply{r: r}
+	if err := c.readCall(ctx, http.MethodPost, etcdwire.PathRange, req, &res); err != nil {
+		return nil, err
+	}
+	list := make([]topo.Entry, len(res.Kvs))
+	for i, kv := range res.Kvs {
+		list[i] = entry(kv)
+	}
+	return list, nil
+}
+
+// Commit implements topo.Store.
+func (c *Client) Commit(ctx context.Context, txn topo.Txn) (topo.TxnResult, error) {
+	if err := checkSizes(txn); err != nil {
+		return topo.TxnResult{}, err
+	}
+	req := txnRequest(txn)
+	res := txnReply{ops: req.Success}
+	if err := c.writeCall(ctx, etcdwire.PathTxn, req, &res); err != nil {
+		return topo.TxnResult{}, err
+	}
+	return topo.TxnResult{Succeeded: res.Succeeded, Rev: int64(res.Header.Revision)}, nil
+}
+
+// checkSizes refuses values that are too large before they are sent.
+func checkSizes(txn topo.Txn) error {
+	for _, p := range txn.Puts {
+		if len(p.Value) > topo.MaxValueBytes {
+			return fmt.Errorf("%w: value of %s has %d bytes, above %d",
+				topo.ErrRefused, p.Key, len(p.Value), topo.MaxValueBytes)
+		}
+	}
+	return nil
+}
+
+func txnRequest(txn topo.Txn) etcdwire.TxnRequest {
+	var req etcdwire.TxnRequest
+	for _, c := range txn.Compares {
+		req.Compare = append(req.Compare, compare(c))
+	}
+	for _, p := range txn.Puts {
+		put := etcdwire.PutRequest{Key: []byte(p.Key), Value: p.Value, Lease: etcdwire.Int64(p.Lease)}
+		req.Success = append(req.Success, etcdwire.RequestOp{RequestPut: &put})
+	}
+	for _, key := range txn.Deletes {
+		del := etcdwire.DeleteRangeRequest{Key: []byte(key)}
+		req.Success = append(req.Success, etcdwire.RequestOp{RequestDeleteRange: &del})
+	}
+	return req
+}
+
+func compare(c topo.Compare) etcdwire.Compare {
+	rev := etcdwire.Int64(c.Rev)
+	out := etcdwire.Compare{Result: etcdwire.CompareEqual, Key: []byte(c.Key)}
+	if c.Field == topo.CompareModRev {
+		out.Target, out.ModRevision = etcdwire.CompareMod, &rev
+	} else {
+		out.Target, out.CreateRevision = etcdwire.CompareCreate, &rev
+	}
+	return out
+}
+
+func entry(kv etcdwire.KeyValue) topo.Entry {
+	return topo.Entry{
+		Key:       string(kv.Key),
+		Value:     kv.Value,
+		CreateRev: int64(kv.CreateRevision),
+		ModRev:    int64(kv.ModRevision),
+		Lease:     topo.LeaseID(kv.Lease),
+	}
+}
+
+// rangeReply checks that the entries are in the requested range, complete and
+// in order.
+type rangeReply struct {
+	etcdwire.RangeResponse
+	r keyrange.Range
+}
+
+var errEntries = errors.New("entries do not answer the request")
+
+func (r *rangeReply) check() error {
+	if err := checkHeader(r.Header); err != nil {
+		return err
+	}
+	if r.More || int64(r.Count) != int64(len(r.Kvs)) {
+		return errEntries
+	}
+	last := ""
+	for _, kv := range r.Kvs {
+		key := string(kv.Key)
+		if !r.r.Contains(key) || key <= last {
+			return errEntries
+		}
+		if !validRevs(kv, r.Header.Revision) {
+			return errEntries
+		}
+		last = key
+	}
+	return nil
+}
+
+func validRevs(kv etcdwire.KeyValue, storeRev etcdwire.Int64) bool {
+	return kv.CreateRevision > 0 && kv.CreateRevision <= kv.ModRevision && kv.ModRevision <= storeRev
+}
+
+// txnReply checks that a successful transaction answers each operation.
+type txnReply struct {
+	etcdwire.TxnResponse
+	ops []etcdwire.RequestOp
+}
+
+func (r *txnReply) check() error {
+	if err := checkHeader(r.Header); err != nil {
+		return err
+	}
+	if !r.Succeeded {
+		if len(r.Responses) > 0 {
+			return errEntries
+		}
+		return nil
+	}
+	if len(r.Responses) != len(r.ops) {
+		return errEntries
+	}
+	for i, op := range r.ops {
+		put := r.Responses[i].ResponsePut != nil
+		del := r.Responses[i].ResponseDeleteRange != nil
+		if put != (op.RequestPut != nil) || del != (op.RequestDeleteRange != nil) {
+			return errEntries
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/topo/etcdgw/transport.go
@@ -0,0 +1,143 @@
+package etcdgw
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+)
+
+// newTransport returns a transport without proxies, HTTP/2 and compression.
+// HTTP/2 is excluded because its client resends requests after some errors.
+func newTransport() *http.Transport {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveSeconds * time.Second}
+	return &http.Transport{
+		Proxy:                  nil,
+		DialContext:            dialer.DialContext,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		Protocols:              &protocols,
+	}
+}
+
+// onceBody is a request body that net/http cannot rewind. Without GetBody and
+// with an unknown type of body, the transport never sends a request again, not
+// even after a reused connection turned out to be closed.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// reply is a complete reply with its status.
+type reply struct {
+	status int
+	body   []byte
+}
+
+// noReplyError reports a call without a complete reply. Sent tells whether the
+// request may have reached the store.
+type noReplyError struct {
+	cause error
+	sent  bool
+}
+
+func (e *noReplyError) Error() string { return "no reply: " + e.cause.Error() }
+func (e *noReplyError) Unwrap() error { return e.cause }
+
+// errReplyTooLarge reports a reply above the bound.
+var errReplyTooLarge = errors.New("reply too large")
+
+// open sends one request and returns the response with its body unread. The
+// error is a *noReplyError. RoundTrip is used instead of http.Client, which
+// would send a request again to follow a redirect.
+func (c *Client) open(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, nil)
+	if err != nil {
+		return nil, &noReplyError{cause: err}
+	}
+	if method == http.MethodPost {
+		req.Body = onceBody{bytes.NewReader(body)}
+		req.ContentLength = int64(len(body))
+		req.Header.Set("Content-Type", "application/json")
+	}
+	res, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return nil, &noReplyError{cause: err, sent: connected.Load()}
+	}
+	return res, nil
+}
+
+// send sends one request and reads the complete reply. The error is a
+// *noReplyError, or errReplyTooLarge.
+func (c *Client) send(ctx context.Context, method, path string, body []byte) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	res, err := c.open(ctx, method, path, body)
+	if err != nil {
+		return reply{}, err
+	}
+	defer closeBody(res)
+	text, err := io.ReadAll(io.LimitReader(res.Body, c.maxReply+1))
+	if err != nil {
+		return reply{}, &noReplyError{cause: err, sent: true}
+	}
+	if int64(len(text)) > c.maxReply {
+		return reply{}, fmt.Errorf("%w: above %d bytes", errReplyTooLarge, c.maxReply)
+	}
+	return reply{status: res.StatusCode, body: text}, nil
+}
+
+// closeBody closes a response's body. Its error carries no information: the
+// reply has been read or given up.
+func closeBody(res *http.Response) { _ = res.Body.Close() }
+
+// read sends a request that changes nothing, a second time if the connection
+// broke. A store that cannot be reached is not tried again.
+func (c *Client) read(ctx context.Context, method, path string, body []byte) (reply, error) {
+	r, err := c.send(ctx, method, path, body)
+	var none *noReplyError
+	if errors.As(err, &none) && none.sent && ctx.Err() == nil && !isTimeout(err) {
+		r, err = c.send(ctx, method, path, body)
+	}
+	if errors.As(err, &none) {
+		return r, fmt.Errorf("%w: %w", topo.ErrUnavailable, err)
+	}
+	if err != nil {
+		return r, fmt.Errorf("%w: %w", topo.ErrBadReply, err)
+	}
+	return r, nil
+}
+
+// write sends a request that may change the store, once.
+func (c *Client) write(ctx context.Context, path string, body []byte) (reply, error) {
+	r, err := c.send(ctx, http.MethodPost, path, body)
+	var none *noReplyError
+	switch {
+	case err == nil:
+		return r, nil
+	case errors.As(err, &none) && !none.sent:
+		return r, fmt.Errorf("%w: %w", topo.ErrUnavailable, err)
+	case errors.As(err, &none):
+		return r, fmt.Errorf("%w: %w", topo.ErrUnknownResult, err)
+	default:
+		return r, fmt.Errorf("%w: %w: %w", topo.ErrUnknownResult, topo.ErrBadReply, err)
+	}
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
--- /dev/null
+++ b/internal/topo/memstore/faults.go
@@ -0,0 +1,116 @@
+package memstore
+
+import (
+	"fmt"
+	"time"
+)
+
+// Down is the way in which the store is down.
+type Down string
+
+// Ways of being down.
+const (
+	DownNo     Down = ""
+	DownRefuse Down = "refuse" // connections are refused
+	DownReset  Down = "reset"  // connections are reset on each call
+)
+
+// Nonsense is a kind of reply that no client can understand.
+type Nonsense string
+
+// Kinds of nonsense replies. The call itself takes effect.
+const (
+	NonsenseNo        Nonsense = ""
+	NonsenseGarbage   Nonsense = "garbage"   // not JSON
+	NonsenseEmpty     Nonsense = "empty"     // an empty JSON object
+	NonsenseTypes     Nonsense = "types"     // JSON of other types
+	NonsenseTruncated Nonsense = "truncated" // JSON that ends early
+	NonsenseOversized Nonsense = "oversized" // a reply of 64 MiB
+)
+
+// All as a count of calls means every call.
+const All = -1
+
+// Faults are the injected faults. The zero value injects none.
+type Faults struct {
+	Down Down `json:"down"`
+	// DelayMs delays every call. A delayed write takes effect after the delay
+	// even if its caller has given up.
+	DelayMs int64 `json:"delay_ms"`
+	// LoseWriteAnswers is the number of writes (txn, put, deleterange) that
+	// take effect without an answer, or All.
+	LoseWriteAnswers int `json:"lose_write_answers"`
+	// DropWrites is the number of writes that are lost together with their
+	// answer, or All.
+	DropWrites int `json:"drop_writes"`
+	// LoseLeaseAnswers is the number of lease calls that take effect without an
+	// answer, or All.
+	LoseLeaseAnswers int `json:"lose_lease_answers"`
+	// HangLost makes a lost call wait for its caller to give up; otherwise the
+	// connection breaks.
+	HangLost bool `json:"hang_lost"`
+	// ExpireLeases ends all leases, and every new one with the next call.
+	ExpireLeases bool `json:"expire_leases"`
+	// SilentWatch keeps events from watches until it is turned off.
+	SilentWatch bool `json:"silent_watch"`
+	// RollbackTo is the revision from which reads are served, or 0.
+	RollbackTo int64    `json:"rollback_to"`
+	Nonsense   Nonsense `json:"nonsense"`
+}
+
+// Validate reports values that have no meaning.
+func (f Faults) Validate() error {
+	switch f.Down {
+	case DownNo, DownRefuse, DownReset:
+	default:
+		return fmt.Errorf("unknown value of down: %q", f.Down)
+	}
+	switch f.Nonsense {
+	case NonsenseNo, NonsenseGarbage, NonsenseEmpty, NonsenseTypes, NonsenseTruncated, NonsenseOversized:
+	default:
+		return fmt.Errorf("unknown value of nonsense: %q", f.Nonsense)
+	}
+	if f.DelayMs < 0 || f.RollbackTo < 0 || min(f.LoseWriteAnswers, f.DropWrites, f.LoseLeaseAnswers) < All {
+		return fmt.Errorf("negative number in faults: %+v", f)
+	}
+	return nil
+}
+
+// CallFaults are the faults of one call.
+type CallFaults struct {
+	Down     Down
+	Delay    time.Duration
+	Drop     bool // the call is lost before it takes effect
+	Lose     bool // the call takes effect, the answer is lost
+	Hang     bool // a lost call waits for its caller to give up
+	Nonsense Nonsense
+}
+
+// take returns the faults of one call and counts down the limited ones.
+func (f *Faults) take(c Call) CallFaults {
+	out := CallFaults{
+		Down:     f.Down,
+		Delay:    time.Duration(f.DelayMs) * time.Millisecond,
+		Hang:     f.HangLost,
+		Nonsense: f.Nonsense,
+	}
+	if f.Down != DownNo {
+		return out
+	}
+	switch {
+	case c.writes():
+		out.Drop = takeOne(&f.DropWrites)
+		out.Lose = !out.Drop && takeOne(&f.LoseWriteAnswers)
+	case c.ofLease():
+		out.Lose = takeOne(&f.LoseLeaseAnswers)
+	}
+	return out
+}
+
+func takeOne(n *int) bool {
+	if *n > 0 {
+		*n--
+		return true
+	}
+	return *n == All
+}
--- /dev/null
+++ b/internal/topo/memstore/shared.go
@@ -0,0 +1,169 @@
+package memstore
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+)
+
+// Shared guards a State for concurrent use, ends its leases on time, wakes its
+// watches, and holds the injected faults, the call counters and the instance
+// list. Close ends its timer.
+type Shared struct {
+	mu        sync.Mutex
+	state     *State
+	past      *State // serves reads while RollbackTo is set
+	faults    Faults
+	counters  Counters
+	instances []topo.Instance
+	skew      time.Duration
+	changed   chan struct{} // closed and replaced at each change
+	expiry    *time.Timer
+	closed    bool
+}
+
+// NewShared returns an empty store.
+func NewShared(limits HistoryLimits) *Shared {
+	return &Shared{
+		state:   NewState(time.Now(), limits),
+		changed: make(chan struct{}),
+	}
+}
+
+// Close stops the timer; leases no longer end by themselves.
+func (s *Shared) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	if s.expiry != nil {
+		s.expiry.Stop()
+	}
+}
+
+// Do runs fn on the state, with its time advanced to the present.
+func (s *Shared) Do(fn func(*State)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.do(fn)
+}
+
+func (s *Shared) do(fn func(*State)) {
+	before := s.state.Rev()
+	s.state.Advance(time.Now().Add(s.skew))
+	if s.faults.ExpireLeases {
+		s.state.ExpireAll()
+	}
+	fn(s.state)
+	if s.state.Rev() != before {
+		s.wake()
+	}
+	s.arm()
+}
+
+// Read runs fn on the state that reads are served from.
+func (s *Shared) Read(fn func(*State)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.do(func(present *State) {
+		if s.past != nil {
+			present = s.past
+		}
+		fn(present)
+	})
+}
+
+// AdvanceClock moves the store's clock forward, which ends the leases that
+// expire within d.
+func (s *Shared) AdvanceClock(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.skew += d
+	s.do(func(*State) {})
+}
+
+// Admit counts a call and returns its faults.
+func (s *Shared) Admit(c Call) CallFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counters.count(c)
+	return s.faults.take(c)
+}
+
+// Faults returns the injected faults; limited ones show the calls left.
+func (s *Shared) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// SetFaults replaces the injected faults. It fails, and changes nothing, if a
+// value has no meaning or the state of RollbackTo is not available.
+func (s *Shared) SetFaults(f Faults) error {
+	if err := f.Validate(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	past, err := s.pastFor(f.RollbackTo)
+	if err != nil {
+		return err
+	}
+	s.faults = f
+	s.past = past
+	s.do(func(*State) {})
+	s.wake()
+	return nil
+}
+
+func (s *Shared) pastFor(rev int64) (*State, error) {
+	switch {
+	case rev == 0:
+		return nil, nil
+	case s.past != nil && s.past.Rev() == rev:
+		return s.past, nil
+	default:
+		return s.state.At(rev)
+	}
+}
+
+// Counters returns a copy of the call counters.
+func (s *Shared) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counters.clone()
+}
+
+// Instances returns a copy of the instance list.
+func (s *Shared) Instances() []topo.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.instances)
+}
+
+// SetInstances replaces the instance list.
+func (s *Shared) SetInstances(list []topo.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances = slices.Clone(list)
+}
+
+// wake wakes all watches.
+func (s *Shared) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// arm sets the timer to the next expiry of a lease.
+func (s *Shared) arm() {
+	if s.expiry != nil {
+		s.expiry.Stop()
+	}
+	next, ok := s.state.NextExpiry()
+	if !ok || s.closed {
+		return
+	}
+	wait := time.Until(next.Add(-s.skew))
+	s.expiry = time.AfterFunc(wait, func() { s.Do(func(*State) {}) })
+}
--- /dev/null
+++ b/internal/topo/memstore/store.go
@@ -0,0 +1,181 @@
+package memstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/topo/keyrange"
+)
+
+// Store is an in-process implementation of topo.Store and topo.InstanceList.
+// Faults injected into its Shared appear as the errors that a remote store's
+// client would return.
+type Store struct {
+	shared *Shared
+}
+
+var (
+	_ topo.Store        = (*Store)(nil)
+	_ topo.InstanceList = (*Store)(nil)
+)
+
+// New returns a store on top of shared.
+func New(shared *Shared) *Store { return &Store{shared: shared} }
+
+// Shared returns the state behind the store.
+func (s *Store) Shared() *Shared { return s.shared }
+
+// Get implements topo.Store.
+func (s *Store) Get(ctx context.Context, key string) (topo.Entry, error) {
+	list, err := s.read(ctx, keyrange.One(key))
+	if err != nil {
+		return topo.Entry{}, err
+	}
+	if len(list) == 0 {
+		return topo.Entry{Key: key}, nil
+	}
+	return list[0], nil
+}
+
+// List implements topo.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]topo.Entry, error) {
+	return s.read(ctx, keyrange.Prefix(prefix))
+}
+
+func (s *Store) read(ctx context.Context, r keyrange.Range) ([]topo.Entry, error) {
+	if r.Key == "" {
+		return nil, refused(ErrEmptyKey)
+	}
+	return run(ctx, s, CallRange, func() (list []topo.Entry, err error) {
+		s.shared.Read(func(st *State) {
+			for _, kv := range st.Range(r) {
+				list = append(list, entry(kv))
+			}
+		})
+		return list, nil
+	})
+}
+
+// Commit implements topo.Store.
+func (s *Store) Commit(ctx context.Context, txn topo.Txn) (topo.TxnResult, error) {
+	return run(ctx, s, CallTxn, func() (res topo.TxnResult, err error) {
+		s.shared.Do(func(st *State) {
+			var r TxnResult
+			r, err = st.Commit(fromTopo(txn))
+			res = topo.TxnResult{Succeeded: r.Succeeded, Rev: st.Rev()}
+		})
+		if err != nil {
+			return topo.TxnResult{}, refused(err)
+		}
+		return res, nil
+	})
+}
+
+// GrantLease implements topo.Store.
+func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (topo.LeaseID, error) {
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	return run(ctx, s, CallGrant, func() (id topo.LeaseID, err error) {
+		s.shared.Do(func(st *State) { id, err = st.Grant(0, seconds) })
+		return id, refused(err)
+	})
+}
+
+// KeepAlive implements topo.Store.
+func (s *Store) KeepAlive(ctx context.Context, id topo.LeaseID) error {
+	_, err := run(ctx, s, CallKeepAlive, func() (ttl int64, err error) {
+		s.shared.Do(func(st *State) { ttl, err = st.KeepAlive(id) })
+		return ttl, refused(err)
+	})
+	return err
+}
+
+// RevokeLease implements topo.Store.
+func (s *Store) RevokeLease(ctx context.Context, id topo.LeaseID) error {
+	_, err := run(ctx, s, CallRevoke, func() (_ struct{}, err error) {
+		s.shared.Do(func(st *State) { err = st.Revoke(id) })
+		return struct{}{}, refused(err)
+	})
+	return err
+}
+
+// Instances implements topo.InstanceList.
+func (s *Store) Instances(ctx context.Context) ([]topo.Instance, error) {
+	return run(ctx, s, CallInstances, func() ([]topo.Instance, error) {
+		return s.shared.Instances(), nil
+	})
+}
+
+// Watch implements topo.Store. The watch sees every change after Watch has
+// returned, or from fromRev on if that is not 0. The channel is closed if the
+// revision has been compacted.
+func (s *Store) Watch(ctx context.Context, prefix string, fromRev int64) (<-chan topo.Event, error) {
+	return run(ctx, s, CallWatch, func() (<-chan topo.Event, error) {
+		events := make(chan topo.Event)
+		follower := s.shared.Follow(keyrange.Prefix(prefix), fromRev)
+		go deliver(ctx, follower, events)
+		return events, nil
+	})
+}
+
+// deliver sends the follower's events until it or ctx ends.
+func deliver(ctx context.Context, f *Follower, events chan<- topo.Event) {
+	defer close(events)
+	defer f.Close()
+	for {
+		batch, err := f.Next(ctx)
+		if err != nil {
+			return
+		}
+		for _, e := range batch.Events {
+			select {
+			case events <- topo.Event{Entry: entry(e.KV)}:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+// refused marks errors of invalid requests; a missing lease keeps its own error.
+func refused(err error) error {
+	if err == nil || errors.Is(err, topo.ErrLeaseNotFound) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", topo.ErrRefused, err)
+}
+
+func entry(kv KV) topo.Entry {
+	return topo.Entry{
+		Key:       kv.Key,
+		Value:     append([]byte(nil), kv.Value...),
+		CreateRev: kv.CreateRev,
+		ModRev:    kv.ModRev,
+		Lease:     kv.Lease,
+	}
+}
+
+func fromTopo(t topo.Txn) Txn {
+	var out Txn
+	for _, c := range t.Compares {
+		out.Compares = append(out.Compares, compareFromTopo(c))
+	}
+	for _, p := range t.Puts {
+		out.Success = append(out.Success, Op{Put: &Put{Key: p.Key, Value: p.Value, Lease: p.Lease}})
+	}
+	for _, key := range t.Deletes {
+		r := keyrange.One(key)
+		out.Success = append(out.Success, Op{Delete: &r})
+	}
+	return out
+}
+
+func compareFromTopo(c topo.Compare) Compare {
+	target := TargetCreateRev
+	if c.Field == topo.CompareModRev {
+		target = TargetModRev
+	}
+	return Compare{Key: c.Key, Target: target, Number: c.Rev}
+}
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -10,14 +10,21 @@
 )
 
 // Errors returned by stores. ErrUnknownResult means that a write may or may not
-// have taken effect; the writer resolves it by reading back.
+// have taken effect; the writer resolves it by reading back. ErrRefused means
+// that the request is invalid and had no effect; repeating it does not help.
+// With any other error except ErrBadReply alone on a read, nothing was written.
 var (
 	ErrUnavailable   = errors.New("store unavailable")
 	ErrUnknownResult = errors.New("store write result unknown")
 	ErrLeaseNotFound = errors.New("store lease not found")
 	ErrBadReply      = errors.New("store reply not understood")
+	ErrRefused       = errors.New("store refused the request")
 )
 
+// MaxValueBytes is the largest value that the store accepts. A larger one is
+// refused with ErrRefused.
+const MaxValueBytes = 1 << 20
+
 // LeaseID names a store lease. Zero means no lease.
 type LeaseID int64
 
