--- a/internal/protocol/grant/grant.go
+++ b/internal/protocol/grant/grant.go
@@ -25,7 +25,11 @@
 	Target     string `json:"target"`
 	FrontEpoch uint64 `json:"front_epoch"`
 	Version    uint64 `json:"version"`
-	Renew      bool   `json:"renew,omitempty"`
+	// Boot is the run of the target whose clock ExpiresMs was read from. A
+	// target refuses a grant that names another run: its clock started anew, so
+	// the expiry would have another meaning. A reading needs no boot.
+	Boot  string `json:"boot,omitempty"`
+	Renew bool   `json:"renew,omitempty"`
 	// ExpiresMs is on the target's own monotonic clock. Zero asks for a
 	// reading of that clock and grants nothing.
 	ExpiresMs int64    `json:"expires_ms"`
