Add manifest parsing, routing and acceptance, and daemon settings

Cause: every other part needs the operators' documents: the entry routes by the manifest, the coordinator plans from it, the daemon starts from settings. Ruled out: json.Decoder.DisallowUnknownFields and ini's own struct mapping; both stop at the first fault and give no line. Before: types only. After: Parse, Validate, Router, Accept, Encode/Decode and settings.Load, with all findings of a document reported at once.

--- /dev/null
+++ b/internal/settings/options.go
@@ -0,0 +1,128 @@
+package settings
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+)
+
+// Sizes in bytes.
+const (
+	kib = int64(1) << 10
+	mib = int64(1) << 20
+	gib = int64(1) << 30
+)
+
+// option describes one key of the file: how to read it and how to document it.
+type option struct {
+	section string
+	key     string
+	// meaning, form and preset document the option. An empty preset means that
+	// the key is unset by default; required keys have none.
+	meaning  string
+	form     string
+	preset   string
+	required bool
+	set      func(s *Settings, value string) error
+}
+
+// options lists every known key in the order of the reference.
+var options = []option{
+	{section: "daemon", key: "id", required: true, form: nameForm,
+		meaning: "Name of the daemon, unique in the fleet.",
+		set:     name(func(s *Settings) *string { return &s.Daemon.ID })},
+	{section: "daemon", key: "domain", required: true, form: nameForm,
+		meaning: "Failure domain of the instance, as named in the manifest.",
+		set:     name(func(s *Settings) *string { return &s.Daemon.Domain })},
+	{section: "daemon", key: "log_level", preset: "info", form: "debug, info, warn or error",
+		meaning: "Lowest level of log lines that are written.", set: logLevel},
+	{section: "daemon", key: "log_format", preset: "text", form: "text or json",
+		meaning: "Form of log lines.", set: logFormat},
+	{section: "daemon", key: "drain_timeout", preset: "30s", form: durationForm(minDrain, maxDrain),
+		meaning: "Time that a stopping daemon has to hand its targets over and finish its requests.",
+		set:     duration(minDrain, maxDrain, func(s *Settings) *time.Duration { return &s.Daemon.DrainTimeout })},
+
+	{section: "listen", key: "caller", required: true, form: "ip:port; may be the unspecified address",
+		meaning: "Address for callers (HTTP).", set: listenCaller},
+	{section: "listen", key: "peer", required: true, form: "ip:port of this instance",
+		meaning: "Address for other daemons (QUIC over UDP). Other daemons dial it as given.", set: listenPeer},
+	{section: "listen", key: "admin", required: true, form: "ip:port of this instance",
+		meaning: "Address for administration and metrics (HTTP). Do not expose it to callers.", set: listenAdmin},
+
+	{section: "tls", key: "ca", form: "PEM file",
+		meaning: "Certificates of the authorities that sign daemons' certificates. Required unless `store.embedded` is true.",
+		set:     file(func(s *Settings) *string { return &s.TLS.CA })},
+	{section: "tls", key: "certificate", form: "PEM file",
+		meaning: "Certificate of this daemon, for both client and server use. Required unless `store.embedded` is true.",
+		set:     file(func(s *Settings) *string { return &s.TLS.Certificate })},
+	{section: "tls", key: "key", form: "PEM file",
+		meaning: "Private key of the certificate. Required unless `store.embedded` is true.",
+		set:     file(func(s *Settings) *string { return &s.TLS.Key })},
+
+	{section: "peers", key: "seeds", form: "ip:port, comma separated, at most 64",
+		meaning: "Peer addresses of other daemons. A daemon that starts while the store is down reads the documents from them.",
+		set:     seeds},
+
+	{section: "store", key: "urls", form: "http://ip:port, comma separated, at most 16",
+		meaning: "Addresses of the platform's store. Required unless `store.embedded` is true.", set: storeURLs},
+	{section: "store", key: "timeout", preset: "500ms", form: durationForm(minStoreTimeout, maxStoreTimeout),
+		meaning: "Time limit of one call to the store. It stays below the coordinator's lease of 2 s, so that a lost call can be repeated in time.",
+		set:     duration(minStoreTimeout, maxStoreTimeout, func(s *Settings) *time.Duration { return &s.Store.Timeout })},
+	{section: "store", key: "embedded", preset: "false", form: "true or false",
+		meaning: "Keep the store in the daemon's memory. For a trial with one daemon: nothing survives its end.",
+		set:     storeEmbedded},
+
+	{section: "instances", key: "url", form: "http://ip:port",
+		meaning: "Address of the platform's instance list. Without it, instances that are about to leave are not drained early.",
+		set:     instancesURL},
+	{section: "instances", key: "poll", preset: "1s", form: durationForm(minPoll, maxPoll),
+		meaning: "Interval between reads of the instance list.",
+		set:     duration(minPoll, maxPoll, func(s *Settings) *time.Duration { return &s.Instances.Poll })},
+
+	{section: "limits", key: "max_body", preset: "8MiB", form: sizeForm(0, gib),
+		meaning: "Largest request body.",
+		set:     size(0, gib, func(s *Settings) *int64 { return &s.Limits.MaxBody })},
+	{section: "limits", key: "max_header", preset: "32KiB", form: sizeForm(kib, mib),
+		meaning: "Largest request header block.",
+		set:     size(kib, mib, func(s *Settings) *int64 { return &s.Limits.MaxHeader })},
+	{section: "limits", key: "held_body", preset: "64KiB", form: sizeForm(0, mib) + "; at most max_body",
+		meaning: "Largest body that is kept in memory, so that a request that did not run can be sent again.",
+		set:     size(0, mib, func(s *Settings) *int64 { return &s.Limits.HeldBody })},
+	{section: "limits", key: "max_key", preset: fmt.Sprint(manifest.MaxKeyBytes), form: sizeForm(1, manifest.MaxKeyBytes),
+		meaning: "Largest key.",
+		set:     size(1, manifest.MaxKeyBytes, func(s *Settings) *int64 { return &s.Limits.MaxKey })},
+}
+
+// Ranges of durations.
+const (
+	minDrain = time.Second
+	maxDrain = 10 * time.Minute
+	// The coordinator's store lease lasts 2 s; two calls must fit into it.
+	minStoreTimeout = 50 * time.Millisecond
+	maxStoreTimeout = time.Second
+	minPoll         = 250 * time.Millisecond
+	maxPoll         = 30 * time.Second
+)
+
+// sections returns the known sections in order.
+func sections() []string {
+	var out []string
+	for _, o := range options {
+		if len(out) == 0 || out[len(out)-1] != o.section {
+			out = append(out, o.section)
+		}
+	}
+	return out
+}
+
+// keysOf returns the known keys of a section.
+func keysOf(section string) []string {
+	var out []string
+	for _, o := range options {
+		if o.section == section {
+			out = append(out, o.key)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,105 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/jackdawloom/jackdawloom/internal/state/finding"
+)
+
+const complete = `[daemon]
+id = loom-1
+domain = a
+[listen]
+caller = 0.0.0.0:8080
+peer = 127.0.0.1:8081
+admin = 127.0.0.1:8082
+[tls]
+ca = ca.pem
+certificate = loom-1.pem
+key = loom-1-key.pem
+[store]
+urls = http://127.0.0.1:2379
+`
+
+// Guards against findings that are lost, misplaced or that hide one another.
+func TestParseFindings(t *testing.T) {
+	rows := []struct {
+		name, old, new string
+		want           []string
+	}{
+		{"complete", "", "", nil},
+		{"unknown names", "domain = a\n[listen]", "domains = a\n[listn]", []string{
+			"s.ini: listen.caller: missing (expected ip:port; may be the unspecified address)",
+			"s.ini: listen.peer: missing (expected ip:port of this instance)",
+			"s.ini: listen.admin: missing (expected ip:port of this instance)",
+			"s.ini:1: daemon.domain: missing (expected " + nameForm + ")",
+			"s.ini:3: daemon.domains: unknown key (did you mean domain?)",
+			"s.ini:4: listn: unknown section (did you mean listen?)",
+		}},
+		{"key of another section", "domain = a", "domain = a\nurls = x", []string{"s.ini:4: daemon.urls: unknown key (it belongs to section [store])"}},
+		{"key twice", "id = loom-1", "id = loom-1\nid = loom-2", []string{"s.ini:3: daemon.id: key given twice (keep one)"}},
+		{"no key", "id = loom-1", "id = loom-1\nnonsense", []string{"s.ini:3: daemon: not a key = value line"}},
+		{"several lines", "id = loom-1", `id = """loom-1"""`, []string{
+			"s.ini:2: daemon.id: values of several lines are not supported (write the value on one line without quotes)",
+		}},
+		{"wrong value is not also missing", "127.0.0.1:2379", "127.0.0.1", []string{
+			`s.ini:13: store.urls: "http://127.0.0.1" is not http://ip:port (expected http://ip:port, comma separated, at most 16)`,
+		}},
+		{"peer names no host", "127.0.0.1:8081", "0.0.0.0:8081", []string{
+			`s.ini:6: listen.peer: "0.0.0.0:8081" names no host; other daemons could not dial it (expected ip:port of this instance)`,
+		}},
+		{"ports clash", "127.0.0.1:8082", "127.0.0.1:8080", []string{"s.ini:7: listen.admin: port 8080 is already used for callers (use another port)"}},
+		{"ranges", "[store]", "[limits]\nmax_key = 513\nmax_body = 1KiB\n[store]\ntimeout = 2s", []string{
+			"s.ini:12: limits.held_body: larger than max_body",
+			"s.ini:13: limits.max_key: 513 is out of range (expected bytes, or a number with KiB, MiB or GiB, 1 to 512)",
+			"s.ini:16: store.timeout: 2s is out of range (expected duration such as 500ms or 2s, 50ms to 1s)",
+		}},
+		{"embedded with peers", "[store]", "[peers]\nseeds = 127.0.0.1:1\n[store]\nembedded = true", []string{
+			"s.ini:15: store.embedded: cannot be combined with urls (remove one of them)",
+			"s.ini:15: store.embedded: serves a single daemon only (remove peers.seeds, or give store.urls)",
+		}},
+		{"tls incomplete", "key = loom-1-key.pem\n", "", []string{
+			"s.ini:8: tls.key: missing (daemons authenticate each other; give a PEM file)",
+		}},
+	}
+	for _, r := range rows {
+		t.Run(r.name, func(t *testing.T) {
+			_, err := Parse("s.ini", []byte(strings.Replace(complete, r.old, r.new, 1)))
+			got := ""
+			if err != nil {
+				var found *finding.Error
+				if !errors.As(err, &found) {
+					t.Fatalf("error %v is not a finding.Error", err)
+				}
+				got = err.Error()
+			}
+			if want := strings.Join(r.want, "\n"); got != want {
+				t.Errorf("findings:\n%s\nwant:\n%s", got, want)
+			}
+		})
+	}
+}
+
+// Guards against an example that the daemon refuses, and against TLS files that
+// are not checked with the rest.
+func TestExample(t *testing.T) {
+	const path = "../../examples/jackdawloomd.ini"
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Parse("jackdawloomd.ini", b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Limits != defaults().Limits || s.Store.Timeout != defaults().Store.Timeout {
+		t.Errorf("the example differs from the defaults: %+v", s)
+	}
+	var found *finding.Error
+	if _, err := Load(path); !errors.As(err, &found) || len(found.Findings) != 3 {
+		t.Errorf("Load without TLS files: %v; want one finding per file", err)
+	}
+}
--- /dev/null
+++ b/internal/state/manifest/accept.go
@@ -0,0 +1,135 @@
+package manifest
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+)
+
+// Errors of accepting and decoding manifests.
+var (
+	// ErrConflict reports a change that was based on another revision than the
+	// current one. The error is a *ConflictError.
+	ErrConflict = errors.New("manifest was changed by another operation")
+	// ErrOperation reports a missing operation id, or one that the current
+	// revision already carries with another manifest.
+	ErrOperation = errors.New("operation id missing or reused")
+	// ErrMalformed reports a stored manifest that cannot be used.
+	ErrMalformed = errors.New("malformed stored manifest")
+	// ErrTooLarge reports an accepted manifest that exceeds the store's limit.
+	ErrTooLarge = errors.New("stored manifest too large")
+)
+
+// ConflictError tells which revision a change was based on and which is
+// current. It matches ErrConflict.
+type ConflictError struct {
+	BasedOn   uint64
+	Current   uint64
+	Operation string // of the current revision
+}
+
+// Error describes the conflict.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%v: based on revision %d, current revision is %d (operation %s)",
+		ErrConflict, e.BasedOn, e.Current, e.Operation)
+}
+
+// Is reports whether target is ErrConflict.
+func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
+
+// Accept returns the successor of current that holds m. basedOn is the revision
+// that the author read; 0 if there was none. The same operation submitted again
+// returns current unchanged, so a lost response may be followed by a retry.
+// Author is left empty for the caller to set.
+func Accept(current Accepted, basedOn uint64, m Manifest, operation string) (Accepted, error) {
+	if operation == "" {
+		return Accepted{}, ErrOperation
+	}
+	m = m.clone()
+	m.ApplyDefaults()
+	if current.Operation == operation {
+		return again(current, m)
+	}
+	if basedOn != current.Revision {
+		return Accepted{}, &ConflictError{BasedOn: basedOn, Current: current.Revision, Operation: current.Operation}
+	}
+	found := m.Validate("")
+	if err := found.Err(); err != nil {
+		return Accepted{}, err
+	}
+	return Accepted{Revision: current.Revision + 1, Operation: operation, Manifest: m}, nil
+}
+
+func again(current Accepted, m Manifest) (Accepted, error) {
+	if !reflect.DeepEqual(current.Manifest.clone(), m) {
+		return Accepted{}, fmt.Errorf("%w: revision %d holds another manifest of operation %s",
+			ErrOperation, current.Revision, current.Operation)
+	}
+	return current, nil
+}
+
+// clone returns a deep copy with nil for empty lists, so that equal manifests
+// compare equal.
+func (m *Manifest) clone() Manifest {
+	c := *m
+	c.Services = append([]Service(nil), m.Services...)
+	for i := range c.Services {
+		s := &c.Services[i]
+		s.Targets = append([]Target(nil), s.Targets...)
+		s.Classes = append([]Class(nil), s.Classes...)
+		for j := range s.Classes {
+			s.Classes[j].Methods = append([]string(nil), s.Classes[j].Methods...)
+		}
+	}
+	return c
+}
+
+// EncodeAccepted returns the stored form of at most MaxBytes.
+func EncodeAccepted(a Accepted) ([]byte, error) {
+	b, err := json.Marshal(a)
+	if err != nil {
+		return nil, fmt.Errorf("encode manifest: %w", err)
+	}
+	if len(b) > MaxBytes {
+		return nil, fmt.Errorf("%w: %d bytes; the limit is %d", ErrTooLarge, len(b), MaxBytes)
+	}
+	return b, nil
+}
+
+// DecodeAccepted reads the stored form. It checks only what the router relies
+// on for its own safety: a later release with stricter rules must still read
+// what an earlier one accepted, and fields of later releases are ignored.
+func DecodeAccepted(b []byte) (Accepted, error) {
+	if len(b) > MaxBytes {
+		return Accepted{}, fmt.Errorf("%w: %d bytes", ErrMalformed, len(b))
+	}
+	var a Accepted
+	if err := json.Unmarshal(b, &a); err != nil {
+		return Accepted{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if a.Revision == 0 || a.Operation == "" {
+		return Accepted{}, fmt.Errorf("%w: no revision or operation", ErrMalformed)
+	}
+	if a.Manifest.Schema != Schema {
+		return Accepted{}, fmt.Errorf("%w: schema %d", ErrMalformed, a.Manifest.Schema)
+	}
+	for i := range a.Manifest.Services {
+		if err := a.Manifest.Services[i].checkStored(); err != nil {
+			return Accepted{}, err
+		}
+	}
+	return a, nil
+}
+
+func (s *Service) checkStored() error {
+	if s.Shards < 1 || s.Shards > MaxShards || len(s.Targets) > MaxTargets {
+		return fmt.Errorf("%w: service %q has %d shards and %d targets", ErrMalformed, s.Name, s.Shards, len(s.Targets))
+	}
+	for _, t := range s.Targets {
+		if t.Slots < 1 || t.Slots > MaxSlots || t.Connections < 1 || t.Connections > MaxConnections {
+			return fmt.Errorf("%w: target %q has %d slots and %d connections", ErrMalformed, t.Name, t.Slots, t.Connections)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/state/manifest/bind.go
@@ -0,0 +1,153 @@
+package manifest
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/jackdawloom/jackdawloom/internal/state/finding"
+)
+
+// binder copies a JSON tree into a struct and records everything that does not
+// fit, together with the line of every field.
+type binder struct {
+	file  string
+	lines map[string]int
+	wrong map[string]bool // paths with a finding; their zero values mean nothing
+	found finding.List
+}
+
+func newBinder(file string) *binder {
+	return &binder{file: file, lines: map[string]int{}, wrong: map[string]bool{}}
+}
+
+func (b *binder) add(path string, line int, problem, remedy string) {
+	section, key := splitPath(path)
+	b.wrong[path] = true
+	b.found.Add(finding.Place{File: b.file, Section: section, Key: key, Line: line}, problem, remedy)
+}
+
+// splitPath splits services[0].targets[1].slots into its section and key.
+func splitPath(path string) (section, key string) {
+	i := strings.LastIndexByte(path, '.')
+	if i < 0 {
+		return "", path
+	}
+	return path[:i], path[i+1:]
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func (b *binder) bind(path string, n *node, v reflect.Value) {
+	b.lines[path] = n.line
+	switch v.Kind() {
+	case reflect.Struct:
+		b.object(path, n, v)
+	case reflect.Slice:
+		b.array(path, n, v)
+	case reflect.String:
+		b.text(path, n, v)
+	case reflect.Bool:
+		b.boolean(path, n, v)
+	case reflect.Int:
+		b.integer(path, n, v)
+	case reflect.Float64:
+		b.number(path, n, v)
+	default:
+		panic("manifest: no binding for " + v.Kind().String())
+	}
+}
+
+func (b *binder) expect(path string, n *node, want nodeKind) bool {
+	if n.kind == want {
+		return true
+	}
+	b.add(path, n.line, fmt.Sprintf("is of type %s; expected %s", n.kind, want), "")
+	return false
+}
+
+func (b *binder) object(path string, n *node, v reflect.Value) {
+	if !b.expect(path, n, kindObject) {
+		return
+	}
+	index, known := fieldIndex(v.Type())
+	seen := map[string]bool{}
+	for _, f := range n.fields {
+		i, ok := index[f.name]
+		where := join(path, f.name)
+		switch {
+		case !ok:
+			b.add(where, f.line, "unknown field", finding.Suggest(f.name, known))
+		case seen[f.name]:
+			b.add(where, f.line, "field given twice", "keep one")
+		default:
+			b.bind(where, f.node, v.Field(i))
+		}
+		seen[f.name] = true
+	}
+}
+
+// fieldIndex maps the JSON names of a struct's fields to their indexes.
+func fieldIndex(t reflect.Type) (map[string]int, []string) {
+	index := make(map[string]int, t.NumField())
+	var known []string
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		index[name] = i
+		known = append(known, name)
+	}
+	return index, known
+}
+
+func (b *binder) array(path string, n *node, v reflect.Value) {
+	if !b.expect(path, n, kindArray) {
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(n.items), len(n.items)))
+	for i, item := range n.items {
+		b.bind(path+"["+strconv.Itoa(i)+"]", item, v.Index(i))
+	}
+}
+
+func (b *binder) text(path string, n *node, v reflect.Value) {
+	if b.expect(path, n, kindString) {
+		v.SetString(n.value.(string))
+	}
+}
+
+func (b *binder) boolean(path string, n *node, v reflect.Value) {
+	if b.expect(path, n, kindBool) {
+		v.SetBool(n.value.(bool))
+	}
+}
+
+func (b *binder) integer(path string, n *node, v reflect.Value) {
+	if !b.expect(path, n, kindNumber) {
+		return
+	}
+	i, err := strconv.ParseInt(n.value.(json.Number).String(), 10, 32)
+	if err != nil {
+		b.add(path, n.line, fmt.Sprintf("%s is not a 32-bit whole number", n.value), "")
+		return
+	}
+	v.SetInt(i)
+}
+
+func (b *binder) number(path string, n *node, v reflect.Value) {
+	if !b.expect(path, n, kindNumber) {
+		return
+	}
+	f, err := n.value.(json.Number).Float64()
+	if err != nil {
+		b.add(path, n.line, fmt.Sprintf("%s is out of range", n.value), "")
+		return
+	}
+	v.SetFloat(f)
+}
--- /dev/null
+++ b/internal/state/manifest/parse_test.go
@@ -0,0 +1,109 @@
+package manifest
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/jackdawloom/jackdawloom/internal/state/finding"
+)
+
+const valid = `{
+  "schema": 1,
+  "name": "muscat",
+  "services": [
+    {
+      "name": "display",
+      "path_prefix": "/display",
+      "key": {"from": "path", "segment": 0},
+      "classes": [
+        {"name": "read", "methods": ["GET", "HEAD"], "repeat": "idempotent",
+         "deadline_ms": 500, "objective": {"latency_ms": 50, "ratio": 0.999}}
+      ],
+      "targets": [
+        {"name": "display-01", "address": "127.0.0.1:9001", "domain": "a", "slots": 3, "connections": 110, "checks_grants": true}
+      ]
+    }
+  ]
+}`
+
+// findings parses a document and returns its findings as lines.
+func findings(t *testing.T, document string) []string {
+	t.Helper()
+	_, err := Parse("m.json", []byte(document))
+	if err == nil {
+		return nil
+	}
+	var found *finding.Error
+	if !errors.As(err, &found) {
+		t.Fatalf("error %v is not a finding.Error", err)
+	}
+	var out []string
+	for _, f := range found.Findings {
+		out = append(out, f.String())
+	}
+	return out
+}
+
+// Guards against findings that are lost, misplaced or that hide one another:
+// each row changes the valid document and lists every finding expected.
+func TestParseFindings(t *testing.T) {
+	rows := []struct {
+		name, old, new string
+		want           []string
+	}{
+		{"valid", "", "", nil},
+		{"unknown field", `"slots": 3`, `"slot": 3`, []string{
+			"m.json:14: services[0].targets[0].slot: unknown field (did you mean slots?)",
+			"m.json:14: services[0].targets[0].slots: 0 is out of range; expected 1 to 1024",
+		}},
+		{"wrong type explains the value", `"slots": 3`, `"slots": "3"`, []string{
+			"m.json:14: services[0].targets[0].slots: is of type string; expected number",
+		}},
+		{"null", `"schema": 1`, `"schema": null`, []string{"m.json:2: schema: is of type null; expected number"}},
+		{"fraction", `"slots": 3`, `"slots": 1.5`, []string{
+			"m.json:14: services[0].targets[0].slots: 1.5 is not a 32-bit whole number",
+		}},
+		{"field twice", `"name": "muscat",`, `"name": "muscat", "name": "perinka",`, []string{"m.json:3: name: field given twice (keep one)"}},
+		{"bad JSON", `"schema": 1,`, `"schema": 1`, []string{`m.json:3: not valid JSON: invalid character '"' after object key:value pair`}},
+		{"schema", `"schema": 1`, `"schema": 2`, []string{"m.json:2: schema: schema 2 is not supported (set it to 1)"}},
+		{"no targets", `"slots": 3, "connections": 110`, `"slots": 0, "connections": 4097`, []string{
+			"m.json:14: services[0].targets[0].slots: 0 is out of range; expected 1 to 1024",
+			"m.json:14: services[0].targets[0].connections: 4097 is out of range; expected 1 to 4096",
+		}},
+		{"no connection for grants", `"connections": 110`, `"connections": 3`, []string{
+			"m.json:14: services[0].targets[0].connections: 3 connections cannot carry 3 slots and the connection for grants",
+		}},
+		{"host name", `127.0.0.1:9001`, `localhost:9001`, []string{
+			`m.json:14: services[0].targets[0].address: "localhost:9001" is not ip:port of a host (use an IP address and a port of 1 to 65535, such as 10.0.0.1:8080)`,
+		}},
+		{"key source", `"from": "path", "segment": 0`, `"from": "body"`, []string{
+			`m.json:8: services[0].key.from: unknown key source "body" (use path, query or header)`,
+		}},
+		{"objective missing", `, "objective": {"latency_ms": 50, "ratio": 0.999}`, ``, []string{
+			"m.json:10: services[0].classes[0].objective: missing (give latency_ms and ratio)",
+		}},
+		{"objective out of range", `"latency_ms": 50, "ratio": 0.999`, `"latency_ms": 501, "ratio": 1`, []string{
+			"m.json:11: services[0].classes[0].objective.latency_ms: 501 is out of range; expected 1 to 500 ms (the deadline)",
+			"m.json:11: services[0].classes[0].objective.ratio: 1 is out of range; expected above 0 and below 1",
+		}},
+		{"every target drains", `"checks_grants": true`, `"checks_grants": true, "drain": true`, []string{
+			"m.json:13: services[0].targets: every target has drain set, so their keys have nowhere to go (leave one target without drain, or remove the service)",
+		}},
+		{"escape in prefix", `"/display"`, `"/display/%41/"`, []string{
+			`m.json:7: services[0].path_prefix: "/display/%41/" ends with / (remove the last /)`,
+		}},
+		{"too deep", `"schema": 1`, `"schema": ` + strings.Repeat("[", 40) + strings.Repeat("]", 40), []string{
+			"m.json:2: not valid JSON: nested too deeply",
+		}},
+	}
+	for _, r := range rows {
+		t.Run(r.name, func(t *testing.T) {
+			document := strings.Replace(valid, r.old, r.new, 1)
+			got := findings(t, document)
+			if strings.Join(got, "\n") != strings.Join(r.want, "\n") {
+				t.Errorf("findings:\n%s\nwant:\n%s", strings.Join(got, "\n"), strings.Join(r.want, "\n"))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/state/manifest/validate_service.go
@@ -0,0 +1,191 @@
+package manifest
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// maxSegment bounds the position of the key in the path.
+const maxSegment = 15
+
+// reservedHeaderPrefix marks the router's own headers. A key in one of them
+// would be overwritten by forwarding.
+const reservedHeaderPrefix = "jackdawloom-"
+
+var (
+	tokenPattern  = regexp.MustCompile("^[!#$%&'*+.^_`|~0-9A-Za-z-]{1,64}$")
+	methodPattern = regexp.MustCompile(`^[A-Z][A-Z-]{0,31}$`)
+)
+
+func (v *validator) service(path string, s *Service) {
+	v.name(path+".name", s.Name)
+	v.prefix(path+".path_prefix", s.PathPrefix, false)
+	v.within(path+".shards", s.Shards, 0, MaxShards, "")
+	if n := len(s.Targets); s.Shards > 0 && s.Shards < n {
+		v.add(path+".shards", fmt.Sprintf("%d shards for %d targets; some targets would own nothing", s.Shards, n), "")
+	}
+	v.key(path+".key", s.Key)
+	v.classes(path+".classes", s.Classes)
+	v.targets(path+".targets", s.Targets)
+}
+
+func (v *validator) key(path string, k KeySource) {
+	switch k.From {
+	case KeyFromPath:
+		v.within(path+".segment", k.Segment, 0, maxSegment, "")
+		if k.Name != "" {
+			v.add(path+".name", "applies to query and header keys only", "remove it")
+		}
+	case KeyFromQuery, KeyFromHeader:
+		v.keyName(path, k)
+	case "":
+		v.add(path+".from", "missing", "use path, query or header")
+	default:
+		v.add(path+".from", fmt.Sprintf("unknown key source %q", k.From), "use path, query or header")
+	}
+}
+
+func (v *validator) keyName(path string, k KeySource) {
+	if k.Segment != 0 {
+		v.add(path+".segment", "applies to path keys only", "remove it")
+	}
+	switch {
+	case k.Name == "":
+		v.add(path+".name", "missing", "give the name of the "+string(k.From)+" parameter")
+	case !tokenPattern.MatchString(k.Name):
+		v.add(path+".name", fmt.Sprintf("%q is not a valid %s name", k.Name, k.From), "")
+	case k.From == KeyFromHeader && strings.HasPrefix(strings.ToLower(k.Name), reservedHeaderPrefix):
+		v.add(path+".name", fmt.Sprintf("header %q is reserved for the router", k.Name), "")
+	}
+}
+
+func (v *validator) classes(path string, classes []Class) {
+	v.count(path, len(classes), MaxClasses)
+	for i := range classes {
+		v.class(index(path, i), &classes[i])
+		if i > 0 && hidden(classes[:i], &classes[i]) {
+			v.add(index(path, i), fmt.Sprintf("class %q can never match: earlier classes match all its requests", classes[i].Name),
+				"move it before them or remove it")
+		}
+	}
+	v.unique(path, len(classes), func(i int) string { return classes[i].Name })
+}
+
+// hidden reports whether the earlier classes match every request that c would.
+func hidden(earlier []Class, c *Class) bool {
+	covered := func(method string) bool {
+		return slices.ContainsFunc(earlier, func(e Class) bool {
+			methods := len(e.Methods) == 0 || slices.Contains(e.Methods, method)
+			return methods && underPrefix(c.PathPrefix, e.PathPrefix)
+		})
+	}
+	if len(c.Methods) == 0 {
+		return covered("")
+	}
+	return !slices.ContainsFunc(c.Methods, func(m string) bool { return !covered(m) })
+}
+
+func (v *validator) class(path string, c *Class) {
+	v.name(path+".name", c.Name)
+	v.methods(path+".methods", c.Methods)
+	v.prefix(path+".path_prefix", c.PathPrefix, true)
+	switch c.Repeat {
+	case RepeatIdempotent, RepeatNever:
+	case "":
+		v.add(path+".repeat", "missing", "use idempotent or never")
+	default:
+		v.add(path+".repeat", fmt.Sprintf("unknown value %q", c.Repeat), "use idempotent or never")
+	}
+	v.within(path+".deadline_ms", c.DeadlineMs, 1, MaxDeadlineMs, " ms")
+	v.objective(path+".objective", c)
+}
+
+func (v *validator) methods(path string, methods []string) {
+	if len(methods) > MaxMethods {
+		v.add(path, fmt.Sprintf("%d entries; expected at most %d", len(methods), MaxMethods), "")
+	}
+	for i, m := range methods {
+		if !methodPattern.MatchString(m) {
+			v.add(index(path, i), fmt.Sprintf("%q is not a method", m), "use upper case, such as GET")
+		}
+		if slices.Contains(methods[:i], m) {
+			v.add(index(path, i), fmt.Sprintf("method %s given twice", m), "")
+		}
+	}
+}
+
+func (v *validator) objective(path string, c *Class) {
+	o := c.Objective
+	if o == (Objective{}) {
+		v.add(path, "missing", "give latency_ms and ratio")
+		return
+	}
+	// Requests beyond their deadline are refused, so a longer objective could
+	// never be missed by latency.
+	v.within(path+".latency_ms", o.LatencyMs, 1, max(1, min(c.DeadlineMs, MaxDeadlineMs)), " ms (the deadline)")
+	if !(o.Ratio > 0 && o.Ratio < 1) {
+		v.add(path+".ratio", fmt.Sprintf("%v is out of range; expected above 0 and below 1", o.Ratio), "")
+	}
+}
+
+func (v *validator) targets(path string, targets []Target) {
+	v.count(path, len(targets), MaxTargets)
+	draining := 0
+	for i := range targets {
+		v.target(index(path, i), &targets[i])
+		if targets[i].Drain {
+			draining++
+		}
+	}
+	v.unique(path, len(targets), func(i int) string { return targets[i].Name })
+	if draining > 0 && draining == len(targets) {
+		v.add(path, "every target has drain set, so their keys have nowhere to go",
+			"leave one target without drain, or remove the service")
+	}
+}
+
+func (v *validator) target(path string, t *Target) {
+	v.name(path+".name", t.Name)
+	v.address(path+".address", t.Address)
+	v.name(path+".domain", t.Domain)
+	v.within(path+".slots", t.Slots, 1, MaxSlots, "")
+	v.within(path+".connections", t.Connections, 1, MaxConnections, "")
+	// Grants travel on a connection of their own.
+	need := t.Slots
+	if t.ChecksGrants {
+		need++
+	}
+	if t.Slots >= 1 && t.Connections >= 1 && t.Connections < need {
+		v.add(path+".connections", fmt.Sprintf("%d connections cannot carry %d slots%s", t.Connections, t.Slots, grantNote(t)), "")
+	}
+}
+
+func grantNote(t *Target) string {
+	if t.ChecksGrants {
+		return " and the connection for grants"
+	}
+	return ""
+}
+
+// address checks ip:port. Two targets with one address would have two fronts,
+// and its slots would be counted twice.
+func (v *validator) address(path, address string) {
+	if address == "" {
+		v.add(path, "missing", "give ip:port")
+		return
+	}
+	a, err := netip.ParseAddrPort(address)
+	if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() || a.Addr().Zone() != "" {
+		v.add(path, fmt.Sprintf("%q is not ip:port of a host", address), "use an IP address and a port of 1 to 65535, such as 10.0.0.1:8080")
+		return
+	}
+	canonical := netip.AddrPortFrom(a.Addr().Unmap(), a.Port()).String()
+	if first, dup := v.addresses[canonical]; dup {
+		v.add(path, fmt.Sprintf("address %s is already used by %s", canonical, first), "")
+		return
+	}
+	v.addresses[canonical] = strings.TrimSuffix(path, ".address")
+}
