--- a/internal/protocol/grant/grant.go
+++ b/internal/protocol/grant/grant.go
@@ -26,6 +26,10 @@
 	FrontEpoch uint64 `json:"front_epoch"`
 	Version    uint64 `json:"version"`
 	Renew      bool   `json:"renew,omitempty"`
+	// Boot is the run of the target's process whose clock ExpiresMs refers
+	// to. A target refuses a grant for another run: a restarted clock would
+	// make it last too long.
+	Boot string `json:"boot,omitempty"`
 	// ExpiresMs is on the target's own monotonic clock. Zero asks for a
 	// reading of that clock and grants nothing.
 	ExpiresMs int64    `json:"expires_ms"`
