--- /dev/null
+++ b/internal/coordination/admission/schedule.go
@@ -0,0 +1,189 @@
+package admission
+
+import "time"
+
+// dispatch starts requests until no slot is free or none is startable.
+func (t *Controller) dispatch(now time.Time, ch *Changes) {
+	for !t.held && t.queued > 0 && t.running < t.limit.whole() {
+		it := t.choose(now)
+		if it == nil {
+			return
+		}
+		if !t.inTime(it, now) {
+			t.expire(it, ch)
+			continue
+		}
+		t.start(it, now, ch)
+	}
+}
+
+func (t *Controller) start(it *item, now time.Time, ch *Changes) {
+	class := &t.classes[it.class]
+	class.take(it)
+	t.queued--
+	it.running = true
+	class.running++
+	t.running++
+	t.counts.Started++
+	ch.Starts = append(ch.Starts, Start{ID: it.id, Class: it.class, Waited: now.Sub(it.arrived)})
+}
+
+// choose returns the startable request with the earliest arrival after adding
+// its class's cost times agingRatio: short ones go first, but overtake a longer
+// one for a bounded time only.
+func (t *Controller) choose(now time.Time) *item {
+	var best *item
+	var bestRank time.Time
+	for i := range t.classes {
+		class := &t.classes[i]
+		if class.queued == 0 || !t.mayStart(class, now) {
+			continue
+		}
+		it := class.next()
+		rank := it.arrived.Add(time.Duration(class.mean * agingRatio))
+		if best == nil || rank.Before(bestRank) {
+			best, bestRank = it, rank
+		}
+	}
+	return best
+}
+
+// mayStart keeps one slot free of stragglers while shorter requests wait or are
+// expected. With a limit of one slot, stragglers only give way to waiting ones
+// through the order.
+func (t *Controller) mayStart(class *classState, now time.Time) bool {
+	if !t.straggler(class) {
+		return true
+	}
+	most := t.limit.whole() - 1
+	if most < 1 || t.stragglersRunning() < most {
+		return true
+	}
+	return !t.shorterExpected(now)
+}
+
+func (t *Controller) straggler(class *classState) bool {
+	return class.mean > stragglerRatio*t.overall.median
+}
+
+func (t *Controller) stragglersRunning() int {
+	n := 0
+	for i := range t.classes {
+		if t.straggler(&t.classes[i]) {
+			n += t.classes[i].running
+		}
+	}
+	return n
+}
+
+func (t *Controller) shorterExpected(now time.Time) bool {
+	for i := range t.classes {
+		class := &t.classes[i]
+		if t.straggler(class) {
+			continue
+		}
+		if class.queued > 0 || t.arrivedLately(class, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Controller) arrivedLately(class *classState, now time.Time) bool {
+	return !class.lastArrival.IsZero() && now.Sub(class.lastArrival) < expectedWindow
+}
+
+// inTime reports whether a typical request of the class started now completes
+// before the deadline. An idle target tries regardless of the estimate.
+func (t *Controller) inTime(it *item, now time.Time) bool {
+	if !now.Before(it.deadline) {
+		return false
+	}
+	class := &t.classes[it.class]
+	if t.running == 0 || !now.Add(class.typical()).After(it.deadline) {
+		return true
+	}
+	return class.probe()
+}
+
+// canComplete is inTime for a request that has yet to wait for those ahead.
+func (t *Controller) canComplete(class *classState, r Request, now time.Time) bool {
+	if !now.Before(r.Deadline) {
+		return false
+	}
+	if t.held || t.running == 0 {
+		return true
+	}
+	ready := now.Add(t.expectedWait(class, r.Caller)).Add(class.typical())
+	if !ready.After(r.Deadline) {
+		class.doubted = 0
+		return true
+	}
+	return class.probe()
+}
+
+func (c *classState) probe() bool {
+	c.doubted++
+	if c.doubted < probeEvery {
+		return false
+	}
+	c.doubted = 0
+	return true
+}
+
+// expectedWait estimates the time until a new request of the caller starts.
+func (t *Controller) expectedWait(class *classState, caller string) time.Duration {
+	if t.queued == 0 {
+		return 0
+	}
+	work := float64(class.ahead(caller)) * class.mean
+	for i := range t.classes {
+		other := &t.classes[i]
+		if other != class && other.mean <= class.mean {
+			work += float64(other.queued) * other.mean
+		}
+	}
+	return time.Duration(work / t.limit.value)
+}
+
+// makeRoom sheds the least harmful queued request in favour of the new one, or
+// returns the reason why the new one is to be refused.
+func (t *Controller) makeRoom(class *classState, r Request, ch *Changes) Reason {
+	victim := t.leastHarmful()
+	if victim.Harm > class.Harm {
+		return ReasonQueueFull
+	}
+	most := victim.longest()
+	if victim.Harm == class.Harm && most.items.len <= t.share(class, r.Caller)+1 {
+		return t.fullReason(class, r.Caller)
+	}
+	t.counts.Shed++
+	t.drop(most.items.back(), ReasonShed, ch)
+	return ""
+}
+
+func (t *Controller) leastHarmful() *classState {
+	var least *classState
+	for i := range t.classes {
+		class := &t.classes[i]
+		if class.queued > 0 && (least == nil || class.Harm < least.Harm) {
+			least = class
+		}
+	}
+	return least
+}
+
+func (t *Controller) share(class *classState, caller string) int {
+	if f := class.flows[caller]; f != nil {
+		return f.items.len
+	}
+	return 0
+}
+
+// fullReason blames the caller only if it waits with more than an equal share.
+func (t *Controller) fullReason(class *classState, caller string) Reason {
+	if class.order.len > 1 && t.share(class, caller)*class.order.len > class.queued {
+		return ReasonFairShare
+	}
+	return ReasonQueueFull
+}
