Give cancelled moves a new unit epoch; name voters by run

Cause: a front treats a released unit as released for good under its epoch, but the coordinator cancelled moves without changing the epoch, so a cancelled move would have left the unit without service. Voter sets name runs, while the lease machines compared membership ids. Ruled out: letting a front take a released unit back under the same epoch; the coordinator may have given it away already. Conclusion: every cancelled move writes a new epoch.

--- a/internal/coordination/coordinator/shards.go
+++ b/internal/coordination/coordinator/shards.go
@@ -120,6 +120,9 @@
 	s.Moves = slices.DeleteFunc(s.Moves, func(mv table.Move) bool {
 		owner := s.Owners[mv.Shard]
 		if !b.canReceive(s, mv.To) {
+			// The owner may have released the shard already, which is final
+			// under its epoch.
+			s.Epochs[mv.Shard] = b.unitEpoch()
 			b.changed = true
 			return true
 		}
@@ -141,7 +144,7 @@
 			continue
 		}
 		if !b.canReceive(s, o.To) {
-			o.To = table.NoOwner
+			o.To, o.Epoch = table.NoOwner, b.unitEpoch()
 			b.changed = true
 			continue
 		}
--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -97,6 +98,7 @@
 // way and is not safe for concurrent use.
 type Machine struct {
 	self      table.MemberID
+	address   string
 	candidate bool
 	phase     phase
 	nextAt    time.Time
@@ -108,8 +110,11 @@
 	term      int64
 }
 
-// New returns a machine of incarnation self that is a candidate.
-func New(self table.MemberID) *Machine { return &Machine{self: self, candidate: true} }
+// New returns a machine of the run self that is a candidate. Peers reach the
+// daemon at address.
+func New(self table.MemberID, address string) *Machine {
+	return &Machine{self: self, address: address, candidate: true}
+}
 
 // SetCandidate sets whether the daemon stands for election. A coordinator that
 // is no candidate any more keeps the key until it resigns or loses it.
@@ -182,7 +187,19 @@
 }
 
 // value is unique per campaign, since a lease id is.
-func (m *Machine) value() string { return fmt.Sprintf("%s %d", m.self, m.lease) }
+func (m *Machine) value() string {
+	return fmt.Sprintf("%s %s %d", m.self, m.address, m.lease)
+}
+
+// Holder returns the run and the address of the coordinator that an entry of
+// topo.KeyCoordinator names; ok is false if it names none.
+func Holder(e topo.Entry) (run table.MemberID, address string, ok bool) {
+	fields := strings.Fields(string(e.Value))
+	if !e.Exists() || len(fields) != 3 {
+		return "", "", false
+	}
+	return table.MemberID(fields[0]), fields[1], true
+}
 
 func (m *Machine) campaign() topo.Txn {
 	return topo.Txn{
--- a/internal/coordination/lease/fencer.go
+++ b/internal/coordination/lease/fencer.go
@@ -25,7 +25,7 @@
 // Agreed records a voter's final agreement. The member's own agreement does
 // not count, because it always counts its own vote.
 func (f *Fencer) Agreed(voter table.MemberID) {
-	if voter != f.member && slices.Contains(f.voters, voter) {
+	if voter != f.member.Run() && slices.Contains(f.voters, voter) {
 		f.agreed[voter] = true
 	}
 }
@@ -38,7 +38,7 @@
 func (f *Fencer) Waiting() []table.MemberID {
 	var waiting []table.MemberID
 	for _, v := range f.voters {
-		if v != f.member && !f.agreed[v] {
+		if v != f.member.Run() && !f.agreed[v] {
 			waiting = append(waiting, v)
 		}
 	}
--- a/internal/coordination/lease/holder.go
+++ b/internal/coordination/lease/holder.go
@@ -34,7 +34,7 @@
 // NewHolder returns the holder of incarnation self. The voter set is fixed for
 // the whole incarnation and may contain self and table.StoreVoter.
 func NewHolder(self table.MemberID, voters []table.MemberID) *Holder {
-	h := &Holder{self: self, voters: distinct(voters), votes: make(map[table.MemberID]*vote)}
+	h := &Holder{self: self.Run(), voters: distinct(voters), votes: make(map[table.MemberID]*vote)}
 	for _, v := range h.voters {
 		if v != self {
 			h.votes[v] = &vote{}
--- a/internal/coordination/lease/voter.go
+++ b/internal/coordination/lease/voter.go
@@ -66,7 +66,7 @@
 // never agrees to its own fence, because a holder always counts its own vote.
 func (v *Voter) Fence(member, to table.MemberID, now time.Time) (agreed bool, remaining time.Duration) {
 	r := v.records[member]
-	if r == nil || to != v.self || member == v.self {
+	if r == nil || to != v.self || member.Run() == v.self.Run() {
 		return false, table.VoteLife
 	}
 	if !r.fenced && now.Before(r.promised) {
--- a/internal/daemon/documents.go
+++ b/internal/daemon/documents.go
@@ -123,10 +123,10 @@
 }
 
 // newerThan returns the documents that are newer than the given revisions.
-func (d *documents) newerThan(r peer.Revisions) peer.DocumentReply {
+func (d *documents) newerThan(r peer.Revisions) peer.Documents {
 	s := d.get()
 	held := s.revisions()
-	reply := peer.DocumentReply{Revisions: held}
+	reply := peer.Documents{Revisions: held}
 	if held.Config > r.Config {
 		reply.Config = s.configRaw
 	}
@@ -138,7 +138,7 @@
 
 // offer takes the documents of a peer's reply. Documents that are not newer are
 // no error.
-func (d *documents) offer(reply peer.DocumentReply) error {
+func (d *documents) offer(reply peer.Documents) error {
 	var errs []error
 	if len(reply.Config) > 0 {
 		errs = append(errs, ignoreOld(d.offerConfig(reply.Config)))
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -18,8 +18,8 @@
 	Service = "Jackdawloom-Service"
 	// Class is the request class of a forwarded request.
 	Class = "Jackdawloom-Class"
-	// Key is the key of a forwarded request, query-escaped.
-	Key = "Jackdawloom-Key"
+	// KeyHash is the hash of a forwarded request's key, as 16 hex digits.
+	KeyHash = "Jackdawloom-Key-Hash"
 	// Caller identifies the caller of a forwarded request for fair queueing.
 	Caller = "Jackdawloom-Caller"
 	// TableRevision is the table revision that a forward was routed by.
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -51,6 +51,10 @@
 	Renewed   bool           `cbor:"3,keyasint"`
 	Fenced    bool           `cbor:"4,keyasint"`
 	Revisions Revisions      `cbor:"5,keyasint"`
+	// Coordinator is the address of the coordinator of the highest term that
+	// the voter knows.
+	Coordinator string `cbor:"6,keyasint,omitempty"`
+	Term        int64  `cbor:"7,keyasint,omitempty"`
 }
 
 // FenceRequest asks a voter to agree that a member's lease has ended.
@@ -138,9 +142,9 @@
 	Revisions   Revisions `cbor:"3,keyasint"`
 }
 
-// DocumentReply carries the encoded documents whose revision is higher than
-// asked for.
-type DocumentReply struct {
+// Documents carries encoded documents: in a reply, those whose revision is
+// higher than asked for; as a request, those that the sender announces.
+type Documents struct {
 	Revisions Revisions `cbor:"1,keyasint"`
 	Config    []byte    `cbor:"2,keyasint,omitempty"`
 	Table     []byte    `cbor:"3,keyasint,omitempty"`
--- a/internal/state/table/table.go
+++ b/internal/state/table/table.go
@@ -214,11 +214,17 @@
 }
 
 // Vacate leaves the target's units without an owner, under the epoch, and
-// cancels the moves from and to it. Its overrides are dropped: their keys fall
+// cancels the moves from and to it. A cancelled move gives
+// its unit the epoch too, since the owner may have released the unit already,
+// which is final under an epoch. Its overrides are dropped: their keys fall
 // back to their shards.
 func (s *Service) Vacate(target uint16, epoch uint32) {
 	s.Moves = slices.DeleteFunc(s.Moves, func(m Move) bool {
-		return m.To == target || s.Owners[m.Shard] == target
+		if m.To != target && s.Owners[m.Shard] != target {
+			return false
+		}
+		s.Epochs[m.Shard] = epoch
+		return true
 	})
 	for shard, owner := range s.Owners {
 		if owner == target {
@@ -230,6 +236,7 @@
 	for i := range s.Overrides {
 		if s.Overrides[i].To == target {
 			s.Overrides[i].To = NoOwner
+			s.Overrides[i].Epoch = epoch
 		}
 	}
 }
