Add the daemon: entry, fronts, heartbeats, fencing, coordination, admin

Cause: the pure machines need sockets, goroutines and the store around them. Ruled out: one goroutine per request hop with channels; a target's queue is guarded by a mutex, since a request passes it twice in microseconds. Before: no process. Conclusion: reports are built under the same lock as tables are applied, so a report always matches the revision that it names.

--- /dev/null
+++ b/internal/daemon/succession.go
@@ -0,0 +1,237 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/coordination/lease"
+	"github.com/jackdawloom/jackdawloom/internal/protocol/peer"
+	"github.com/jackdawloom/jackdawloom/internal/state/table"
+)
+
+// Times of fencing.
+const (
+	// suspectAfter is how long a member may be silent to this voter before it is
+	// fenced. It exceeds the vote life, so that the own vote has ended.
+	suspectAfter = table.VoteLife + 50*time.Millisecond
+	// fenceScan is the interval at which silent members are looked for.
+	fenceScan = 50 * time.Millisecond
+	// fenceRetry is the least time between two requests to the same voter.
+	fenceRetry = 50 * time.Millisecond
+	// fenceGiveUp ends a fencing that no majority supports; it starts anew if
+	// the member is still silent.
+	fenceGiveUp = 5 * time.Second
+)
+
+// heard notes that this voter has renewed the member.
+func (d *Daemon) heard(id table.MemberID, now time.Time) {
+	d.fenceMu.Lock()
+	defer d.fenceMu.Unlock()
+	d.lastHeard[id] = now
+}
+
+// runFencing fences the members that this daemon stands by for and that have
+// fallen silent, and those that the coordinator suspects, until ctx ends.
+func (d *Daemon) runFencing(ctx context.Context) error {
+	ticker := time.NewTicker(fenceScan)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			d.scanSilent(ctx, now)
+		case member := <-d.suspects.Out():
+			d.startFence(ctx, member)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (d *Daemon) scanSilent(ctx context.Context, now time.Time) {
+	t := d.docs.get().table
+	if t == nil {
+		return
+	}
+	if d.pausedSince(now) {
+		// After a pause of this daemon, silence says nothing of the others.
+		d.hearAll(t, now)
+		return
+	}
+	for _, member := range d.silentFronts(t, now) {
+		d.startFence(ctx, member)
+	}
+}
+
+// pausedSince reports whether the scan before now is so long ago that this
+// daemon must have been paused.
+func (d *Daemon) pausedSince(now time.Time) bool {
+	paused := !d.lastScan.IsZero() && now.Sub(d.lastScan) > table.VoteLife/2
+	d.lastScan = now
+	return paused
+}
+
+func (d *Daemon) hearAll(t *table.Table, now time.Time) {
+	d.fenceMu.Lock()
+	defer d.fenceMu.Unlock()
+	for _, m := range t.Members {
+		d.lastHeard[m.ID] = now
+	}
+}
+
+// silentFronts returns the members whose heartbeats this voter misses and for
+// whose targets this daemon is the standby.
+func (d *Daemon) silentFronts(t *table.Table, now time.Time) []table.Member {
+	candidates := d.frontsStoodByFor(t)
+	d.fenceMu.Lock()
+	defer d.fenceMu.Unlock()
+	var out []table.Member
+	for _, m := range t.Members {
+		last, known := d.lastHeard[m.ID]
+		if !known {
+			d.lastHeard[m.ID] = now
+			continue
+		}
+		if candidates[m.ID] && votesFor(m, d.run) && now.Sub(last) > suspectAfter {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func votesFor(m table.Member, run table.MemberID) bool {
+	for _, v := range m.Voters {
+		if v == run {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Daemon) frontsStoodByFor(t *table.Table) map[table.MemberID]bool {
+	out := make(map[table.MemberID]bool)
+	for _, s := range t.Services {
+		for _, tg := range s.Targets {
+			if tg.Next == "" && tg.Standby.Run() == d.run {
+				out[tg.Front] = true
+			}
+		}
+	}
+	return out
+}
+
+// startFence begins to fence the member unless that is under way or done.
+func (d *Daemon) startFence(ctx context.Context, member table.Member) {
+	d.fenceMu.Lock()
+	defer d.fenceMu.Unlock()
+	if d.fencing[member.ID] || d.fencedIDs[member.ID] || member.ID.Run() == d.run {
+		return
+	}
+	d.fencing[member.ID] = true
+	go d.fence(ctx, member)
+}
+
+func (d *Daemon) fence(ctx context.Context, member table.Member) {
+	ctx, cancel := context.WithTimeout(ctx, fenceGiveUp)
+	defer cancel()
+	fencer := lease.NewFencer(member.ID, member.Voters)
+	for !fencer.Done() && ctx.Err() == nil {
+		d.askVoters(ctx, fencer, member.ID)
+	}
+	d.fenceMu.Lock()
+	delete(d.fencing, member.ID)
+	d.fencedIDs[member.ID] = d.fencedIDs[member.ID] || fencer.Done()
+	d.fenceMu.Unlock()
+	if !fencer.Done() {
+		return
+	}
+	d.metrics.fences.Inc(1)
+	d.log.Warn("member fenced", slog.String("member", string(member.ID)))
+	d.fronts.succeed(member.ID, time.Now())
+	d.reportNow()
+}
+
+// askVoters asks the voters that have not agreed once, in parallel.
+func (d *Daemon) askVoters(ctx context.Context, fencer *lease.Fencer, member table.MemberID) {
+	waiting := fencer.Waiting()
+	agreed := make(chan table.MemberID, len(waiting))
+	for _, v := range waiting {
+		go func() {
+			if d.askVoter(ctx, v, member) {
+				agreed <- v
+				return
+			}
+			agreed <- ""
+		}()
+	}
+	for range waiting {
+		if v := <-agreed; v != "" {
+			fencer.Agreed(v)
+		}
+		if fencer.Done() {
+			return
+		}
+	}
+	sleep(ctx, fenceRetry)
+}
+
+func (d *Daemon) askVoter(ctx context.Context, voter, member table.MemberID) bool {
+	if voter == table.StoreVoter {
+		return d.storeAgrees(ctx, string(member))
+	}
+	if voter == d.run {
+		return d.agree(peer.FenceRequest{From: d.run, To: voter, Member: member}).Agreed
+	}
+	address := d.addressOf(voter)
+	if address == "" {
+		return false
+	}
+	var reply peer.FenceReply
+	err := d.call(ctx, address, peer.PathFence, peer.FenceRequest{From: d.run, To: voter, Member: member}, &reply)
+	return err == nil && reply.Agreed && reply.From == voter && reply.Member == member
+}
+
+// agree answers a fence request as a voter.
+func (d *Daemon) agree(r peer.FenceRequest) peer.FenceReply {
+	d.voterMu.Lock()
+	defer d.voterMu.Unlock()
+	agreed, remaining := d.voter.Fence(r.Member, r.To, time.Now())
+	return peer.FenceReply{From: d.run, Member: r.Member, Agreed: agreed, RemainingMs: remaining.Milliseconds()}
+}
+
+// fencedMembers returns the members that this daemon knows to be fenced.
+func (d *Daemon) fencedMembers() []table.MemberID {
+	d.fenceMu.Lock()
+	defer d.fenceMu.Unlock()
+	out := make([]table.MemberID, 0, len(d.fencedIDs))
+	for id := range d.fencedIDs {
+		out = append(out, id)
+	}
+	return out
+}
+
+// forgetFenced drops the records of members that have left the table.
+func (d *Daemon) forgetFenced(t *table.Table) {
+	d.fenceMu.Lock()
+	defer d.fenceMu.Unlock()
+	for id := range d.fencedIDs {
+		if !isMember(t, id) {
+			delete(d.fencedIDs, id)
+		}
+	}
+	for id := range d.lastHeard {
+		if !isMember(t, id) {
+			delete(d.lastHeard, id)
+		}
+	}
+}
+
+// sleep waits for a duration or until ctx ends.
+func sleep(ctx context.Context, dur time.Duration) {
+	timer := time.NewTimer(dur)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/daemon/targetfront.go
@@ -0,0 +1,510 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/coordination/admission"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/front"
+	"github.com/jackdawloom/jackdawloom/internal/protocol/grant"
+	"github.com/jackdawloom/jackdawloom/internal/protocol/peer"
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+	"github.com/jackdawloom/jackdawloom/internal/state/table"
+	"github.com/jackdawloom/jackdawloom/internal/transport/targetnet"
+)
+
+// Times of a front's duty.
+const (
+	// frontTick is the interval of the front's state machine.
+	frontTick = 25 * time.Millisecond
+	// silentFactor times a class's objective is how long a connection may
+	// deliver no byte while a request waits.
+	silentFactor = 4
+	// retireLimit bounds how long a retired front waits for its requests.
+	retireLimit = 30 * time.Second
+)
+
+// targetFront is the front of one target: its grant, limiter, queue and
+// connections.
+type targetFront struct {
+	daemon  *Daemon
+	key     targetKey
+	pool    *targetnet.Pool
+	granter *targetnet.Granter
+	cancel  context.CancelFunc
+
+	mu         sync.Mutex
+	machine    *front.Machine
+	controller *admission.Controller
+	membership *membership
+	declared   manifest.Target
+	classes    []manifest.Class
+	classIndex map[string]int
+	waiting    map[uint64]chan verdict
+	nextID     uint64
+	boot       string
+	health     peer.TargetHealth
+}
+
+// verdict ends a request's wait in the queue: a nil refusal starts it.
+type verdict struct {
+	refused *refusal
+}
+
+func newTargetFront(d *Daemon, key targetKey, s *manifest.Service, t *manifest.Target) *targetFront {
+	f := &targetFront{
+		daemon:   d,
+		key:      key,
+		machine:  front.New(frontConfig(key, s, t)),
+		declared: *t,
+		waiting:  make(map[uint64]chan verdict),
+	}
+	f.pool = targetnet.New(targetnet.Config{
+		Address:        t.Address,
+		MaxConnections: t.Connections,
+		OnSuspect:      func(targetnet.Suspect) { f.onSuspect() },
+	})
+	f.granter = targetnet.NewGranter(t.Address, nil)
+	f.setClasses(s)
+	ctx, cancel := context.WithCancel(d.life)
+	f.cancel = cancel
+	d.duties.Go(func() error { return f.run(ctx) })
+	return f
+}
+
+func frontConfig(key targetKey, s *manifest.Service, t *manifest.Target) front.Config {
+	return front.Config{
+		Service:         key.service,
+		Target:          key.target,
+		ChecksGrants:    t.ChecksGrants,
+		LongestDeadline: s.LongestDeadline(),
+	}
+}
+
+func (f *targetFront) setClasses(s *manifest.Service) {
+	f.classes = s.Classes
+	f.classIndex = classIndexes(s)
+	config := admission.Config{Slots: f.declared.Slots}
+	for i, c := range s.Classes {
+		harm := len(s.Classes) - i
+		if c.NeverRepeat() {
+			harm += len(s.Classes)
+		}
+		config.Classes = append(config.Classes, admission.Class{
+			Name: c.Name, NeverRepeat: c.NeverRepeat(), Deadline: c.Deadline(),
+			Objective: time.Duration(c.Objective.LatencyMs) * time.Millisecond, Harm: harm,
+		})
+	}
+	controller, err := admission.New(config)
+	if err != nil {
+		f.daemon.log.Error("limiter not created", slog.String("target", f.key.target), slog.Any("error", err))
+		return
+	}
+	if f.controller != nil {
+		f.apply(admission.Changes{Removed: f.controller.Abort(admission.ReasonDraining)})
+	}
+	f.controller = controller
+}
+
+// configure takes over a changed declaration.
+func (f *targetFront) configure(s *manifest.Service, t *manifest.Target, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.machine.SetConfig(frontConfig(f.key, s, t))
+	if !sameClasses(f.classes, s.Classes) {
+		f.declared = *t
+		f.setClasses(s)
+		return
+	}
+	if t.Slots != f.declared.Slots {
+		f.apply(f.controller.SetSlots(t.Slots, now))
+	}
+	f.declared = *t
+}
+
+func sameClasses(a, b []manifest.Class) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Name != b[i].Name || a[i].Repeat != b[i].Repeat ||
+			a[i].DeadlineMs != b[i].DeadlineMs || a[i].Objective != b[i].Objective {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *targetFront) assign(a front.Assignment, m *membership, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.membership = m
+	f.machine.Assign(a, now)
+}
+
+// retire refuses what waits, lets what runs end, and closes the connections.
+func (f *targetFront) retire(now time.Time) {
+	f.mu.Lock()
+	f.machine.Assign(front.Assignment{Front: false, Epoch: ^uint64(0)}, now)
+	f.apply(admission.Changes{Removed: f.controller.Abort(admission.ReasonDraining)})
+	f.mu.Unlock()
+	f.cancel()
+	f.daemon.duties.Go(func() error {
+		f.awaitIdle()
+		f.pool.Close()
+		f.granter.Close()
+		return nil
+	})
+}
+
+func (f *targetFront) awaitIdle() {
+	ctx, cancel := context.WithTimeout(f.daemon.life, retireLimit)
+	defer cancel()
+	for f.running() > 0 && ctx.Err() == nil {
+		sleep(ctx, frontTick)
+	}
+}
+
+func (f *targetFront) running() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.machine.Running()
+}
+
+// report returns what the member has to tell of the target.
+func (f *targetFront) report(m *membership, now time.Time) (peer.TargetReport, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.membership != m {
+		return peer.TargetReport{}, false
+	}
+	return f.machine.Report(now), true
+}
+
+// run drives the target's grant and queue until ctx ends.
+func (f *targetFront) run(ctx context.Context) error {
+	ticker := time.NewTicker(frontTick)
+	defer ticker.Stop()
+	for {
+		f.tick(ctx, time.Now())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (f *targetFront) tick(ctx context.Context, now time.Time) {
+	f.mu.Lock()
+	action := f.machine.Tick(now, f.membership.authorityUntil())
+	f.apply(f.controller.Tick(now))
+	changed := f.noteHealth(now)
+	f.mu.Unlock()
+	if changed {
+		f.daemon.reportNow()
+	}
+	if action.Send {
+		go f.exchange(ctx, action)
+	}
+}
+
+// noteHealth logs a changed verdict and reports whether it changed.
+func (f *targetFront) noteHealth(now time.Time) bool {
+	health := f.machine.Report(now).Health
+	if health == f.health {
+		return false
+	}
+	f.daemon.log.Info("target verdict changed", slog.String("service", f.key.service),
+		slog.String("target", f.key.target), slog.Int("from", int(f.health)), slog.Int("to", int(health)))
+	f.health = health
+	return true
+}
+
+// exchange makes one grant exchange or probe.
+func (f *targetFront) exchange(ctx context.Context, a front.Action) {
+	ctx, cancel := context.WithTimeout(ctx, front.ExchangeTimeout)
+	defer cancel()
+	if a.Probe {
+		f.probe(ctx, a.Seq)
+		return
+	}
+	reply, err := f.granter.Send(ctx, a.Request)
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		f.machine.GrantFailed(a.Seq, failureKind(err), now)
+		return
+	}
+	f.noteBoot(reply)
+	f.machine.GrantReply(a.Seq, reply, now)
+}
+
+// noteBoot starts a restarted target cold.
+func (f *targetFront) noteBoot(r grant.Reply) {
+	if f.boot != "" && f.boot != r.Boot {
+		f.controller.Cold()
+	}
+	f.boot = r.Boot
+}
+
+func (f *targetFront) probe(ctx context.Context, seq uint64) {
+	err := f.granter.Probe(ctx)
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		f.machine.GrantFailed(seq, failureKind(err), now)
+		return
+	}
+	f.machine.ProbeReply(seq, now)
+}
+
+func failureKind(err error) front.FailureKind {
+	switch {
+	case errors.Is(err, targetnet.ErrRefused):
+		return front.ExchangeRefused
+	case errors.Is(err, targetnet.ErrTimeout):
+		return front.ExchangeTimedOut
+	}
+	return front.ExchangeOther
+}
+
+// onSuspect closes silent connections once there are two: if the target itself
+// is silent, its grants go unanswered and decide; if only old connections are,
+// new ones replace them.
+func (f *targetFront) onSuspect() {
+	f.daemon.metrics.suspects.Inc(1)
+	if f.pool.Stats().Suspects >= 2 {
+		f.pool.CloseSuspects()
+	}
+}
+
+// apply hands the queue's changes to the waiting requests. The caller holds the
+// mutex.
+func (f *targetFront) apply(ch admission.Changes) {
+	for _, s := range ch.Starts {
+		f.wake(s.ID, verdict{})
+	}
+	for _, r := range ch.Removed {
+		f.wake(r.ID, verdict{refused: admissionRefusal(r.Reason)})
+	}
+}
+
+func (f *targetFront) wake(id uint64, v verdict) {
+	if ch := f.waiting[id]; ch != nil {
+		ch <- v
+		delete(f.waiting, id)
+	}
+}
+
+// do sends one request to the target when it has a slot. The error is a
+// *refusal. The caller must close the response's body.
+func (f *targetFront) do(ctx context.Context, c call) (*http.Response, error) {
+	started, refused := f.admit(ctx, c)
+	if refused != nil {
+		return nil, refused
+	}
+	run, refused := f.begin(started, c)
+	if refused != nil {
+		return nil, refused
+	}
+	return f.send(ctx, run, c)
+}
+
+// admitted is a request that holds a slot.
+type admitted struct {
+	id uint64
+	at time.Time
+}
+
+func (f *targetFront) admit(ctx context.Context, c call) (admitted, *refusal) {
+	now := time.Now()
+	f.mu.Lock()
+	if err := f.dispatchable(c.unit, now); err != nil {
+		f.mu.Unlock()
+		return admitted{}, dispatchRefusal(err)
+	}
+	class, ok := f.classIndex[c.class]
+	if !ok {
+		f.mu.Unlock()
+		return admitted{}, &refusal{status: http.StatusServiceUnavailable, outcome: notRun, reason: reasonOldConfig}
+	}
+	f.nextID++
+	id := f.nextID
+	decision := f.controller.Offer(admission.Request{ID: id, Class: class, Caller: c.caller, Deadline: c.deadline}, now)
+	f.apply(decision.Changes)
+	var wait chan verdict
+	if decision.Verdict == admission.Queued {
+		wait = make(chan verdict, 1)
+		f.waiting[id] = wait
+	}
+	f.mu.Unlock()
+	switch decision.Verdict {
+	case admission.Run:
+		return admitted{id: id, at: now}, nil
+	case admission.Queued:
+		return f.await(ctx, id, wait)
+	default:
+		return admitted{}, admissionRefusal(decision.Reason)
+	}
+}
+
+func (f *targetFront) dispatchable(u table.Unit, now time.Time) error {
+	return f.machine.CanDispatch(u, now, f.membership.authorityUntil())
+}
+
+func (f *targetFront) await(ctx context.Context, id uint64, wait chan verdict) (admitted, *refusal) {
+	select {
+	case v := <-wait:
+		return admitted{id: id, at: time.Now()}, v.refused
+	case <-ctx.Done():
+	}
+	now := time.Now()
+	f.mu.Lock()
+	delete(f.waiting, id)
+	queued, ch := f.controller.Cancel(id, now)
+	if !queued {
+		// The request was started meanwhile; it gives its slot back unused.
+		ch = f.controller.Done(id, admission.Cancelled, 0, now)
+	}
+	f.apply(ch)
+	f.mu.Unlock()
+	return admitted{}, contextRefusal(ctx)
+}
+
+// running is a dispatched request.
+type running struct {
+	admitted
+	token      front.Token
+	unitEpoch  uint32
+	frontEpoch uint64
+}
+
+// begin checks the front's right once more and counts the request as running.
+func (f *targetFront) begin(a admitted, c call) (running, *refusal) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	token, err := f.machine.Begin(c.unit, now, f.membership.authorityUntil())
+	if err != nil {
+		f.apply(f.controller.Done(a.id, admission.Cancelled, 0, now))
+		return running{}, dispatchRefusal(err)
+	}
+	frontEpoch, unitEpoch := f.machine.Epochs(c.unit)
+	a.at = now
+	return running{admitted: a, token: token, frontEpoch: frontEpoch, unitEpoch: unitEpoch}, nil
+}
+
+func (f *targetFront) end(r running, result front.Result, limited admission.Result) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.machine.Ended(r.token, result, now)
+	f.apply(f.controller.Done(r.id, limited, now.Sub(r.at), now))
+}
+
+func (f *targetFront) send(ctx context.Context, r running, c call) (*http.Response, error) {
+	req := c.targetRequest(r)
+	options := targetnet.Options{
+		NeverRepeat: c.neverRepeat,
+		SilentAfter: f.silentAfter(c.class),
+		BeforeSend:  func() error { return f.recheck(c.unit) },
+	}
+	resp, err := f.pool.RoundTrip(ctx, req, options)
+	if err != nil {
+		return nil, f.sendFailed(ctx, r, err)
+	}
+	if refused := f.rejected(r, resp.Response); refused != nil {
+		return nil, refused
+	}
+	resp.Body = &trackedBody{ReadCloser: resp.Body, ctx: ctx, status: resp.StatusCode, end: func(fr front.Result, ar admission.Result) { f.end(r, fr, ar) }}
+	return resp.Response, nil
+}
+
+func (f *targetFront) silentAfter(class string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.classes[f.classIndex[class]]
+	return silentFactor * time.Duration(c.Objective.LatencyMs) * time.Millisecond
+}
+
+// recheck runs after a connection was obtained and right before the first byte
+// is written: dialling may have taken long.
+func (f *targetFront) recheck(u table.Unit) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dispatchable(u, time.Now())
+}
+
+func (f *targetFront) sendFailed(ctx context.Context, r running, err error) *refusal {
+	if errors.Is(err, targetnet.ErrNotSent) {
+		result := front.Refused
+		if ctx.Err() != nil || isDispatchError(err) {
+			result = front.Rejected
+		}
+		f.end(r, result, admission.Cancelled)
+		if isDispatchError(err) {
+			return dispatchRefusal(err)
+		}
+		return &refusal{status: http.StatusServiceUnavailable, outcome: notRun, reason: reasonUnreachable, cause: err}
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		f.end(r, front.Silent, admission.Silent)
+		return &refusal{status: http.StatusGatewayTimeout, outcome: unknown, reason: reasonDeadline, cause: err}
+	case ctx.Err() != nil:
+		f.end(r, front.Cancelled, admission.Cancelled)
+		return &refusal{status: http.StatusBadGateway, outcome: unknown, reason: reasonCancelled, cause: err}
+	}
+	f.end(r, front.Broken, admission.Failed)
+	return &refusal{status: http.StatusBadGateway, outcome: unknown, reason: reasonConnection, cause: err}
+}
+
+// trackedBody reports the end of a response.
+type trackedBody struct {
+	io.ReadCloser
+	ctx    context.Context
+	status int
+	once   sync.Once
+	end    func(front.Result, admission.Result)
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
+		b.finish(b.success())
+	case b.ctx.Err() != nil:
+		b.finish(front.Cancelled, admission.Cancelled)
+	default:
+		b.finish(front.Broken, admission.Failed)
+	}
+	return n, err
+}
+
+func (b *trackedBody) success() (front.Result, admission.Result) {
+	if b.status >= http.StatusInternalServerError {
+		return front.Failure, admission.Failed
+	}
+	return front.Success, admission.OK
+}
+
+// Close implements io.Closer. A body closed before its end was cancelled.
+func (b *trackedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.finish(front.Cancelled, admission.Cancelled)
+	return err
+}
+
+func (b *trackedBody) finish(r front.Result, a admission.Result) {
+	b.once.Do(func() { b.end(r, a) })
+}
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -22,6 +22,8 @@
 	KeyHash = "Jackdawloom-Key-Hash"
 	// Caller identifies the caller of a forwarded request for fair queueing.
 	Caller = "Jackdawloom-Caller"
+	// Host is the Host field of a forwarded request.
+	Host = "Jackdawloom-Host"
 	// TableRevision is the table revision that a forward was routed by.
 	TableRevision = "Jackdawloom-Table-Revision"
 )
--- a/internal/transport/peernet/peernet.go
+++ b/internal/transport/peernet/peernet.go
@@ -51,8 +51,8 @@
 	dials atomic.Uint64
 }
 
-// Listen opens the socket and starts serving handler.
-func Listen(address string, server, client *tls.Config, handler http.Handler, log *slog.Logger) (*Net, error) {
+// Listen opens the socket. Nothing is accepted before Serve.
+func Listen(address string, server, client *tls.Config, log *slog.Logger) (*Net, error) {
 	udpAddr, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, fmt.Errorf("peer address: %w", err)
@@ -72,8 +72,7 @@
 		_ = socket.Close()
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	n.server = &http3.Server{Handler: handler}
-	go n.serve()
+	n.server = &http3.Server{}
 	return n, nil
 }
 
@@ -86,7 +85,10 @@
 	}
 }
 
-func (n *Net) serve() {
+// Serve accepts requests and passes them to handler until the net is closed.
+// It must be called once.
+func (n *Net) Serve(handler http.Handler) {
+	n.server.Handler = handler
 	err := n.server.ServeListener(n.listener)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, quic.ErrServerClosed) {
 		n.log.Error("peer server stopped", "error", err)
--- a/internal/transport/targetnet/granter.go
+++ b/internal/transport/targetnet/granter.go
@@ -75,6 +75,16 @@
 	return reply, nil
 }
 
+// Probe opens a connection to the target and closes it, to find out whether
+// the target accepts connections. It is for targets that take no grants.
+func (g *Granter) Probe(ctx context.Context) error {
+	conn, err := g.transport.DialContext(ctx, "tcp", g.address)
+	if err != nil {
+		return classify(ctx, err)
+	}
+	return conn.Close()
+}
+
 func classify(ctx context.Context, err error) error {
 	var timeout net.Error
 	switch {
--- a/internal/transport/targetnet/pool.go
+++ b/internal/transport/targetnet/pool.go
@@ -69,6 +69,16 @@
 	// SilentAfter is how long the connection may deliver no byte while the
 	// request waits for one. Zero does not watch.
 	SilentAfter time.Duration
+	// BeforeSend is called once the request holds a connection, right before
+	// its first byte is written. An error of it ends the request as not sent.
+	BeforeSend func() error
+}
+
+func (o Options) check() error {
+	if o.BeforeSend == nil {
+		return nil
+	}
+	return o.BeforeSend()
 }
 
 // Pool is a set of connections to one target. It is safe for concurrent use.
@@ -130,6 +140,11 @@
 		closeBody(req)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if err := o.check(); err != nil {
+		closeBody(req)
+		p.discard(c)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	reused := c.requests > 0
 	resp, err := c.roundTrip(p.prepare(ctx, req, c), o) //nolint:bodyclose // the caller closes it
 	if err != nil {
