--- a/internal/state/manifest/bind.go
+++ b/internal/state/manifest/bind.go
@@ -29,13 +29,23 @@
 	b.found.Add(finding.Place{File: b.file, Section: section, Key: key, Line: line}, problem, remedy)
 }
 
-// splitPath splits services[0].targets[1].slots into its section and key.
+// splitPath splits services[0].targets[1].slots into its section and key. Dots
+// within brackets belong to names.
 func splitPath(path string) (section, key string) {
-	i := strings.LastIndexByte(path, '.')
-	if i < 0 {
-		return "", path
+	depth := 0
+	for i := len(path) - 1; i >= 0; i-- {
+		switch path[i] {
+		case ']':
+			depth++
+		case '[':
+			depth--
+		case '.':
+			if depth == 0 {
+				return path[:i], path[i+1:]
+			}
+		}
 	}
-	return path[:i], path[i+1:]
+	return "", path
 }
 
 func join(path, name string) string {
@@ -99,13 +109,18 @@
 	index := make(map[string]int, t.NumField())
 	var known []string
 	for i := range t.NumField() {
-		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		name := jsonName(t, i)
 		index[name] = i
 		known = append(known, name)
 	}
 	return index, known
 }
 
+func jsonName(t reflect.Type, field int) string {
+	name, _, _ := strings.Cut(t.Field(field).Tag.Get("json"), ",")
+	return name
+}
+
 func (b *binder) array(path string, n *node, v reflect.Value) {
 	if !b.expect(path, n, kindArray) {
 		return
--- a/internal/state/manifest/parse_test.go
+++ b/internal/state/manifest/parse_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/state/finding"
 )
@@ -27,6 +29,10 @@
   ]
 }`
 
+// conflicting is a service that clashes with the one in valid.
+const conflicting = `{"name": "display", "path_prefix": "/", "key": {"from": "header", "name": "x-key"}, "classes": [
+  {"name": "read", "repeat": "idempotent", "deadline_ms": 1, "objective": {"latency_ms": 1, "ratio": 0.5}}], "targets": []},`
+
 // findings parses a document and returns its findings as lines.
 func findings(t *testing.T, document string) []string {
 	t.Helper()
@@ -90,6 +96,27 @@
 		{"every target drains", `"checks_grants": true`, `"checks_grants": true, "drain": true`, []string{
 			"m.json:13: services[0].targets: every target has drain set, so their keys have nowhere to go (leave one target without drain, or remove the service)",
 		}},
+		{"services in conflict", `"services": [`, `"services": [` + conflicting, []string{
+			"m.json:5: services[0].targets: 0 entries; expected 1 to 4096",
+			`m.json:7: services[1].name: name "display" is already used by services[0]`,
+			`m.json:8: services[1].path_prefix: "/display" overlaps "/" of service "display" (use disjoint prefixes)`,
+		}},
+		{"class never matches", `"classes": [`, `"classes": [{"name": "all", "repeat": "never", "deadline_ms": 1, "objective": {"latency_ms": 1, "ratio": 0.5}},`, []string{
+			`m.json:10: services[0].classes[1]: class "read" can never match: earlier classes match all its requests (move it before them or remove it)`,
+		}},
+		{"class holds the key", `"repeat"`, `"path_prefix": "/a", "repeat"`, []string{
+			`m.json:10: services[0].classes[0].path_prefix: "/a" includes the segment of the key (use a shorter prefix or a later key segment)`,
+		}},
+		{"address twice", `"targets": [`, `"targets": [{"name": "display-01", "address": "[::ffff:127.0.0.1]:9001", "domain": "a", "slots": 3, "connections": 3},`, []string{
+			"m.json:14: services[0].targets[1].address: address 127.0.0.1:9001 is already used by services[0].targets[0]",
+			"m.json:14: services[0].targets[1].name: name \"display-01\" is already used by services[0].targets[0]",
+		}},
+		{"deadline", `"deadline_ms": 500`, `"deadline_ms": 0`, []string{
+			"m.json:11: services[0].classes[0].deadline_ms: 0 is out of range; expected 1 to 60000 ms",
+		}},
+		{"repeat", `"idempotent"`, `"sometimes"`, []string{
+			`m.json:10: services[0].classes[0].repeat: unknown value "sometimes" (use idempotent or never)`,
+		}},
 		{"escape in prefix", `"/display"`, `"/display/%41/"`, []string{
 			`m.json:7: services[0].path_prefix: "/display/%41/" ends with / (remove the last /)`,
 		}},
@@ -107,3 +134,38 @@
 		})
 	}
 }
+
+// Guards against examples that differ from the deployments of the design page.
+func TestExamples(t *testing.T) {
+	type size struct{ targets, slots, connections, unchecked int }
+	rows := map[string]map[string]size{
+		"muscat":  {"display": {15, 3, 110, 5}, "scheduling": {10, 3, 110, 0}, "publishing": {5, 3, 110, 0}},
+		"perinka": {"inventory": {15, 6, 60, 7}, "reservation": {5, 6, 60, 0}, "orders": {5, 6, 60, 0}},
+	}
+	for name, services := range rows {
+		b, err := os.ReadFile("../../../examples/" + name + ".json")
+		if err != nil {
+			t.Fatal(err)
+		}
+		m, err := Parse(name+".json", b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m.Name != name || len(m.Services) != len(services) {
+			t.Errorf("%s has the name %s and %d services", name, m.Name, len(m.Services))
+		}
+		for _, s := range m.Services {
+			got, domains := size{targets: len(s.Targets)}, map[string]bool{}
+			for _, target := range s.Targets {
+				got.slots, got.connections = target.Slots, target.Connections
+				domains[target.Domain] = true
+				if !target.ChecksGrants {
+					got.unchecked++
+				}
+			}
+			if got != services[s.Name] || len(domains) != 3 || s.LongestDeadline() > time.Second {
+				t.Errorf("%s %s: %+v in %d domains; want %+v in 3", name, s.Name, got, len(domains), services[s.Name])
+			}
+		}
+	}
+}
--- a/internal/state/manifest/router.go
+++ b/internal/state/manifest/router.go
@@ -11,8 +11,9 @@
 // Errors of Router.Match. No request that gets one of them has run.
 var (
 	// ErrBadPath reports a path that a target could read differently than the
-	// router: empty, "." or ".." segments, escaped slashes, bad escapes. A
-	// never-repeat request could otherwise be taken for an idempotent one.
+	// router: empty, "." or ".." segments, escaped slashes, backslashes, raw
+	// semicolons, bad escapes. A never-repeat request could otherwise be taken
+	// for an idempotent one.
 	ErrBadPath = errors.New("path is not in normal form")
 	// ErrUnknownService reports a path below no service's prefix.
 	ErrUnknownService = errors.New("no such service")
@@ -174,16 +175,17 @@
 			return "", ErrBadPath
 		}
 	}
-	if !plainPath(path) {
+	// Some servers cut parameters off at a raw semicolon; an escaped one is data.
+	if strings.IndexByte(escaped, ';') >= 0 || !plainPath(path) {
 		return "", ErrBadPath
 	}
 	return path, nil
 }
 
-// plainPath reports whether the path starts with a slash and has no empty, "."
-// or ".." segment, other than a trailing slash.
+// plainPath reports whether the path starts with a slash and has no backslash
+// and no empty, "." or ".." segment, other than a trailing slash.
 func plainPath(path string) bool {
-	if path == "" || path[0] != '/' {
+	if path == "" || path[0] != '/' || strings.IndexByte(path, '\\') >= 0 {
 		return false
 	}
 	for rest := path[1:]; rest != ""; {
--- a/internal/state/manifest/validate.go
+++ b/internal/state/manifest/validate.go
@@ -148,7 +148,7 @@
 		v.add(path, fmt.Sprintf("%q does not start with /", prefix), "")
 	case len(prefix) > 1 && prefix[len(prefix)-1] == '/':
 		v.add(path, fmt.Sprintf("%q ends with /", prefix), "remove the last /")
-	case strings.ContainsAny(prefix, "?#%;\\ ") || !plainPath(prefix):
+	case strings.ContainsAny(prefix, "?#%; ") || !plainPath(prefix):
 		v.add(path, fmt.Sprintf("%q is not a plain path", prefix), "remove empty, . and .. segments, escapes, ?, #, ;, \\ and spaces")
 	}
 }
--- a/internal/state/manifest/validate_service.go
+++ b/internal/state/manifest/validate_service.go
@@ -29,6 +29,7 @@
 	}
 	v.key(path+".key", s.Key)
 	v.classes(path+".classes", s.Classes)
+	v.keyInPrefix(path+".classes", s)
 	v.targets(path+".targets", s.Targets)
 }
 
@@ -74,6 +75,24 @@
 	v.unique(path, len(classes), func(i int) string { return classes[i].Name })
 }
 
+// keyInPrefix reports classes whose literal prefix includes the key's segment:
+// all their requests would have the same key, and so a single owner.
+func (v *validator) keyInPrefix(path string, s *Service) {
+	if s.Key.From != KeyFromPath {
+		return
+	}
+	for i := range s.Classes {
+		if fixesKey(&s.Key, &s.Classes[i]) {
+			v.add(index(path, i)+".path_prefix", fmt.Sprintf("%q includes the segment of the key", s.Classes[i].PathPrefix),
+				"use a shorter prefix or a later key segment")
+		}
+	}
+}
+
+func fixesKey(k *KeySource, c *Class) bool {
+	return k.From == KeyFromPath && segment(c.PathPrefix, k.Segment) != ""
+}
+
 // hidden reports whether the earlier classes match every request that c would.
 func hidden(earlier []Class, c *Class) bool {
 	covered := func(method string) bool {
@@ -125,7 +144,11 @@
 	}
 	// Requests beyond their deadline are refused, so a longer objective could
 	// never be missed by latency.
-	v.within(path+".latency_ms", o.LatencyMs, 1, max(1, min(c.DeadlineMs, MaxDeadlineMs)), " ms (the deadline)")
+	longest, unit := c.DeadlineMs, " ms (the deadline)"
+	if longest < 1 || longest > MaxDeadlineMs {
+		longest, unit = MaxDeadlineMs, " ms"
+	}
+	v.within(path+".latency_ms", o.LatencyMs, 1, longest, unit)
 	if !(o.Ratio > 0 && o.Ratio < 1) {
 		v.add(path+".ratio", fmt.Sprintf("%v is out of range; expected above 0 and below 1", o.Ratio), "")
 	}
