Add policy experiment and serve late requests last

Cause: at overload a queue in order of arrival holds only requests that are all answered too late; the policy's parts were not measured. Ruled out: a cluster simulation; the experiment has one target in virtual time.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -50,8 +50,29 @@
 	// QueuePerSlot bounds the queue; zero means DefaultQueuePerSlot.
 	QueuePerSlot int
 	Classes      []Class
+	// Without switches parts of the policy off, to measure what each is worth.
+	Without Part
 }
 
+// Part is a set of optional parts of the policy.
+type Part uint
+
+// Parts.
+const (
+	// PartOrder starts requests of a shorter expected cost first.
+	PartOrder Part = 1 << iota
+	// PartReserve keeps stragglers out of the last slot.
+	PartReserve
+	// PartTurns serves the callers of a class in turn.
+	PartTurns
+	// PartEarly refuses requests that are estimated to miss their deadline.
+	PartEarly
+	// PartLate starts requests that have missed their objective last.
+	PartLate
+	// PartGradient lowers the limit when the target slows down.
+	PartGradient
+)
+
 func (c Config) validate() error {
 	if c.Slots < 1 {
 		return ErrConfig.New("slots must be at least 1, not %d", c.Slots)
--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -37,6 +37,7 @@
 	running int
 	queued  int
 	held    bool
+	without Part
 	counts  Counts
 }
 
@@ -51,7 +52,9 @@
 		classes: make([]classState, len(c.Classes)),
 		limit:   newLimit(c.Slots),
 		items:   map[uint64]*item{},
+		without: c.Without,
 	}
+	t.limit.ignoreSlowdown = !t.has(PartGradient)
 	for i, class := range c.Classes {
 		t.classes[i] = classState{Class: class, classQueue: newClassQueue()}
 	}
@@ -172,7 +175,13 @@
 }
 
 // Cold tells that the target has restarted: the limit starts at one slot again.
-func (t *Controller) Cold() { t.limit = newLimit(t.slots) }
+func (t *Controller) Cold() {
+	ignore := t.limit.ignoreSlowdown
+	t.limit = newLimit(t.slots)
+	t.limit.ignoreSlowdown = ignore
+}
+
+func (t *Controller) has(p Part) bool { return t.without&p == 0 }
 
 func (t *Controller) refuse(reason Reason) Decision {
 	t.counts.refused(reason)
@@ -182,6 +191,9 @@
 func (t *Controller) enqueue(r Request, now time.Time) *item {
 	it := t.newItem()
 	it.id, it.class, it.caller = r.ID, r.Class, r.Caller
+	if !t.has(PartTurns) {
+		it.caller = ""
+	}
 	it.arrived, it.deadline = now, r.Deadline
 	it.running = false
 	t.items[r.ID] = it
--- a/internal/coordination/admission/limit.go
+++ b/internal/coordination/admission/limit.go
@@ -22,6 +22,8 @@
 	lastDecrease time.Time
 	// slowdown is the smoothed ratio of run time to the learned typical one.
 	slowdown float64
+	// ignoreSlowdown switches the reaction to slowness off.
+	ignoreSlowdown bool
 }
 
 func newLimit(slots int) limit { return limit{slots: slots, value: 1, slowdown: 1} }
@@ -31,7 +33,7 @@
 // success accounts for a response whose run took ratio times the typical time.
 func (l *limit) success(ratio float64, ran time.Duration, now time.Time) {
 	l.slowdown += (min(ratio, 4*slowRatio) - l.slowdown) / slowWeight
-	if l.slowdown > slowRatio {
+	if l.slowdown > slowRatio && !l.ignoreSlowdown {
 		l.halve(ran, now)
 		l.lastSuccess = now
 		return
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -10,8 +10,9 @@
 	arrived  time.Time
 	deadline time.Time
 	running  bool
-	flow     *flow
-	place    link[item]
+	// flow is nil for a request that is in the late list or running.
+	flow  *flow
+	place link[item]
 }
 
 // flow holds the queued requests of one caller in one class, oldest first.
@@ -25,8 +26,10 @@
 // turn. A flow exists only while its caller has a queued request, so the number
 // of flows is bounded by the queue.
 type classQueue struct {
-	flows  map[string]*flow
-	order  list[flow]
+	flows map[string]*flow
+	order list[flow]
+	// late holds the requests that missed their objective, oldest first.
+	late   list[item]
 	queued int
 	spare  []*flow
 }
@@ -70,17 +73,31 @@
 func (q *classQueue) take(it *item) {
 	f := it.flow
 	q.remove(it)
-	if f.items.len > 0 {
+	if f != nil && f.items.len > 0 {
 		q.order.remove(&f.place)
 		q.order.pushBack(&f.place)
 	}
 }
 
 func (q *classQueue) remove(it *item) {
+	q.queued--
+	if it.flow == nil {
+		q.late.remove(&it.place)
+		return
+	}
+	q.leaveFlow(it)
+}
+
+// setLate moves the request to the late list.
+func (q *classQueue) setLate(it *item) {
+	q.leaveFlow(it)
+	q.late.pushBack(&it.place)
+}
+
+func (q *classQueue) leaveFlow(it *item) {
 	f := it.flow
 	f.items.remove(&it.place)
 	it.flow = nil
-	q.queued--
 	if f.items.len > 0 {
 		return
 	}
@@ -97,9 +114,12 @@
 	if f := q.flows[caller]; f != nil {
 		own = f.items.len
 	}
-	return min(q.queued, (own+1)*q.order.len)
+	return min(q.onTime(), (own+1)*q.order.len)
 }
 
+// onTime returns the number of queued requests that are not late.
+func (q *classQueue) onTime() int { return q.queued - q.late.len }
+
 // longest returns the flow with the most queued requests, or nil.
 func (q *classQueue) longest() *flow {
 	var most *flow
@@ -115,13 +135,14 @@
 func (q *classQueue) each(do func(*item)) {
 	for n := q.order.head; n != nil; {
 		next := n.next
-		eachItem(n.value, do)
+		eachItem(&n.value.items, do)
 		n = next
 	}
+	eachItem(&q.late, do)
 }
 
-func eachItem(f *flow, do func(*item)) {
-	for n := f.items.head; n != nil; {
+func eachItem(items *list[item], do func(*item)) {
+	for n := items.head; n != nil; {
 		next := n.next
 		do(n.value)
 		n = next
--- a/internal/coordination/admission/schedule.go
+++ b/internal/coordination/admission/schedule.go
@@ -28,9 +28,9 @@
 	ch.Starts = append(ch.Starts, Start{ID: it.id, Class: it.class, Waited: now.Sub(it.arrived)})
 }
 
-// choose returns the startable request with the earliest arrival after adding
-// its class's cost times agingRatio: short ones go first, but overtake a longer
-// one for a bounded time only.
+// choose returns the startable request that goes first, or nil. Requests that
+// can still meet their objective go before those that cannot: at overload the
+// queue would otherwise consist of requests that are all served too late.
 func (t *Controller) choose(now time.Time) *item {
 	var best *item
 	var bestRank time.Time
@@ -39,20 +39,65 @@
 		if class.queued == 0 || !t.mayStart(class, now) {
 			continue
 		}
-		it := class.next()
-		rank := it.arrived.Add(time.Duration(class.mean * agingRatio))
-		if best == nil || rank.Before(bestRank) {
+		it := t.nextOnTime(class, now)
+		if it == nil {
+			continue
+		}
+		if rank := t.rank(class, it); best == nil || rank.Before(bestRank) {
 			best, bestRank = it, rank
 		}
 	}
+	if best == nil {
+		best = t.chooseLate(now)
+	}
+	return best
+}
+
+// chooseLate returns the startable late request of the most harmful class.
+func (t *Controller) chooseLate(now time.Time) *item {
+	var best *item
+	for i := range t.classes {
+		class := &t.classes[i]
+		if class.late.len == 0 || !t.mayStart(class, now) {
+			continue
+		}
+		if best == nil || class.Harm > t.classes[best.class].Harm {
+			best = class.late.front()
+		}
+	}
 	return best
 }
 
+// nextOnTime returns the class's next request that can meet its objective and
+// moves those before it that cannot to the late list.
+func (t *Controller) nextOnTime(class *classState, now time.Time) *item {
+	for {
+		it := class.next()
+		if it == nil || !t.has(PartLate) || !class.isLate(it, now) {
+			return it
+		}
+		class.setLate(it)
+	}
+}
+
+func (c *classState) isLate(it *item, now time.Time) bool {
+	return c.Objective > 0 && now.Add(c.typical()).After(it.arrived.Add(c.Objective))
+}
+
+// rank is the arrival plus agingRatio times the expected cost: short requests go
+// first, but overtake a longer one for a bounded time only.
+func (t *Controller) rank(class *classState, it *item) time.Time {
+	if !t.has(PartOrder) {
+		return it.arrived
+	}
+	return it.arrived.Add(time.Duration(class.mean * agingRatio))
+}
+
 // mayStart keeps one slot free of stragglers while shorter requests wait or are
 // expected. With a limit of one slot, stragglers only give way to waiting ones
 // through the order.
 func (t *Controller) mayStart(class *classState, now time.Time) bool {
-	if !t.straggler(class) {
+	if !t.has(PartReserve) || !t.straggler(class) {
 		return true
 	}
 	most := t.limit.whole() - 1
@@ -100,7 +145,7 @@
 		return false
 	}
 	class := &t.classes[it.class]
-	if t.running == 0 || !now.Add(class.typical()).After(it.deadline) {
+	if t.running == 0 || !t.has(PartEarly) || !now.Add(class.typical()).After(it.deadline) {
 		return true
 	}
 	return class.probe()
@@ -111,7 +156,7 @@
 	if !now.Before(r.Deadline) {
 		return false
 	}
-	if t.held || t.running == 0 {
+	if t.held || t.running == 0 || !t.has(PartEarly) {
 		return true
 	}
 	ready := now.Add(t.expectedWait(class, r.Caller)).Add(class.typical())
@@ -140,28 +185,37 @@
 	for i := range t.classes {
 		other := &t.classes[i]
 		if other != class && other.mean <= class.mean {
-			work += float64(other.queued) * other.mean
+			work += float64(other.onTime()) * other.mean
 		}
 	}
 	return time.Duration(work / t.limit.value)
 }
 
 // makeRoom sheds the least harmful queued request in favour of the new one, or
-// returns the reason why the new one is to be refused.
+// returns the reason why the new one is to be refused. Among equals it sheds a
+// late request, and otherwise the newest one of the caller that has the most.
 func (t *Controller) makeRoom(class *classState, r Request, ch *Changes) Reason {
 	victim := t.leastHarmful()
 	if victim.Harm > class.Harm {
 		return ReasonQueueFull
 	}
+	if late := victim.late.front(); late != nil {
+		t.shed(late, ch)
+		return ""
+	}
 	most := victim.longest()
 	if victim.Harm == class.Harm && most.items.len <= t.share(class, r.Caller)+1 {
 		return t.fullReason(class, r.Caller)
 	}
-	t.counts.Shed++
-	t.drop(most.items.back(), ReasonShed, ch)
+	t.shed(most.items.back(), ch)
 	return ""
 }
 
+func (t *Controller) shed(it *item, ch *Changes) {
+	t.counts.Shed++
+	t.drop(it, ReasonShed, ch)
+}
+
 func (t *Controller) leastHarmful() *classState {
 	var least *classState
 	for i := range t.classes {
