Start urgent requests of more harmful classes first

Cause: the order by cost and lateness alone sheds the class with the longer runs at overload, which is the never-repeat one in both deployments.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -71,6 +71,8 @@
 	PartLate
 	// PartGradient lowers the limit when the target slows down.
 	PartGradient
+	// PartHarm starts requests of the more harmful classes first at overload.
+	PartHarm
 )
 
 func (c Config) validate() error {
--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -6,6 +6,8 @@
 	// agingRatio bounds overtaking: a request is overtaken by a shorter one only
 	// if that arrives within agingRatio times the difference of their costs.
 	agingRatio = 10
+	// urgentPart: a request is urgent after this part of its objective.
+	urgentPart = 4
 	// probeEvery lets one in so many requests pass that the estimate alone would
 	// refuse, since a class that never runs never corrects its estimate.
 	probeEvery = 16
--- a/internal/coordination/admission/schedule.go
+++ b/internal/coordination/admission/schedule.go
@@ -33,7 +33,7 @@
 // queue would otherwise consist of requests that are all served too late.
 func (t *Controller) choose(now time.Time) *item {
 	var best *item
-	var bestRank time.Time
+	var first precedence
 	for i := range t.classes {
 		class := &t.classes[i]
 		if class.queued == 0 || !t.mayStart(class, now) {
@@ -43,8 +43,8 @@
 		if it == nil {
 			continue
 		}
-		if rank := t.rank(class, it); best == nil || rank.Before(bestRank) {
-			best, bestRank = it, rank
+		if p := t.precedence(class, it, now); best == nil || p.before(first) {
+			best, first = it, p
 		}
 	}
 	if best == nil {
@@ -84,13 +84,36 @@
 	return c.Objective > 0 && now.Add(c.typical()).After(it.arrived.Add(c.Objective))
 }
 
-// rank is the arrival plus agingRatio times the expected cost: short requests go
-// first, but overtake a longer one for a bounded time only.
-func (t *Controller) rank(class *classState, it *item) time.Time {
-	if !t.has(PartOrder) {
-		return it.arrived
+// precedence orders the requests that can meet their objective.
+type precedence struct {
+	urgent bool
+	harm   int
+	rank   time.Time
+}
+
+func (p precedence) before(q precedence) bool {
+	if (p.urgent || q.urgent) && p.harm != q.harm {
+		if p.harm > q.harm {
+			return p.urgent
+		}
+		return !q.urgent
+	}
+	return p.rank.Before(q.rank)
+}
+
+// precedence ranks a request by its arrival plus agingRatio times its expected
+// cost: short requests go first, but overtake a longer one for a bounded time
+// only. A request that has used up a part of its objective is urgent and goes
+// before all less harmful ones, so that at overload those are shed.
+func (t *Controller) precedence(class *classState, it *item, now time.Time) precedence {
+	p := precedence{harm: class.Harm, rank: it.arrived}
+	if t.has(PartOrder) {
+		p.rank = p.rank.Add(time.Duration(class.mean * agingRatio))
+	}
+	if t.has(PartHarm) {
+		p.urgent = now.Sub(it.arrived) >= class.Objective/urgentPart
 	}
-	return it.arrived.Add(time.Duration(class.mean * agingRatio))
+	return p
 }
 
 // mayStart keeps one slot free of stragglers while shorter requests wait or are
--- a/internal/experiment/parts.go
+++ b/internal/experiment/parts.go
@@ -17,6 +17,7 @@
 		{"no early", admission.PartEarly},
 		{"no late-last", admission.PartLate},
 		{"no gradient", admission.PartGradient},
+		{"no harm", admission.PartHarm},
 	}
 }
 
