Add multi-process tests of the whole path

Cause: the path must be shown to work as separate processes. Ruled out: an in-process test alone; it would not notice state that daemons share by accident. Before: an embedded daemon only.

--- /dev/null
+++ b/cmd/jackdawloomd/main.go
@@ -0,0 +1,141 @@
+// Command jackdawloomd is the router's daemon.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jackdawloom/jackdawloom/internal/daemon"
+	"github.com/jackdawloom/jackdawloom/internal/embedded"
+	"github.com/jackdawloom/jackdawloom/internal/pki"
+	"github.com/jackdawloom/jackdawloom/internal/settings"
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+	"github.com/jackdawloom/jackdawloom/internal/topo/etcdgw"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := root().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "jackdawloomd:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cli.Command {
+	return &cli.Command{
+		Name:  "jackdawloomd",
+		Usage: "route requests to the targets that own their keys",
+		Commands: []*cli.Command{
+			{
+				Name:   "run",
+				Usage:  "run a daemon",
+				Flags:  []cli.Flag{settingsFlag()},
+				Action: run,
+			},
+			{
+				Name:   "check",
+				Usage:  "check the settings and report every finding",
+				Flags:  []cli.Flag{settingsFlag()},
+				Action: check,
+			},
+			{
+				Name:  "embedded",
+				Usage: "run a daemon with a stand-in store and stand-in targets in one process",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "manifest", Value: "examples/muscat.json", Usage: "serve the manifest `FILE`"},
+					&cli.StringFlag{Name: "callers", Value: "127.0.0.1:8080", Usage: "serve callers at `ADDRESS`"},
+					&cli.StringFlag{Name: "peers", Value: "127.0.0.1:8081", Usage: "serve daemons at `ADDRESS`"},
+					&cli.StringFlag{Name: "admin", Value: "127.0.0.1:8082", Usage: "serve operators at `ADDRESS`"},
+				},
+				Action: runEmbedded,
+			},
+		},
+	}
+}
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "read the settings `FILE`"}
+}
+
+func check(_ context.Context, cmd *cli.Command) error {
+	if _, err := settings.Load(cmd.String("settings")); err != nil {
+		return err
+	}
+	fmt.Println("settings are valid")
+	return nil
+}
+
+// errEmbeddedStore reports settings that only the embedded command can serve.
+var errEmbeddedStore = errors.New("[store] embedded is set: use the embedded command")
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	set, err := settings.Load(cmd.String("settings"))
+	if err != nil {
+		return err
+	}
+	if set.Store.Embedded {
+		return errEmbeddedStore
+	}
+	cert, pool, err := pki.Load(set.TLS.CA, set.TLS.Certificate, set.TLS.Key)
+	if err != nil {
+		return err
+	}
+	store, err := etcdgw.New(set.Store.URLs[0], etcdgw.Options{})
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	options := daemon.Options{Settings: set, Store: store, Certificate: cert, Authorities: pool, Log: logger(set)}
+	if set.Instances.URL != "" {
+		list, err := etcdgw.New(set.Instances.URL, etcdgw.Options{})
+		if err != nil {
+			return err
+		}
+		defer list.Close()
+		options.Instances = list
+	}
+	d, err := daemon.New(options)
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx)
+}
+
+func logger(set *settings.Settings) *slog.Logger {
+	options := &slog.HandlerOptions{Level: set.Daemon.LogLevel}
+	if set.Daemon.LogFormat == settings.LogJSON {
+		return slog.New(slog.NewJSONHandler(os.Stderr, options))
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, options))
+}
+
+func runEmbedded(ctx context.Context, cmd *cli.Command) error {
+	file := cmd.String("manifest")
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	m, err := manifest.Parse(file, b)
+	if err != nil {
+		return err
+	}
+	var addresses [3]netip.AddrPort
+	for i, name := range []string{"callers", "peers", "admin"} {
+		if addresses[i], err = netip.ParseAddrPort(cmd.String(name)); err != nil {
+			return fmt.Errorf("--%s: %w", name, err)
+		}
+	}
+	set := embedded.Settings(addresses[0], addresses[1], addresses[2])
+	return embedded.Run(ctx, m, set, logger(set), func(*daemon.Daemon) {
+		fmt.Printf("try: curl -i http://%s%s/ramadan-start\n", addresses[0], m.Services[0].PathPrefix)
+	})
+}
--- a/cmd/jackdawstandin/main.go
+++ b/cmd/jackdawstandin/main.go
@@ -27,6 +27,7 @@
 		Usage: "stand-ins for the systems around the router",
 		Commands: []*cli.Command{
 			storeCommand(),
+			targetCommand(),
 		},
 	}
 }
--- a/cmd/jackdawstandin/target.go
+++ b/cmd/jackdawstandin/target.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -37,6 +38,7 @@
 		&cli.FloatFlag{Name: "cold-factor", Value: 4, Usage: "take `FACTOR` times as long at the start"},
 		&cli.DurationFlag{Name: "drain-grace", Value: targetsrv.DefaultDrainGrace, Usage: "take new work for `DURATION` while draining"},
 		&cli.DurationFlag{Name: "idle-timeout", Usage: "close connections idle for `DURATION`"},
+		&cli.StringFlag{Name: "record", Usage: "also write every run to `FILE`"},
 		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the service times"},
 	}
 }
@@ -68,6 +70,14 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	s := targetsrv.New(config)
+	if name := cmd.String("record"); name != "" {
+		file, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = file.Close() }()
+		s.Runs().RecordTo(file)
+	}
 	address, err := s.Listen(ctx, cmd.String("listen"))
 	if err != nil {
 		return fmt.Errorf("target %s: %w", config.Name, err)
--- a/internal/daemon/coordination.go
+++ b/internal/daemon/coordination.go
@@ -35,8 +35,7 @@
 	term     int64
 	modRev   int64
 	// loaded says that the store's documents were read in this term.
-	loaded  bool
-	writing bool
+	loaded bool
 
 	hintAddress string
 	hintTerm    int64
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -114,7 +114,7 @@
 	var previous retry.Outcome
 	for number := 1; ; number++ {
 		_, changed := e.daemon.docs.wait()
-		resp, err := e.attempt(ctx, j, number)
+		resp, err := e.attempt(ctx, j, number) //nolint:bodyclose // relay closes it
 		if err == nil {
 			info.stop()
 			e.respond(w, j, resp, start)
--- a/internal/daemon/fronts.go
+++ b/internal/daemon/fronts.go
@@ -110,7 +110,7 @@
 func (f *fronts) applyTarget(s *snapshot, svc *table.Service, index uint16, key targetKey, m *membership, epoch uint64, now time.Time) {
 	tf := f.targets[key]
 	if tf == nil {
-		tf = newTargetFront(f.daemon, key, s.service(key.service), s.target(key.service, key.target))
+		tf = newTargetFront(f.daemon, key, m, s.service(key.service), s.target(key.service, key.target))
 		f.targets[key] = tf
 	}
 	if declared := s.target(key.service, key.target); declared != nil {
@@ -195,13 +195,6 @@
 	}
 }
 
-// find returns the front of a target, or nil if this daemon does not front it.
-func (f *fronts) find(service, target string) *targetFront {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.targets[targetKey{service, target}]
-}
-
 // locate returns the front that serves the key's hash under the applied table,
 // with the unit. The front is nil if another daemon fronts the owner.
 func (f *fronts) locate(service string, hash uint64) (*targetFront, table.Unit) {
--- a/internal/daemon/peerhandler.go
+++ b/internal/daemon/peerhandler.go
@@ -116,7 +116,7 @@
 	info := &informational{w: w}
 	ctx = info.trace(ctx)
 	c.request = forwardedRequest(ctx, r)
-	resp, err := f.do(ctx, c)
+	resp, err := f.do(ctx, c) //nolint:bodyclose // relay closes it
 	info.stop()
 	if err != nil {
 		asRefusal(err).write(w)
--- a/internal/daemon/targetfront.go
+++ b/internal/daemon/targetfront.go
@@ -56,13 +56,14 @@
 	refused *refusal
 }
 
-func newTargetFront(d *Daemon, key targetKey, s *manifest.Service, t *manifest.Target) *targetFront {
+func newTargetFront(d *Daemon, key targetKey, m *membership, s *manifest.Service, t *manifest.Target) *targetFront {
 	f := &targetFront{
-		daemon:   d,
-		key:      key,
-		machine:  front.New(frontConfig(key, s, t)),
-		declared: *t,
-		waiting:  make(map[uint64]chan verdict),
+		daemon:     d,
+		key:        key,
+		membership: m,
+		machine:    front.New(frontConfig(key, s, t)),
+		declared:   *t,
+		waiting:    make(map[uint64]chan verdict),
 	}
 	f.pool = targetnet.New(targetnet.Config{
 		Address:        t.Address,
--- /dev/null
+++ b/internal/e2e/fleet_test.go
@@ -0,0 +1,368 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/pki"
+	"github.com/jackdawloom/jackdawloom/internal/protocol/adminapi"
+	"github.com/jackdawloom/jackdawloom/internal/standin/targetsrv"
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+	"github.com/jackdawloom/jackdawloom/internal/topo/memstore"
+)
+
+var binDir string
+
+// TestMain builds the programs once.
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "jackdawloom-e2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binDir = dir
+	build := exec.Command("go", "build", "-o", dir, "../../cmd/jackdawloomd", "../../cmd/jackdawstandin")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one child process of a test.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	log  string
+}
+
+func start(t *testing.T, dir, name string, args ...string) *process {
+	t.Helper()
+	log := filepath.Join(dir, name+".log")
+	out, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer out.Close()
+	cmd := exec.Command(filepath.Join(binDir, args[0]), args[1:]...)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		t.Fatalf("start %s: %v", name, err)
+	}
+	p := &process{name: name, cmd: cmd, log: log}
+	t.Cleanup(func() { p.end(t) })
+	return p
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		t.Fatalf("signal %s: %v", p.name, err)
+	}
+}
+
+// kill ends the process at once and waits for it.
+func (p *process) kill(t *testing.T) {
+	t.Helper()
+	p.signal(t, syscall.SIGKILL)
+	_ = p.cmd.Wait()
+}
+
+// stop asks the process to stop and returns its exit error.
+func (p *process) stop(t *testing.T) error {
+	t.Helper()
+	p.signal(t, syscall.SIGTERM)
+	return p.cmd.Wait()
+}
+
+func (p *process) end(t *testing.T) {
+	if p.cmd.ProcessState == nil {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+	}
+	if t.Failed() {
+		t.Logf("log of %s:\n%s", p.name, tail(p.log, 60))
+	}
+}
+
+func tail(file string, lines int) string {
+	b, _ := os.ReadFile(file)
+	all := strings.Split(strings.TrimRight(string(b), "\n"), "\n")
+	return strings.Join(all[max(len(all)-lines, 0):], "\n")
+}
+
+// fleet is a store, targets and daemons as separate processes.
+type fleet struct {
+	t        *testing.T
+	dir      string
+	store    *process
+	storeURL string
+	control  string
+	manifest manifest.Manifest
+	targets  []*process
+	records  []string
+	daemons  []*daemonProcess
+}
+
+type daemonProcess struct {
+	*process
+	id       string
+	settings string
+	callers  string
+	admin    string
+}
+
+// freePorts returns loopback addresses that were free a moment ago.
+func freePorts(t *testing.T, network string, n int) []string {
+	t.Helper()
+	var out []string
+	var open []io.Closer
+	for range n {
+		if network == "udp" {
+			c, err := net.ListenPacket("udp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			open = append(open, c)
+			out = append(out, c.LocalAddr().String())
+			continue
+		}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, l)
+		out = append(out, l.Addr().String())
+	}
+	for _, c := range open {
+		_ = c.Close()
+	}
+	return out
+}
+
+// newFleet starts everything and waits until each daemon is ready.
+func newFleet(t *testing.T, targets, daemons int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir()}
+	storePorts := freePorts(t, "tcp", 2)
+	f.storeURL, f.control = "http://"+storePorts[0], "http://"+storePorts[1]
+	f.store = start(t, f.dir, "store", "jackdawstandin", "store", "--listen", storePorts[0], "--control", storePorts[1])
+	f.startTargets(targets)
+	f.writeSettings(daemons)
+	for i := range f.daemons {
+		f.startDaemon(i)
+	}
+	f.awaitStore()
+	f.apply(0, "first")
+	for _, d := range f.daemons {
+		f.awaitReady(d)
+	}
+	return f
+}
+
+func (f *fleet) startTargets(n int) {
+	service := manifest.Service{
+		Name: "display", PathPrefix: "/display", Shards: 64,
+		Key: manifest.KeySource{From: manifest.KeyFromPath},
+		Classes: []manifest.Class{
+			{Name: "read", Methods: []string{"GET"}, Repeat: manifest.RepeatIdempotent, DeadlineMs: 5000, Objective: manifest.Objective{LatencyMs: 100, Ratio: 0.99}},
+			{Name: "book", Methods: []string{"POST"}, Repeat: manifest.RepeatNever, DeadlineMs: 5000, Objective: manifest.Objective{LatencyMs: 200, Ratio: 0.99}},
+		},
+	}
+	for i, address := range freePorts(f.t, "tcp", n) {
+		name := fmt.Sprintf("display-%02d", i+1)
+		service.Targets = append(service.Targets, manifest.Target{
+			Name: name, Address: address, Domain: string(rune('a' + i%3)), Slots: 6, Connections: 60, ChecksGrants: true,
+		})
+		f.records = append(f.records, filepath.Join(f.dir, name+".runs"))
+	}
+	f.manifest = manifest.Manifest{Schema: manifest.Schema, Name: "e2e", Services: []manifest.Service{service}}
+	for i := range service.Targets {
+		f.targets = append(f.targets, nil)
+		f.startTarget(i)
+	}
+}
+
+func (f *fleet) startTarget(i int) {
+	target := f.manifest.Services[0].Targets[i]
+	f.targets[i] = start(f.t, f.dir, target.Name, "jackdawstandin", "target", "--listen", target.Address,
+		"--name", target.Name, "--slots", "6", "--checks-grants", "--service-time", "1ms", "--record", f.records[i])
+}
+
+func (f *fleet) writeSettings(n int) {
+	authority, err := pki.NewAuthority()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	peers := freePorts(f.t, "udp", n)
+	tcp := freePorts(f.t, "tcp", 2*n)
+	for i := range n {
+		id := fmt.Sprintf("loom-%d", i+1)
+		if err := authority.WriteFiles(f.dir, id); err != nil {
+			f.t.Fatal(err)
+		}
+		d := &daemonProcess{id: id, settings: filepath.Join(f.dir, id+".ini"), callers: tcp[2*i], admin: tcp[2*i+1]}
+		text := fmt.Sprintf(`[daemon]
+id = %s
+domain = %c
+drain_timeout = 20s
+[listen]
+caller = %s
+peer = %s
+admin = %s
+[tls]
+ca = ca.pem
+certificate = %s.pem
+key = %s.key
+[peers]
+seeds = %s
+[store]
+urls = %s
+`, id, 'a'+i%3, d.callers, peers[i], d.admin, id, id, strings.Join(peers, ", "), f.storeURL)
+		if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
+			f.t.Fatal(err)
+		}
+		f.daemons = append(f.daemons, d)
+	}
+}
+
+func (f *fleet) startDaemon(i int) {
+	d := f.daemons[i]
+	d.process = start(f.t, f.dir, d.id, "jackdawloomd", "run", "--settings", d.settings)
+}
+
+// awaitStore waits until the store answers through a daemon.
+func (f *fleet) awaitStore() {
+	f.await("store", 10*time.Second, func() bool {
+		resp, err := http.Get("http://" + f.daemons[0].admin + adminapi.PathConfig)
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+// await polls for a condition that other processes bring about.
+func (f *fleet) await(what string, limit time.Duration, ok func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(limit)
+	for !ok() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%s not seen within %v", what, limit)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (f *fleet) apply(basedOn uint64, operation string) int {
+	f.t.Helper()
+	m, err := json.Marshal(f.manifest)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	body, err := json.Marshal(adminapi.Apply{BasedOn: basedOn, Operation: operation, Manifest: m})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	status, reply := f.do(http.MethodPut, "http://"+f.daemons[0].admin+adminapi.PathConfig, body)
+	if status != http.StatusOK {
+		f.t.Logf("apply: %d %s", status, reply)
+	}
+	return status
+}
+
+func (f *fleet) do(method, url string, body []byte) (int, []byte) {
+	f.t.Helper()
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		f.t.Fatalf("%s %s: %v", method, url, err)
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, b
+}
+
+// awaitReady waits until the daemon serves a key of every shard's owner.
+func (f *fleet) awaitReady(d *daemonProcess) {
+	f.t.Helper()
+	f.await(d.id+" serving", 15*time.Second, func() bool {
+		state, ok := f.state(d)
+		if !ok || state.InForce.Table == 0 || len(state.Memberships) == 0 || state.Memberships[0].AuthorityMs == 0 {
+			return false
+		}
+		resp, err := http.Get("http://" + d.callers + "/display/ready")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+func (f *fleet) state(d *daemonProcess) (adminapi.State, bool) {
+	resp, err := http.Get("http://" + d.admin + adminapi.PathState)
+	if err != nil {
+		return adminapi.State{}, false
+	}
+	defer resp.Body.Close()
+	var s adminapi.State
+	return s, json.NewDecoder(resp.Body).Decode(&s) == nil
+}
+
+func (f *fleet) setStore(faults memstore.Faults) {
+	f.t.Helper()
+	b, err := json.Marshal(faults)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if status, reply := f.do(http.MethodPut, f.control+"/faults", b); status >= 300 {
+		f.t.Fatalf("set store faults: %d %s", status, reply)
+	}
+}
+
+// runs returns how often each tagged request ran, from the targets' records.
+func (f *fleet) runs() map[string]int {
+	f.t.Helper()
+	counts := make(map[string]int)
+	for _, name := range f.records {
+		file, err := os.Open(name)
+		if os.IsNotExist(err) {
+			continue
+		}
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		lines := bufio.NewScanner(file)
+		for lines.Scan() {
+			var r targetsrv.Run
+			if err := json.Unmarshal(lines.Bytes(), &r); err != nil {
+				f.t.Fatalf("%s: %v", name, err)
+			}
+			counts[r.Tag]++
+		}
+		_ = file.Close()
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/e2e/load_test.go
@@ -0,0 +1,159 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/protocol/header"
+)
+
+// attempt is what a caller saw of one request.
+type attempt struct {
+	tag     string
+	key     string
+	never   bool
+	at      time.Time
+	took    time.Duration
+	status  int
+	outcome string
+	reason  string
+	broken  bool // no complete response
+	err     error
+}
+
+func (a attempt) ok() bool { return !a.broken && a.status == http.StatusOK }
+
+// load sends requests to daemons until stopped, half of them never-repeat.
+type load struct {
+	mu       sync.Mutex
+	attempts []attempt
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+	prefix   string
+}
+
+const loadKeys = 48
+
+// startLoad runs workers that send to the daemons in turn; skip leaves a daemon
+// out, as the platform's balancer does with one that is gone.
+func startLoad(f *fleet, prefix string, workers int, skip func(i int) bool) *load {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &load{cancel: cancel, prefix: prefix}
+	for w := range workers {
+		l.done.Add(1)
+		go func() {
+			defer l.done.Done()
+			client := &http.Client{Transport: &http.Transport{}, Timeout: 8 * time.Second}
+			for n := 0; ctx.Err() == nil; n++ {
+				i := (w + n) % len(f.daemons)
+				if skip != nil && skip(i) {
+					continue
+				}
+				l.send(f, client, f.daemons[i].callers, w, n)
+				time.Sleep(2 * time.Millisecond) // paces the load
+			}
+		}()
+	}
+	return l
+}
+
+func (l *load) send(f *fleet, client *http.Client, address string, w, n int) {
+	a := attempt{tag: fmt.Sprintf("%s-%d-%d", l.prefix, w, n), never: n%2 == 1, at: time.Now()}
+	// Each key goes to every daemon in turn.
+	a.key = fmt.Sprintf("key-%d", (w*7+n/len(f.daemons))%loadKeys)
+	method := http.MethodGet
+	if a.never {
+		method = http.MethodPost
+	}
+	url := fmt.Sprintf("http://%s/display/%s?tag=%s&bytes=2000", address, a.key, a.tag)
+	// A body that cannot be read again keeps this client from repeating a
+	// request on its own.
+	var body io.Reader
+	if a.never {
+		body = io.MultiReader(strings.NewReader("x"))
+	}
+	req, _ := http.NewRequest(method, url, body)
+	resp, err := client.Do(req)
+	if err != nil {
+		a.broken, a.err = true, err
+	} else {
+		a.status = resp.StatusCode
+		a.outcome = resp.Header.Get(header.Outcome)
+		a.reason = resp.Header.Get(header.Reason)
+		b, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		a.broken = err != nil || (a.status == http.StatusOK && len(b) != 2000)
+		a.err = err
+	}
+	a.took = time.Since(a.at)
+	l.mu.Lock()
+	l.attempts = append(l.attempts, a)
+	l.mu.Unlock()
+}
+
+func (l *load) stop() []attempt {
+	l.cancel()
+	l.done.Wait()
+	return l.attempts
+}
+
+// checkRuns compares what callers saw with what the targets ran.
+func checkRuns(t *testing.T, f *fleet, attempts []attempt) {
+	t.Helper()
+	runs := f.runs()
+	var ok, notRun, unknown int
+	for _, a := range attempts {
+		n := runs[a.tag]
+		switch {
+		case a.never && n > 1:
+			t.Errorf("never-repeat request %s ran %d times", a.tag, n)
+		case a.outcome == header.NotRun && n > 0:
+			t.Errorf("request %s was called not-run (%s) and ran %d times", a.tag, a.reason, n)
+		case a.ok() && n == 0:
+			t.Errorf("request %s was answered and never ran", a.tag)
+		}
+		switch {
+		case a.ok():
+			ok++
+		case a.outcome == header.NotRun:
+			notRun++
+		default:
+			unknown++
+		}
+	}
+	t.Logf("%d requests: %d answered, %d refused as not run, %d unknown or broken", len(attempts), ok, notRun, unknown)
+}
+
+// unavailable returns the longest time within the window in which a key got no
+// good answer although requests for it were sent, and the key.
+func unavailable(attempts []attempt, from, to time.Time) (time.Duration, string) {
+	good := make(map[string][]time.Time)
+	for _, a := range attempts {
+		if a.ok() {
+			good[a.key] = append(good[a.key], a.at.Add(a.took))
+		}
+	}
+	var worst time.Duration
+	var key string
+	for k, times := range good {
+		sort.Slice(times, func(i, j int) bool { return times[i].Before(times[j]) })
+		last := from
+		for _, at := range append(times, to) {
+			if at.Before(from) || at.After(to) {
+				continue
+			}
+			if gap := at.Sub(last); gap > worst {
+				worst, key = gap, k
+			}
+			last = at
+		}
+	}
+	return worst, key
+}
--- a/internal/standin/targetsrv/runs.go
+++ b/internal/standin/targetsrv/runs.go
@@ -1,6 +1,8 @@
 package targetsrv
 
 import (
+	"encoding/json"
+	"io"
 	"sync"
 	"time"
 )
@@ -21,8 +23,10 @@
 // Run is the record of one execution of one request. Times are milliseconds on
 // the target's monotonic clock.
 type Run struct {
-	Seq        int      `json:"seq"`
-	RequestID  string   `json:"request_id"`
+	Seq       int    `json:"seq"`
+	RequestID string `json:"request_id"`
+	// Tag is the caller's own name for the request, from its tag parameter.
+	Tag        string   `json:"tag,omitempty"`
 	Unit       string   `json:"unit"`
 	FrontEpoch string   `json:"front_epoch"`
 	UnitEpoch  string   `json:"unit_epoch"`
@@ -40,8 +44,13 @@
 	runs      []Run
 	forgotten int
 	limit     int
+	sink      io.Writer
 }
 
+// RecordTo also writes every run to w when it begins, one JSON object a line,
+// so that the record outlives the process. It must be called before any run.
+func (l *RunLog) RecordTo(w io.Writer) { l.sink = w }
+
 // NewRunLog returns a log that holds at most limit runs.
 func NewRunLog(limit int) *RunLog {
 	return &RunLog{limit: limit}
@@ -58,9 +67,20 @@
 	r.StartMs = milliseconds(now)
 	r.State = RunRunning
 	l.runs = append(l.runs, r)
+	l.record(r)
 	return r.Seq
 }
 
+func (l *RunLog) record(r Run) {
+	if l.sink == nil {
+		return
+	}
+	if err := json.NewEncoder(l.sink).Encode(r); err != nil {
+		// A record with holes would prove nothing.
+		panic(err)
+	}
+}
+
 func (l *RunLog) forget() {
 	half := (len(l.runs) + 1) / 2
 	l.runs = append([]Run(nil), l.runs[half:]...)
--- a/internal/standin/targetsrv/work.go
+++ b/internal/standin/targetsrv/work.go
@@ -28,6 +28,7 @@
 	bytesParam    = "bytes"    // size of the response body
 	chunksParam   = "chunks"   // parts in which the response is streamed
 	trailersParam = "trailers" // 1 adds SumTrailer
+	tagParam      = "tag"      // the caller's name for the request
 )
 
 // Reasons besides those of Grants for which work is refused or stopped.
@@ -144,6 +145,7 @@
 func (s *Server) start(r *http.Request, now time.Duration) job {
 	q := r.URL.Query()
 	run := Run{
+		Tag:        q.Get(tagParam),
 		RequestID:  r.Header.Get(header.RequestID),
 		Unit:       r.Header.Get(header.Unit),
 		FrontEpoch: r.Header.Get(header.FrontEpoch),
