--- a/internal/standin/targetsrv/grants_test.go
+++ b/internal/standin/targetsrv/grants_test.go
@@ -86,6 +86,9 @@
 		if w.grants.Check(w.clock(), key[0], table.Unit{Shard: unit.Shard}, unit.Epoch+1) == nil {
 			t.Fatalf("unit of grant %v may run at another epoch", key)
 		}
+		if w.grants.Check(w.clock(), key[0]+1, table.Unit{Shard: unit.Shard}, unit.Epoch) == nil {
+			t.Fatalf("unit of grant %v may run for another front epoch", key)
+		}
 	}
 }
 
@@ -133,6 +136,11 @@
 	if err := g.Apply(renewal); err != nil {
 		t.Fatal(err)
 	}
+	overtaken := renewal
+	overtaken.ExpiresMs = 1200
+	if err := g.Apply(overtaken); err != nil {
+		t.Fatal(err)
+	}
 	for _, u := range []struct {
 		unit  table.Unit
 		epoch uint32
