--- a/internal/standin/targetsrv/runs.go
+++ b/internal/standin/targetsrv/runs.go
@@ -85,14 +85,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	i := min(max(seq-l.forgotten, 0), len(l.runs))
-	return append([]Run(nil), l.runs[i:]...), l.forgotten
+	return append([]Run{}, l.runs[i:]...), l.forgotten
 }
 
 // Of returns the runs of one request.
 func (l *RunLog) Of(requestID string) []Run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var found []Run
+	found := []Run{}
 	for _, r := range l.runs {
 		if r.RequestID == requestID {
 			found = append(found, r)
