Add the store contract test; fix what it found

Cause: the stores must behave alike, in process and over HTTP, also under faults. Found and fixed: the client reported a nonsense watch message as an outage, because the end of the body was taken for a broken connection; watches of the in-process store survived an outage, and outages shorter than a goroutine switch were missed, so outages are now counted. Ruled out: real waiting for lease expiry and slow calls; the tests move the store's clock and end delays by replacing the faults, so the verdict does not depend on speed. Refused connections keep their port through a socket that is bound without listening, so no other process can take it meanwhile. Before: hand-made calls only.

--- a/internal/standin/storesrv/answer.go
+++ b/internal/standin/storesrv/answer.go
@@ -24,7 +24,7 @@
 func unary[Req, Res any](fn func(Req) (Res, error)) answerFunc {
 	return func(body []byte) answer {
 		var req Req
-		if err := json.Unmarshal(body, &req); err != nil {
+		if err := etcdwire.Decode(body, &req); err != nil {
 			return refusal(http.StatusBadRequest, etcdwire.CodeInvalidArgument, err.Error())
 		}
 		res, err := fn(req)
--- a/internal/standin/storesrv/control.go
+++ b/internal/standin/storesrv/control.go
@@ -44,6 +44,10 @@
 	if !decode(w, r, &f) {
 		return
 	}
+	if f.Down == memstore.DownRefuse && !s.ownControl {
+		http.Error(w, "refused connections need a control address of their own", http.StatusBadRequest)
+		return
+	}
 	if err := s.SetFaults(f); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -57,6 +61,9 @@
 	if err := s.shared.SetFaults(f); err != nil {
 		return err
 	}
+	if f.StallOpen {
+		s.generation.Add(1)
+	}
 	if s.applyDown == nil {
 		return nil
 	}
--- a/internal/standin/storesrv/fault.go
+++ b/internal/standin/storesrv/fault.go
@@ -6,14 +6,13 @@
 	"net"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/topo/memstore"
 )
 
 // oversizedBytes is the size of an oversized reply, far above any client's
 // bound.
-const oversizedBytes = 64 << 20
+const oversizedBytes = 16 << 20
 
 // withFaults counts a call and performs it with the injected faults.
 func (s *Server) withFaults(call memstore.Call, fn answerFunc) http.HandlerFunc {
@@ -27,10 +26,15 @@
 			bad.write(w)
 			return
 		}
+		if faults.Stall && s.isOld(r) {
+			s.hang(r)
+		}
 		if faults.Drop {
 			s.loseAnswer(r, faults)
 		}
-		s.delay(faults.Delay)
+		// The delay goes on when the caller has left, since a slow store also
+		// applies a write whose caller has given up.
+		s.shared.Delay(s.done, faults.Delay)
 		reply := fn(body)
 		if faults.Lose {
 			s.loseAnswer(r, faults)
@@ -43,29 +47,40 @@
 	}
 }
 
-// delay waits for d or until the server ends. It goes on when the caller has
-// left, since a slow store also applies a write whose caller has given up.
-func (s *Server) delay(d time.Duration) {
-	if d == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(s.done, d)
-	defer cancel()
-	<-ctx.Done()
-}
-
 // loseAnswer breaks the connection, after the caller has given up if the fault
 // says so. It does not return.
 func (s *Server) loseAnswer(r *http.Request, f memstore.CallFaults) {
 	if f.Hang {
-		select {
-		case <-r.Context().Done():
-		case <-s.done.Done():
-		}
+		s.hang(r)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// hang waits until the caller gives up or the server ends, and breaks the
+// connection. It does not return.
+func (s *Server) hang(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-s.done.Done():
 	}
 	panic(http.ErrAbortHandler)
 }
 
+// generationKey is the context key of a connection's generation.
+type generationKey struct{}
+
+// connContext marks a new connection with the present generation.
+func (s *Server) connContext(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, generationKey{}, s.generation.Load())
+}
+
+// isOld reports whether the request's connection was open before StallOpen was
+// last set.
+func (s *Server) isOld(r *http.Request) bool {
+	opened, ok := r.Context().Value(generationKey{}).(int64)
+	return ok && opened < s.generation.Load()
+}
+
 // reset closes the connection with a TCP reset. It does not return.
 func reset(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/internal/standin/storesrv/listen.go
+++ b/internal/standin/storesrv/listen.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -16,7 +17,7 @@
 const headerTimeout = 10 * time.Second
 
 // Addresses are the addresses to listen on. Control is optional; without it
-// refused connections can be ended only in Go.
+// refused connections can be started and ended only in Go.
 type Addresses struct {
 	Store   string
 	Control string
@@ -26,33 +27,51 @@
 // store address refuses connections.
 type Listener struct {
 	server  *Server
-	addr    string
-	control *http.Server
-	caddr   string
-
-	mu    sync.Mutex
-	store *http.Server // nil while connections are refused
+	store   *endpoint
+	control *endpoint // nil if there is no control address
 }
 
 // Listen serves shared on the addresses until Close.
 func Listen(shared *memstore.Shared, a Addresses) (*Listener, error) {
-	l := &Listener{server: New(shared), addr: a.Store}
-	l.server.applyDown = l.applyDown
-	if err := l.openControl(a.Control); err != nil {
-		return nil, err
-	}
-	if err := l.open(); err != nil {
+	l := &Listener{server: New(shared)}
+	if err := l.open(a); err != nil {
 		l.Close()
 		return nil, err
 	}
 	return l, nil
 }
 
+func (l *Listener) open(a Addresses) (err error) {
+	if l.store, err = newEndpoint(a.Store, l.server); err != nil {
+		return err
+	}
+	l.store.connContext = l.server.connContext
+	l.server.applyDown = l.applyDown
+	if a.Control != "" {
+		if l.control, err = newEndpoint(a.Control, l.server.Control()); err != nil {
+			return err
+		}
+		l.server.ownControl = true
+		if err := l.control.open(); err != nil {
+			return err
+		}
+	}
+	return l.store.open()
+}
+
 // Addr returns the store address with the port that was chosen.
-func (l *Listener) Addr() string { return l.addr }
+func (l *Listener) Addr() string { return l.store.reserved.addr }
 
 // ControlAddr returns the control address, or "" if there is none.
-func (l *Listener) ControlAddr() string { return l.caddr }
+func (l *Listener) ControlAddr() string {
+	if l.control == nil {
+		return ""
+	}
+	return l.control.reserved.addr
+}
+
+// Shared returns the state behind the server.
+func (l *Listener) Shared() *memstore.Shared { return l.server.Shared() }
 
 // SetFaults replaces the injected faults.
 func (l *Listener) SetFaults(f memstore.Faults) error { return l.server.SetFaults(f) }
@@ -60,64 +79,82 @@
 // Close ends the listeners and all connections.
 func (l *Listener) Close() {
 	l.server.Close()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.refuse()
-	if l.control != nil {
-		_ = l.control.Close()
-	}
+	l.store.close()
+	l.control.close()
 }
 
 // applyDown opens or closes the store address.
 func (l *Listener) applyDown(d memstore.Down) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if d == memstore.DownRefuse {
-		l.refuse()
+		l.store.refuse()
 		return nil
 	}
-	return l.open()
+	return l.store.open()
+}
+
+// endpoint is a reserved address that can be opened and closed repeatedly.
+type endpoint struct {
+	reserved    *reservation
+	handler     http.Handler
+	connContext func(context.Context, net.Conn) context.Context
+
+	mu       sync.Mutex
+	listener net.Listener // nil while connections are refused
+	running  *http.Server
 }
 
-func (l *Listener) refuse() {
-	if l.store != nil {
-		_ = l.store.Close()
-		l.store = nil
+func newEndpoint(addr string, h http.Handler) (*endpoint, error) {
+	r, err := reserve(addr)
+	if err != nil {
+		return nil, err
 	}
+	return &endpoint{reserved: r, handler: h}, nil
 }
 
-func (l *Listener) open() error {
-	if l.store != nil {
+// open starts to accept connections, unless it already does.
+func (e *endpoint) open() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running != nil {
 		return nil
 	}
-	srv, addr, err := serve(l.addr, l.server)
+	ln, err := e.reserved.listen()
 	if err != nil {
-		return err
+		return fmt.Errorf("listen on %s: %w", e.reserved.addr, err)
 	}
-	l.store, l.addr = srv, addr
+	e.listener = ln
+	e.running = &http.Server{
+		Handler:           e.handler,
+		ConnContext:       e.connContext,
+		ReadHeaderTimeout: headerTimeout,
+	}
+	go accept(e.running, ln)
 	return nil
 }
 
-func (l *Listener) openControl(addr string) error {
-	if addr == "" {
-		return nil
+func accept(srv *http.Server, ln net.Listener) {
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		slog.Error("store stand-in stopped accepting connections", "address", ln.Addr().String(), "error", err)
 	}
-	srv, actual, err := serve(addr, l.server.Control())
-	l.control, l.caddr = srv, actual
-	return err
 }
 
-func serve(addr string, h http.Handler) (*http.Server, string, error) {
-	var config net.ListenConfig
-	ln, err := config.Listen(context.Background(), "tcp", addr)
-	if err != nil {
-		return nil, "", fmt.Errorf("listen on %s: %w", addr, err)
+// refuse closes all connections and refuses new ones.
+func (e *endpoint) refuse() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running == nil {
+		return
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	go func() {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			panic(err) // a broken listener is a defect of the stand-in
-		}
-	}()
-	return srv, ln.Addr().String(), nil
+	_ = e.running.Close()
+	_ = e.listener.Close() // Serve may not have taken it over yet
+	e.running, e.listener = nil, nil
+}
+
+// close refuses connections for good. A nil endpoint is closed.
+func (e *endpoint) close() {
+	if e == nil {
+		return
+	}
+	e.refuse()
+	e.reserved.close()
 }
--- a/internal/standin/storesrv/server.go
+++ b/internal/standin/storesrv/server.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/jackdawloom/jackdawloom/internal/topo/etcdwire"
 	"github.com/jackdawloom/jackdawloom/internal/topo/memstore"
@@ -23,8 +24,14 @@
 	done   context.Context // ends waiting calls on Close
 	end    context.CancelFunc
 
+	// generation counts how often StallOpen has been set. A connection is old
+	// if it was opened in an earlier generation.
+	generation atomic.Int64
 	// applyDown opens or closes the address; nil if there is no Listener.
 	applyDown func(memstore.Down) error
+	// ownControl tells that the controls are reachable while the store's
+	// address refuses connections.
+	ownControl bool
 }
 
 // New returns a server for shared, which must outlive it. Close must be called.
--- a/internal/standin/storesrv/watch.go
+++ b/internal/standin/storesrv/watch.go
@@ -10,14 +10,18 @@
 	"github.com/jackdawloom/jackdawloom/internal/topo/memstore"
 )
 
-// serveWatch streams the events of one watch until the caller leaves.
+// serveWatch streams the events of one watch until the caller leaves. As with
+// the gateway, the first message of the request opens the watch.
 func (s *Server) serveWatch(w http.ResponseWriter, r *http.Request) {
 	body, bad, ok := readBody(r)
 	faults := s.shared.Admit(memstore.CallWatch)
 	if faults.Down != memstore.DownNo {
 		reset(w)
 	}
-	s.delay(faults.Delay)
+	if faults.Stall && s.isOld(r) {
+		s.hang(r)
+	}
+	s.shared.Delay(s.done, faults.Delay)
 	if faults.Nonsense != memstore.NonsenseNo {
 		writeNonsense(w, faults.Nonsense)
 		return
@@ -27,7 +31,7 @@
 		return
 	}
 	var req etcdwire.WatchRequest
-	err := json.Unmarshal(body, &req)
+	err := etcdwire.Decode(body, &req)
 	if err != nil || req.CreateRequest == nil {
 		refusal(http.StatusBadRequest, etcdwire.CodeInvalidArgument, "watch without create_request").write(w)
 		return
@@ -52,6 +56,12 @@
 			_ = out.send(compacted(batch)) // the stream ends either way
 			return
 		}
+		if errors.Is(err, memstore.ErrDown) {
+			panic(http.ErrAbortHandler)
+		}
+		if s.shared.Faults().StallOpen && s.isOld(r) {
+			s.hang(r)
+		}
 		if err == nil {
 			err = out.send(eventsResponse(batch, req.PrevKV))
 		}
--- a/internal/topo/etcdgw/call.go
+++ b/internal/topo/etcdgw/call.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/jackdawloom/jackdawloom/internal/topo"
 	"github.com/jackdawloom/jackdawloom/internal/topo/etcdwire"
@@ -76,13 +77,17 @@
 	switch {
 	case r.status >= http.StatusInternalServerError && e.Code != etcdwire.CodeUnimplemented:
 		return fmt.Errorf("%w: status %d: %s", topo.ErrUnavailable, r.status, message)
-	case e.Code == etcdwire.CodeNotFound:
+	case strings.Contains(message, leaseNotFound):
 		return fmt.Errorf("%w: %s", topo.ErrLeaseNotFound, message)
 	default:
 		return fmt.Errorf("%w: %s", topo.ErrRefused, message)
 	}
 }
 
+// leaseNotFound is part of etcd's message for a lease that does not exist. The
+// code alone does not distinguish it from an unknown path.
+const leaseNotFound = "requested lease not found"
+
 func badReply(cause error) error {
 	return fmt.Errorf("%w: %w", topo.ErrBadReply, cause)
 }
--- a/internal/topo/etcdgw/client.go
+++ b/internal/topo/etcdgw/client.go
@@ -4,7 +4,7 @@
 //
 // A call that may change the store is sent at most once. If its result cannot
 // be known, it returns topo.ErrUnknownResult; the caller must read back. A read
-// is sent a second time if its connection broke.
+// without a reply is sent a second time on a new connection.
 package etcdgw
 
 import (
--- a/internal/topo/etcdgw/transport.go
+++ b/internal/topo/etcdgw/transport.go
@@ -80,11 +80,22 @@
 	return res, nil
 }
 
-// send sends one request and reads the complete reply. The error is a
-// *noReplyError, or errReplyTooLarge.
-func (c *Client) send(ctx context.Context, method, path string, body []byte) (reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+// send sends one request and reads the complete reply within the timeout. The
+// error is a *noReplyError, or errReplyTooLarge. After a call without a reply
+// the idle connections are closed, because connections to a store can stop
+// responding together while new ones work.
+func (c *Client) send(ctx context.Context, timeout time.Duration, method, path string, body []byte) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	r, err := c.sendOnce(ctx, method, path, body)
+	var none *noReplyError
+	if errors.As(err, &none) {
+		c.transport.CloseIdleConnections()
+	}
+	return r, err
+}
+
+func (c *Client) sendOnce(ctx context.Context, method, path string, body []byte) (reply, error) {
 	res, err := c.open(ctx, method, path, body)
 	if err != nil {
 		return reply{}, err
@@ -104,13 +115,15 @@
 // reply has been read or given up.
 func closeBody(res *http.Response) { _ = res.Body.Close() }
 
-// read sends a request that changes nothing, a second time if the connection
-// broke. A store that cannot be reached is not tried again.
+// read sends a request that changes nothing, a second time if the first was
+// sent and got no reply in half of the time. A store that cannot be reached is
+// not tried again.
 func (c *Client) read(ctx context.Context, method, path string, body []byte) (reply, error) {
-	r, err := c.send(ctx, method, path, body)
+	total := c.remaining(ctx)
+	r, err := c.send(ctx, total/2, method, path, body)
 	var none *noReplyError
-	if errors.As(err, &none) && none.sent && ctx.Err() == nil && !isTimeout(err) {
-		r, err = c.send(ctx, method, path, body)
+	if errors.As(err, &none) && none.sent && ctx.Err() == nil {
+		r, err = c.send(ctx, total/2, method, path, body)
 	}
 	if errors.As(err, &none) {
 		return r, fmt.Errorf("%w: %w", topo.ErrUnavailable, err)
@@ -121,9 +134,19 @@
 	return r, nil
 }
 
+// remaining returns the time for a call: up to the context's deadline, but at
+// most the client's timeout.
+func (c *Client) remaining(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return c.timeout
+	}
+	return min(c.timeout, time.Until(deadline))
+}
+
 // write sends a request that may change the store, once.
 func (c *Client) write(ctx context.Context, path string, body []byte) (reply, error) {
-	r, err := c.send(ctx, http.MethodPost, path, body)
+	r, err := c.send(ctx, c.timeout, http.MethodPost, path, body)
 	var none *noReplyError
 	switch {
 	case err == nil:
@@ -136,8 +159,3 @@
 		return r, fmt.Errorf("%w: %w: %w", topo.ErrUnknownResult, topo.ErrBadReply, err)
 	}
 }
-
-func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
--- a/internal/topo/etcdgw/watch.go
+++ b/internal/topo/etcdgw/watch.go
@@ -31,7 +31,7 @@
 		cancel()
 		return nil, err
 	}
-	w.r = r
+	w.r, w.last = r, fromRev
 	events := make(chan topo.Event)
 	go w.deliver(ctx, cancel, events)
 	return events, nil
@@ -93,8 +93,9 @@
 	r        keyrange.Range
 	max      int64 // largest message
 	left     int64 // bytes that may still be read for the current message
-	broken   bool  // the body has ended
+	broken   bool  // the body has ended before its end
 	canceled bool
+	last     int64 // no event may have a lower revision
 }
 
 // Read reads the body, within the bound of one message.
@@ -107,7 +108,7 @@
 	}
 	n, err := w.body.Read(p)
 	w.left -= int64(n)
-	w.broken = w.broken || err != nil
+	w.broken = w.broken || (err != nil && !errors.Is(err, io.EOF))
 	return n, err
 }
 
@@ -117,7 +118,7 @@
 	var message etcdwire.Stream[etcdwire.WatchResponse]
 	err := w.decoder.Decode(&message)
 	switch {
-	case err != nil && w.broken:
+	case err != nil && (w.broken || errors.Is(err, io.EOF)):
 		return etcdwire.WatchResponse{}, fmt.Errorf("%w: %w", topo.ErrUnavailable, err)
 	case err != nil:
 		return etcdwire.WatchResponse{}, badReply(err)
@@ -156,6 +157,10 @@
 		if e.KV == nil || e.KV.ModRevision <= 0 || !w.r.Contains(string(e.KV.Key)) {
 			return false
 		}
+		if int64(e.KV.ModRevision) < w.last {
+			return false
+		}
+		w.last = int64(e.KV.ModRevision)
 		if (e.Type == etcdwire.EventDelete) != (e.KV.CreateRevision == 0) {
 			return false
 		}
--- a/internal/topo/etcdwire/alias.go
+++ b/internal/topo/etcdwire/alias.go
@@ -1,6 +1,10 @@
 package etcdwire
 
-import "encoding/json"
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+)
 
 // The gateway reads field names in snake case and in lower camel case. The
 // request types with several words therefore read both.
@@ -61,9 +65,25 @@
 	if err != nil {
 		return err
 	}
-	return json.Unmarshal(text, into)
+	return Decode(text, into)
 }
 
+// Decode reads one request. An unknown field is an error: ignoring it would
+// change the meaning of the request.
+func Decode(text []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return err
+	}
+	if d.More() {
+		return errTrailing
+	}
+	return nil
+}
+
+var errTrailing = errors.New("text after the request")
+
 func snakeCase(name string) string {
 	var out []byte
 	for i := range len(name) {
--- a/internal/topo/memstore/call.go
+++ b/internal/topo/memstore/call.go
@@ -28,7 +28,7 @@
 	if faults.Drop {
 		return zero, lost(ctx, c, faults)
 	}
-	value, err := delayed(ctx, c, faults.Delay, fn)
+	value, err := delayed(ctx, s, c, faults.Delay, fn)
 	if faults.Lose {
 		return zero, lost(ctx, c, faults)
 	}
@@ -38,15 +38,16 @@
 	return value, err
 }
 
-func delayed[T any](ctx context.Context, c Call, delay time.Duration, fn func() (T, error)) (T, error) {
+func delayed[T any](ctx context.Context, s *Store, c Call, delay time.Duration, fn func() (T, error)) (T, error) {
 	if delay == 0 {
 		return fn()
 	}
 	done := make(chan result[T], 1)
-	time.AfterFunc(delay, func() {
+	go func() {
+		s.shared.Delay(context.WithoutCancel(ctx), delay)
 		value, err := fn()
 		done <- result[T]{value, err}
-	})
+	}()
 	select {
 	case r := <-done:
 		return r.value, r.err
--- a/internal/topo/memstore/faults.go
+++ b/internal/topo/memstore/faults.go
@@ -11,8 +11,8 @@
 // Ways of being down.
 const (
 	DownNo     Down = ""
-	DownRefuse Down = "refuse" // connections are refused
-	DownReset  Down = "reset"  // connections are reset on each call
+	DownRefuse Down = "refuse" // connections are closed and refused
+	DownReset  Down = "reset"  // watches break; connections are reset on each call
 )
 
 // Nonsense is a kind of reply that no client can understand.
@@ -25,7 +25,7 @@
 	NonsenseEmpty     Nonsense = "empty"     // an empty JSON object
 	NonsenseTypes     Nonsense = "types"     // JSON of other types
 	NonsenseTruncated Nonsense = "truncated" // JSON that ends early
-	NonsenseOversized Nonsense = "oversized" // a reply of 64 MiB
+	NonsenseOversized Nonsense = "oversized" // a reply of 16 MiB
 )
 
 // All as a count of calls means every call.
@@ -34,8 +34,9 @@
 // Faults are the injected faults. The zero value injects none.
 type Faults struct {
 	Down Down `json:"down"`
-	// DelayMs delays every call. A delayed write takes effect after the delay
-	// even if its caller has given up.
+	// DelayMs delays every call, until the faults are replaced at the latest. A
+	// delayed write takes effect after the delay even if its caller has given
+	// up.
 	DelayMs int64 `json:"delay_ms"`
 	// LoseWriteAnswers is the number of writes (txn, put, deleterange) that
 	// take effect without an answer, or All.
@@ -51,6 +52,9 @@
 	HangLost bool `json:"hang_lost"`
 	// ExpireLeases ends all leases, and every new one with the next call.
 	ExpireLeases bool `json:"expire_leases"`
+	// StallOpen keeps calls unanswered on the connections that are open when it
+	// is set; new connections work. The in-process store has no connections.
+	StallOpen bool `json:"stall_open"`
 	// SilentWatch keeps events from watches until it is turned off.
 	SilentWatch bool `json:"silent_watch"`
 	// RollbackTo is the revision from which reads are served, or 0.
@@ -83,6 +87,7 @@
 	Drop     bool // the call is lost before it takes effect
 	Lose     bool // the call takes effect, the answer is lost
 	Hang     bool // a lost call waits for its caller to give up
+	Stall    bool // the call is lost if its connection is old
 	Nonsense Nonsense
 }
 
@@ -92,6 +97,7 @@
 		Down:     f.Down,
 		Delay:    time.Duration(f.DelayMs) * time.Millisecond,
 		Hang:     f.HangLost,
+		Stall:    f.StallOpen,
 		Nonsense: f.Nonsense,
 	}
 	if f.Down != DownNo {
--- a/internal/topo/memstore/follower.go
+++ b/internal/topo/memstore/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/jackdawloom/jackdawloom/internal/topo/keyrange"
 )
@@ -13,6 +14,9 @@
 	s    *Shared
 	r    keyrange.Range
 	next int64
+	// outages is the number of outages at the start; a later one, however
+	// short, ends the watch.
+	outages int
 }
 
 // Follow returns a follower of r that starts with revision from, or with the
@@ -25,7 +29,7 @@
 		s.do(func(*State) {})
 		from = s.state.Rev() + 1
 	}
-	return &Follower{s: s, r: r, next: from}
+	return &Follower{s: s, r: r, next: from, outages: s.outages}
 }
 
 // Rev returns the store's revision.
@@ -41,6 +45,9 @@
 	f.s.counters.OpenWatches--
 }
 
+// ErrDown ends all watches of a store that is down.
+var ErrDown = errors.New("store is down")
+
 // Batch is a group of events with the store's revision and compaction revision
 // at the time of reading.
 type Batch struct {
@@ -50,7 +57,7 @@
 }
 
 // Next waits for the next events. It returns ErrCompacted if they are no longer
-// available, or the context's error.
+// available, ErrDown if the store has been down, or the context's error.
 func (f *Follower) Next(ctx context.Context) (Batch, error) {
 	for {
 		batch, changed, err := f.poll()
@@ -70,6 +77,9 @@
 func (f *Follower) poll() (Batch, <-chan struct{}, error) {
 	f.s.mu.Lock()
 	defer f.s.mu.Unlock()
+	if f.outages != f.s.outages {
+		return Batch{}, nil, ErrDown
+	}
 	if f.s.faults.SilentWatch {
 		return Batch{}, f.s.changed, nil
 	}
--- a/internal/topo/memstore/shared.go
+++ b/internal/topo/memstore/shared.go
@@ -1,6 +1,7 @@
 package memstore
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +17,8 @@
 	state     *State
 	past      *State // serves reads while RollbackTo is set
 	faults    Faults
+	outages   int           // how often Down has been set
+	replaced  chan struct{} // closed when faults are replaced or the store is closed
 	counters  Counters
 	instances []topo.Instance
 	skew      time.Duration
@@ -27,16 +30,21 @@
 // NewShared returns an empty store.
 func NewShared(limits HistoryLimits) *Shared {
 	return &Shared{
-		state:   NewState(time.Now(), limits),
-		changed: make(chan struct{}),
+		state:    NewState(time.Now(), limits),
+		changed:  make(chan struct{}),
+		replaced: make(chan struct{}),
 	}
 }
 
-// Close stops the timer; leases no longer end by themselves.
+// Close stops the timer and ends delays; leases no longer end by themselves.
 func (s *Shared) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
 	s.closed = true
+	close(s.replaced)
 	if s.expiry != nil {
 		s.expiry.Stop()
 	}
@@ -110,13 +118,42 @@
 	if err != nil {
 		return err
 	}
+	if f.Down != DownNo {
+		s.outages++
+	}
 	s.faults = f
 	s.past = past
+	s.endDelays()
 	s.do(func(*State) {})
 	s.wake()
 	return nil
 }
 
+func (s *Shared) endDelays() {
+	if s.closed {
+		return
+	}
+	close(s.replaced)
+	s.replaced = make(chan struct{})
+}
+
+// Delay waits for d, but no longer than until ctx ends, the faults are replaced
+// or the store is closed.
+func (s *Shared) Delay(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	s.mu.Lock()
+	replaced := s.replaced
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	select {
+	case <-replaced:
+	case <-ctx.Done():
+	}
+}
+
 func (s *Shared) pastFor(rev int64) (*State, error) {
 	switch {
 	case rev == 0:
--- /dev/null
+++ b/internal/topo/topotest/faults.go
@@ -0,0 +1,209 @@
+package topotest
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/topo/memstore"
+)
+
+// Times for calls that cannot be answered. endless is longer than any test
+// runs, so the verdict does not depend on the machine's speed.
+const (
+	shortWait = 50 * time.Millisecond
+	endless   = time.Hour
+)
+
+// Guards against a write that is repeated, or reported as failed, when its
+// answer was lost. Reading back must settle whether it took effect.
+func testLostAnswer(f *fixture) {
+	rev := f.put("k", "0", 0)
+	f.faults(memstore.Faults{LoseWriteAnswers: 1})
+	f.wantUnknown(f.ctx, "applied")
+	rev++
+	f.wantRev("k", "applied", rev)
+
+	f.faults(memstore.Faults{DropWrites: 1})
+	f.wantUnknown(f.ctx, "dropped")
+	f.wantRev("k", "applied", rev)
+
+	f.faults(memstore.Faults{LoseWriteAnswers: 1, HangLost: true})
+	ctx, cancel := context.WithCancel(f.ctx)
+	events := f.watch(f.ctx, "k", 0)
+	go func() {
+		<-events
+		cancel()
+	}()
+	f.wantUnknown(ctx, "waiting")
+	f.wantRev("k", "waiting", rev+1)
+
+	if left := f.Shared.Faults(); left.LoseWriteAnswers != 0 || left.DropWrites != 0 {
+		f.Fatalf("faults left: %+v", left)
+	}
+	f.faults(memstore.Faults{LoseLeaseAnswers: memstore.All})
+	if _, err := f.Store.GrantLease(f.ctx, time.Hour); !errors.Is(err, topo.ErrUnknownResult) {
+		f.Fatalf("lease: %v, want ErrUnknownResult", err)
+	}
+	f.put("k", "writes are not affected", 0)
+}
+
+func (f *fixture) wantUnknown(ctx context.Context, value string) {
+	f.Helper()
+	_, err := f.Store.Commit(ctx, putTxn("k", value, 0))
+	if !errors.Is(err, topo.ErrUnknownResult) {
+		f.Fatalf("write of %s: %v, want ErrUnknownResult", value, err)
+	}
+}
+
+func (f *fixture) wantRev(key, value string, rev int64) {
+	f.Helper()
+	if e := f.wantValue(key, value); e.ModRev != rev {
+		f.Fatalf("%s has revision %d, want %d", key, e.ModRev, rev)
+	}
+}
+
+// Guards against taking a write whose caller gave up for one that did not
+// happen: a slow store applies it later. A deadline must also end a read.
+func testLateWrite(f *fixture) {
+	events := f.watch(f.ctx, "k", 0)
+	f.faults(memstore.Faults{DelayMs: endless.Milliseconds()})
+	ctx, cancel := context.WithCancel(f.ctx)
+	go func() {
+		f.waitForCall(memstore.CallTxn)
+		cancel()
+	}()
+	f.wantUnknown(ctx, "late")
+
+	ctx, cancel = context.WithTimeout(f.ctx, shortWait)
+	defer cancel()
+	_, err := f.Store.Get(ctx, "k")
+	if !errors.Is(err, topo.ErrUnavailable) || !errors.Is(err, context.DeadlineExceeded) {
+		f.Fatalf("read: %v, want ErrUnavailable and DeadlineExceeded", err)
+	}
+	f.faults(memstore.Faults{})
+	if e := f.next(events); string(e.Value) != "late" {
+		f.Fatalf("event %+v, want the late write", e)
+	}
+}
+
+// waitForCall waits until the store has received a call of the kind.
+func (f *fixture) waitForCall(c memstore.Call) {
+	for f.ctx.Err() == nil && f.Shared.Counters().Calls[c] == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against an outage that is reported as anything else, and against
+// calling a refused connection an unknown result, which would make its caller
+// read back needlessly.
+func testDown(f *fixture) {
+	f.put("k", "0", 0)
+	unknown := map[memstore.Down]bool{memstore.DownRefuse: false, memstore.DownReset: true}
+	for _, down := range []memstore.Down{memstore.DownRefuse, memstore.DownReset} {
+		events := f.watch(f.ctx, "k", 0)
+		f.faults(memstore.Faults{Down: down})
+		_, err := f.Store.Commit(f.ctx, putTxn("k", string(down), 0))
+		if errors.Is(err, topo.ErrUnknownResult) != unknown[down] || errors.Is(err, topo.ErrUnavailable) == unknown[down] {
+			f.Errorf("%s: write: %v", down, err)
+		}
+		if _, err := f.Store.Get(f.ctx, "k"); !errors.Is(err, topo.ErrUnavailable) {
+			f.Errorf("%s: read: %v", down, err)
+		}
+		if _, err := f.Store.Watch(f.ctx, "k", 0); !errors.Is(err, topo.ErrUnavailable) {
+			f.Errorf("%s: watch: %v", down, err)
+		}
+		if _, err := f.Instances.Instances(f.ctx); !errors.Is(err, topo.ErrUnavailable) {
+			f.Errorf("%s: instances: %v", down, err)
+		}
+		f.faults(memstore.Faults{})
+		f.wantValue("k", "0")
+		f.wantClosed(events)
+	}
+}
+
+// Guards against tests of rolled-back replies that silently test nothing: reads
+// must show the old state while comparisons use the present one.
+func testRollback(f *fixture) {
+	old := f.put("k", "old", 0)
+	present := f.put("k", "new", 0)
+	f.put("later", "x", 0)
+	f.faults(memstore.Faults{RollbackTo: old})
+	if e := f.wantValue("k", "old"); e.ModRev != old {
+		f.Fatalf("rolled-back entry %+v", e)
+	}
+	f.wantMissing("later")
+	txn := putTxn("k", "newer", 0)
+	txn.Compares = []topo.Compare{{Key: "k", Field: topo.CompareModRev, Rev: old}}
+	res, err := f.Store.Commit(f.ctx, txn)
+	f.must(err)
+	if res.Succeeded {
+		f.Fatal("comparison with a rolled-back revision succeeded")
+	}
+	txn.Compares[0].Rev = present
+	res, err = f.Store.Commit(f.ctx, txn)
+	f.must(err)
+	if !res.Succeeded {
+		f.Fatal("comparison with the present revision failed")
+	}
+	f.wantValue("k", "old")
+	f.faults(memstore.Faults{})
+	f.wantValue("k", "newer")
+	if err := f.SetFaults(memstore.Faults{RollbackTo: res.Rev + 1}); err == nil {
+		f.Fatal("rollback to a future revision was accepted")
+	}
+}
+
+// Guards against replies that are not understood but taken for an answer. A
+// write with such a reply took effect, so its result is unknown.
+func testNonsense(f *fixture) {
+	kinds := []memstore.Nonsense{
+		memstore.NonsenseGarbage, memstore.NonsenseEmpty, memstore.NonsenseTypes,
+		memstore.NonsenseTruncated, memstore.NonsenseOversized,
+	}
+	for _, kind := range kinds {
+		f.faults(memstore.Faults{Nonsense: kind})
+		if _, err := f.Store.Get(f.ctx, "k"); !errors.Is(err, topo.ErrBadReply) {
+			f.Errorf("%s: read: %v", kind, err)
+		}
+		if _, err := f.Instances.Instances(f.ctx); !errors.Is(err, topo.ErrBadReply) {
+			f.Errorf("%s: instances: %v", kind, err)
+		}
+		if _, err := f.Store.Watch(f.ctx, "k", 0); !errors.Is(err, topo.ErrBadReply) {
+			f.Errorf("%s: watch: %v", kind, err)
+		}
+		_, grantErr := f.Store.GrantLease(f.ctx, time.Hour)
+		for _, err := range []error{grantErr, f.Store.KeepAlive(f.ctx, 1), f.Store.RevokeLease(f.ctx, 1)} {
+			if !errors.Is(err, topo.ErrUnknownResult) {
+				f.Errorf("%s: lease call: %v", kind, err)
+			}
+		}
+		_, err := f.Store.Commit(f.ctx, putTxn("k", string(kind), 0))
+		if !errors.Is(err, topo.ErrUnknownResult) || !errors.Is(err, topo.ErrBadReply) {
+			f.Errorf("%s: write: %v", kind, err)
+		}
+		f.faults(memstore.Faults{})
+		f.wantValue("k", string(kind))
+	}
+}
+
+// Guards against instances that are lost or changed on the way.
+func testInstances(f *fixture) {
+	list, err := f.Instances.Instances(f.ctx)
+	f.must(err)
+	if len(list) != 0 {
+		f.Fatalf("new store lists %+v", list)
+	}
+	want := []topo.Instance{
+		{ID: "i-1", Address: "127.0.0.1", State: topo.InstanceLive},
+		{ID: "i-2", Address: "127.0.0.2", State: topo.InstanceLeaving},
+	}
+	f.Shared.SetInstances(want)
+	list, err = f.Instances.Instances(f.ctx)
+	f.must(err)
+	if !slices.Equal(list, want) {
+		f.Fatalf("instances %+v, want %+v", list, want)
+	}
+}
--- /dev/null
+++ b/internal/topo/topotest/topotest.go
@@ -0,0 +1,146 @@
+// Package topotest is the contract test of topo.Store and topo.InstanceList.
+// Every implementation runs it against a store whose faults it can inject.
+package topotest
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/topo/memstore"
+)
+
+// giveUp bounds every wait for something that must happen; it is reached only
+// if a test fails.
+const giveUp = 20 * time.Second
+
+// Backend is a fresh store under test. Shared is the state behind it.
+type Backend struct {
+	Store     topo.Store
+	Instances topo.InstanceList
+	Shared    *memstore.Shared
+	SetFaults func(memstore.Faults) error
+}
+
+// Run runs the contract test; open returns a new, empty store for each part and
+// cleans up with t.Cleanup.
+func Run(t *testing.T, open func(t *testing.T) Backend) {
+	parts := []struct {
+		name string
+		test func(*fixture)
+	}{
+		{"CompareAndSwap", testCompareAndSwap},
+		{"ConcurrentWritersOneWins", testConcurrentWriters},
+		{"List", testList},
+		{"LeaseExpiry", testLeaseExpiry},
+		{"LeaseCalls", testLeaseCalls},
+		{"WatchOrder", testWatchOrder},
+		{"WatchEnds", testWatchEnds},
+		{"WatchSilent", testWatchSilent},
+		{"LostAnswer", testLostAnswer},
+		{"LateWrite", testLateWrite},
+		{"Down", testDown},
+		{"Rollback", testRollback},
+		{"Nonsense", testNonsense},
+		{"ValueSize", testValueSize},
+		{"Instances", testInstances},
+	}
+	for _, p := range parts {
+		t.Run(p.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), giveUp)
+			t.Cleanup(cancel)
+			p.test(&fixture{T: t, Backend: open(t), ctx: ctx})
+		})
+	}
+}
+
+// fixture holds one store with helpers that fail the test.
+type fixture struct {
+	*testing.T
+	Backend
+	ctx context.Context
+}
+
+func (f *fixture) must(err error) {
+	f.Helper()
+	if err != nil {
+		f.Fatal(err)
+	}
+}
+
+func (f *fixture) faults(faults memstore.Faults) {
+	f.Helper()
+	f.must(f.SetFaults(faults))
+}
+
+func (f *fixture) get(key string) topo.Entry {
+	f.Helper()
+	e, err := f.Store.Get(f.ctx, key)
+	f.must(err)
+	return e
+}
+
+func (f *fixture) wantValue(key, value string) topo.Entry {
+	f.Helper()
+	e := f.get(key)
+	if !e.Exists() || string(e.Value) != value || e.Key != key {
+		f.Fatalf("%s is %+v, want value %q", key, e, value)
+	}
+	return e
+}
+
+func (f *fixture) wantMissing(key string) {
+	f.Helper()
+	if e := f.get(key); e.Exists() {
+		f.Fatalf("%s is %+v, want none", key, e)
+	}
+}
+
+func (f *fixture) put(key, value string, lease topo.LeaseID) int64 {
+	f.Helper()
+	res, err := f.Store.Commit(f.ctx, putTxn(key, value, lease))
+	f.must(err)
+	if !res.Succeeded {
+		f.Fatalf("unconditional put of %s: %+v", key, res)
+	}
+	return res.Rev
+}
+
+func putTxn(key, value string, lease topo.LeaseID) topo.Txn {
+	return topo.Txn{Puts: []topo.Put{{Key: key, Value: []byte(value), Lease: lease}}}
+}
+
+func (f *fixture) watch(ctx context.Context, prefix string, from int64) <-chan topo.Event {
+	f.Helper()
+	events, err := f.Store.Watch(ctx, prefix, from)
+	f.must(err)
+	return events
+}
+
+func (f *fixture) next(events <-chan topo.Event) topo.Entry {
+	f.Helper()
+	select {
+	case e, ok := <-events:
+		if !ok {
+			f.Fatal("watch ended, want an event")
+		}
+		return e.Entry
+	case <-f.ctx.Done():
+		f.Fatal("no event")
+	}
+	return topo.Entry{}
+}
+
+// wantClosed requires that the watch ends without another event.
+func (f *fixture) wantClosed(events <-chan topo.Event) {
+	f.Helper()
+	select {
+	case e, ok := <-events:
+		if ok {
+			f.Fatalf("event %+v, want the end of the watch", e)
+		}
+	case <-f.ctx.Done():
+		f.Fatal("watch did not end")
+	}
+}
