Send store writes on connections of their own; add protocol tests

Cause: a write on an idle connection that the store had closed, or that had stopped responding, got an unknown result although nothing had reached the store. net/http also resends some requests on reused connections only. Ruled out: detecting dead idle connections, which is a race; resending when nothing was written, which would rely on net/http's judgement. Before: reads, writes and watches shared idle connections; a stalled one cost a write its result. After: writes and watches dial; a read that gets no reply in half of its time is sent once more after the idle connections were closed. Conclusion: the number of requests that reach the store is fixed by tests: one for a write, at most two for a read.

--- a/internal/topo/etcdgw/client.go
+++ b/internal/topo/etcdgw/client.go
@@ -4,7 +4,9 @@
 //
 // A call that may change the store is sent at most once. If its result cannot
 // be known, it returns topo.ErrUnknownResult; the caller must read back. A read
-// without a reply is sent a second time on a new connection.
+// without a reply is sent a second time on a new connection. Writes and watches
+// always use a new connection: an idle one may have been closed or stopped
+// responding, and the result of a write on it would be unknown.
 package etcdgw
 
 import (
@@ -42,10 +44,11 @@
 
 // Client is a client of one store address. It is safe for concurrent use.
 type Client struct {
-	base      string
-	transport *http.Transport
-	maxReply  int64
-	timeout   time.Duration
+	base     string
+	reused   *http.Transport // for reads
+	fresh    *http.Transport // for writes and watches: one connection each
+	maxReply int64
+	timeout  time.Duration
 }
 
 var (
@@ -63,7 +66,9 @@
 	if u.Scheme != "http" || u.Host == "" || (u.Path != "" && u.Path != "/") {
 		return nil, fmt.Errorf("store address %q is not of the form http://host:port", base)
 	}
-	c := &Client{base: "http://" + u.Host, transport: newTransport(), maxReply: o.MaxReplyBytes, timeout: o.CallTimeout}
+	c := &Client{base: "http://" + u.Host, maxReply: o.MaxReplyBytes, timeout: o.CallTimeout}
+	c.reused, c.fresh = newTransport(), newTransport()
+	c.fresh.DisableKeepAlives = true
 	if c.maxReply <= 0 {
 		c.maxReply = DefaultMaxReplyBytes
 	}
@@ -74,4 +79,4 @@
 }
 
 // Close closes idle connections. Calls and watches end with their contexts.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() { c.reused.CloseIdleConnections() }
--- /dev/null
+++ b/internal/topo/etcdgw/send_test.go
@@ -0,0 +1,259 @@
+package etcdgw_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/topo/etcdgw"
+	"github.com/jackdawloom/jackdawloom/internal/topo/memstore"
+)
+
+var write = topo.Txn{
+	Compares: []topo.Compare{
+		{Key: "foo", Field: topo.CompareCreateRev, Rev: 9007199254740993},
+		{Key: "bar", Field: topo.CompareModRev, Rev: 0},
+	},
+	Puts:    []topo.Put{{Key: "foo", Value: []byte("bar"), Lease: 7587848943239472601}},
+	Deletes: []string{"bar"},
+}
+
+const okTxn = `{"header":{"revision":"3"},"succeeded":true,` +
+	`"responses":[{"response_put":{"header":{"revision":"3"}}},{"response_delete_range":{"header":{"revision":"3"}}}]}`
+
+// script is an HTTP server that gives the scripted replies in turn. An empty
+// reply closes the connection after the complete request was read.
+type script struct {
+	replies  []string
+	requests atomic.Int64
+	wg       sync.WaitGroup
+}
+
+// listen serves the script until the test ends.
+func (s *script) listen(t *testing.T) *etcdgw.Client {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); _ = ln.Close(); s.wg.Wait() })
+	s.wg.Go(func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			context.AfterFunc(ctx, func() { _ = conn.Close() })
+			s.wg.Go(func() { s.serve(conn) })
+		}
+	})
+	return newClient(t, "http://"+ln.Addr().String())
+}
+
+func (s *script) serve(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		n := int(s.requests.Add(1))
+		if n > len(s.replies) || s.replies[n-1] == "" {
+			return
+		}
+		_, _ = io.WriteString(conn, s.replies[n-1])
+		if req.Close || strings.Contains(s.replies[n-1], "Connection: close") {
+			return
+		}
+	}
+}
+
+func newClient(t *testing.T, base string) *etcdgw.Client {
+	t.Helper()
+	client, err := etcdgw.New(base, etcdgw.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.Close)
+	return client
+}
+
+func httpReply(status, header, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
+}
+
+// Guards against a write that is sent twice: by net/http after a connection
+// closed or a redirect, or by the client after an error. Each commit must reach
+// the store once, whatever the reply is.
+func TestWriteIsSentOnce(t *testing.T) {
+	good := httpReply("200 OK", "", okTxn)
+	cases := map[string]string{
+		"closed":              "",
+		"redirect":            httpReply("307 Temporary Redirect", "Location: /v3/kv/txn\r\n", ""),
+		"unavailable":         httpReply("503 Service Unavailable", "Retry-After: 0\r\n", `{"error":"etcdserver: no leader","code":14,"message":"etcdserver: no leader"}`),
+		"proxy":               httpReply("408 Request Timeout", "Connection: close\r\n", "timeout"),
+		"partial":             "HTTP/1.1 200 OK\r\nContent-Length: 999\r\nConnection: close\r\n\r\n" + okTxn,
+		"other revision":      httpReply("200 OK", "", `{"header":{"revision":"0"},"succeeded":true}`),
+		"results missing":     httpReply("200 OK", "", `{"header":{"revision":"3"},"succeeded":true}`),
+		"number out of range": httpReply("200 OK", "", `{"header":{"revision":"9223372036854775808"}}`),
+	}
+	for name, bad := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := &script{replies: []string{good, bad, good, good}}
+			client := s.listen(t)
+			if _, err := client.Commit(t.Context(), write); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := client.Commit(t.Context(), write); !errors.Is(err, topo.ErrUnknownResult) {
+				t.Errorf("%v, want ErrUnknownResult", err)
+			}
+			if n := s.requests.Load(); n != 2 {
+				t.Errorf("%d requests for 2 commits", n)
+			}
+		})
+	}
+}
+
+// Guards against a refusal that is taken for an unknown result, and against an
+// unknown path that is taken for a missing lease.
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		reply string
+		want  error
+	}{
+		{httpReply("400 Bad Request", "", `{"error":"etcdserver: request is too large","code":3,"message":"etcdserver: request is too large"}`), topo.ErrRefused},
+		{httpReply("404 Not Found", "", `{"code":5,"message":"Not Found"}`), topo.ErrRefused},
+		{httpReply("404 Not Found", "", `{"error":"etcdserver: requested lease not found","code":5}`), topo.ErrLeaseNotFound},
+	}
+	for _, c := range cases {
+		client := (&script{replies: []string{c.reply}}).listen(t)
+		_, err := client.Commit(t.Context(), write)
+		if !errors.Is(err, c.want) || errors.Is(err, topo.ErrUnknownResult) {
+			t.Errorf("reply %q: %v, want %v", c.reply, err, c.want)
+		}
+	}
+}
+
+// Guards against reads that give up when one connection broke, or that are
+// repeated without end.
+func TestReadIsSentTwice(t *testing.T) {
+	good := httpReply("200 OK", "", `{"header":{"revision":"2"}}`)
+	s := &script{replies: []string{"", good, ""}}
+	client := s.listen(t)
+	if _, err := client.Get(t.Context(), "k"); err != nil {
+		t.Errorf("read after one broken connection: %v", err)
+	}
+	if _, err := client.Get(t.Context(), "k"); !errors.Is(err, topo.ErrUnavailable) {
+		t.Errorf("read after two broken connections: %v", err)
+	}
+	if n := s.requests.Load(); n != 4 {
+		t.Errorf("%d requests for 2 reads, want 4", n)
+	}
+}
+
+// Guards against a client that keeps using connections that have stopped
+// responding while new ones work, and against a write whose result is unknown
+// only because it was sent on such a connection.
+func TestStalledConnections(t *testing.T) {
+	srv, client := start(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	defer cancel()
+	if _, err := client.Get(ctx, "k"); err != nil {
+		t.Fatal(err)
+	}
+	if err := srv.SetFaults(memstore.Faults{StallOpen: true}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Watch(ctx, "k", 0); err != nil {
+		t.Errorf("watch: %v", err)
+	}
+	if _, err := client.Commit(ctx, topo.Txn{Puts: []topo.Put{{Key: "k"}}}); err != nil {
+		t.Errorf("write: %v", err)
+	}
+	if e, err := client.Get(ctx, "k"); err != nil || !e.Exists() {
+		t.Errorf("read: %+v, %v", e, err)
+	}
+	if calls := srv.Shared().Counters().Calls; calls[memstore.CallRange] != 3 || calls[memstore.CallTxn] != 1 {
+		t.Errorf("calls %v, want the stalled read repeated once", calls)
+	}
+}
+
+// Guards against nonsense that is well-formed: entries that the store cannot
+// have given to this request.
+func TestImplausibleEntries(t *testing.T) {
+	cases := map[string]string{
+		"another key":       `{"header":{"revision":"5"},"count":"1","kvs":[{"key":"eA==","create_revision":"2","mod_revision":"2"}]}`,
+		"future revision":   `{"header":{"revision":"5"},"count":"1","kvs":[{"key":"aw==","create_revision":"2","mod_revision":"6"}]}`,
+		"created later":     `{"header":{"revision":"5"},"count":"1","kvs":[{"key":"aw==","create_revision":"4","mod_revision":"3"}]}`,
+		"not created":       `{"header":{"revision":"5"},"count":"1","kvs":[{"key":"aw==","mod_revision":"3"}]}`,
+		"incomplete":        `{"header":{"revision":"5"},"count":"2","more":true}`,
+		"invalid base64":    `{"header":{"revision":"5"},"count":"1","kvs":[{"key":"!","create_revision":"2","mod_revision":"2"}]}`,
+		"revision in words": `{"header":{"revision":"five"}}`,
+	}
+	for name, body := range cases {
+		client := (&script{replies: []string{httpReply("200 OK", "", body)}}).listen(t)
+		if e, err := client.Get(t.Context(), "k"); !errors.Is(err, topo.ErrBadReply) {
+			t.Errorf("%s: %+v, %v", name, e, err)
+		}
+	}
+}
+
+// Guards against requests that the stand-in understands but the published
+// gateway does not: the expected texts are written out by hand.
+func TestRequestsAsPublished(t *testing.T) {
+	want := map[string]string{
+		"/v3/kv/txn": `{"compare":[` +
+			`{"result":"EQUAL","target":"CREATE","key":"Zm9v","create_revision":"9007199254740993"},` +
+			`{"result":"EQUAL","target":"MOD","key":"YmFy","mod_revision":"0"}],` +
+			`"success":[{"request_put":{"key":"Zm9v","value":"YmFy","lease":"7587848943239472601"}},` +
+			`{"request_delete_range":{"key":"YmFy"}}]}`,
+		"/v3/kv/range":        `{"key":"L2phY2s=","range_end":"L2phY2w="}`,
+		"/v3/lease/grant":     `{"TTL":"2"}`,
+		"/v3/lease/keepalive": `{"ID":"7587848943239472601"}`,
+		"/v3/lease/revoke":    `{"ID":"7587848943239472601"}`,
+		"/v3/watch":           `{"create_request":{"key":"L2phY2s=","range_end":"L2phY2w=","start_revision":"12"}}`,
+	}
+	got := map[string]string{}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		got[r.URL.Path] = string(body)
+		http.Error(w, "{}", http.StatusBadRequest)
+	}))
+	client, ctx := newClient(t, srv.URL), t.Context()
+	_, _ = client.Commit(ctx, write)
+	_, _ = client.List(ctx, "/jack")
+	_, _ = client.GrantLease(ctx, 1500*time.Millisecond)
+	_ = client.KeepAlive(ctx, 7587848943239472601)
+	_ = client.RevokeLease(ctx, 7587848943239472601)
+	_, _ = client.Watch(ctx, "/jack", 12)
+	srv.Close()
+	for path, text := range want {
+		if !reflect.DeepEqual(parse(t, got[path]), parse(t, text)) {
+			t.Errorf("%s: sent %s, want %s", path, got[path], text)
+		}
+	}
+}
+
+func parse(t *testing.T, text string) (v any) {
+	t.Helper()
+	if err := json.Unmarshal([]byte(text), &v); err != nil {
+		t.Errorf("%v in %q", err, text)
+	}
+	return v
+}
--- a/internal/topo/etcdgw/transport.go
+++ b/internal/topo/etcdgw/transport.go
@@ -58,22 +58,30 @@
 // errReplyTooLarge reports a reply above the bound.
 var errReplyTooLarge = errors.New("reply too large")
 
+// request is a request that has not been sent.
+type request struct {
+	transport *http.Transport
+	method    string
+	path      string
+	body      []byte // for POST
+}
+
 // open sends one request and returns the response with its body unread. The
 // error is a *noReplyError. RoundTrip is used instead of http.Client, which
 // would send a request again to follow a redirect.
-func (c *Client) open(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+func (c *Client) open(ctx context.Context, r request) (*http.Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, nil)
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.method, c.base+r.path, nil)
 	if err != nil {
 		return nil, &noReplyError{cause: err}
 	}
-	if method == http.MethodPost {
-		req.Body = onceBody{bytes.NewReader(body)}
-		req.ContentLength = int64(len(body))
+	if r.method == http.MethodPost {
+		req.Body = onceBody{bytes.NewReader(r.body)}
+		req.ContentLength = int64(len(r.body))
 		req.Header.Set("Content-Type", "application/json")
 	}
-	res, err := c.transport.RoundTrip(req)
+	res, err := r.transport.RoundTrip(req)
 	if err != nil {
 		return nil, &noReplyError{cause: err, sent: connected.Load()}
 	}
@@ -81,22 +89,11 @@
 }
 
 // send sends one request and reads the complete reply within the timeout. The
-// error is a *noReplyError, or errReplyTooLarge. After a call without a reply
-// the idle connections are closed, because connections to a store can stop
-// responding together while new ones work.
-func (c *Client) send(ctx context.Context, timeout time.Duration, method, path string, body []byte) (reply, error) {
+// error is a *noReplyError, or errReplyTooLarge.
+func (c *Client) send(ctx context.Context, timeout time.Duration, r request) (reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	r, err := c.sendOnce(ctx, method, path, body)
-	var none *noReplyError
-	if errors.As(err, &none) {
-		c.transport.CloseIdleConnections()
-	}
-	return r, err
-}
-
-func (c *Client) sendOnce(ctx context.Context, method, path string, body []byte) (reply, error) {
-	res, err := c.open(ctx, method, path, body)
+	res, err := c.open(ctx, r)
 	if err != nil {
 		return reply{}, err
 	}
@@ -117,13 +114,16 @@
 
 // read sends a request that changes nothing, a second time if the first was
 // sent and got no reply in half of the time. A store that cannot be reached is
-// not tried again.
+// not tried again. The idle connections are closed in between, because all
+// connections to a store can stop responding while new ones work.
 func (c *Client) read(ctx context.Context, method, path string, body []byte) (reply, error) {
-	total := c.remaining(ctx)
-	r, err := c.send(ctx, total/2, method, path, body)
+	req := request{transport: c.reused, method: method, path: path, body: body}
+	half := c.remaining(ctx) / 2
+	r, err := c.send(ctx, half, req)
 	var none *noReplyError
 	if errors.As(err, &none) && none.sent && ctx.Err() == nil {
-		r, err = c.send(ctx, total/2, method, path, body)
+		c.reused.CloseIdleConnections()
+		r, err = c.send(ctx, half, req)
 	}
 	if errors.As(err, &none) {
 		return r, fmt.Errorf("%w: %w", topo.ErrUnavailable, err)
@@ -146,7 +146,8 @@
 
 // write sends a request that may change the store, once.
 func (c *Client) write(ctx context.Context, path string, body []byte) (reply, error) {
-	r, err := c.send(ctx, c.timeout, http.MethodPost, path, body)
+	req := request{transport: c.fresh, method: http.MethodPost, path: path, body: body}
+	r, err := c.send(ctx, c.timeout, req)
 	var none *noReplyError
 	switch {
 	case err == nil:
--- a/internal/topo/etcdgw/watch.go
+++ b/internal/topo/etcdgw/watch.go
@@ -49,7 +49,7 @@
 // timeout.
 func (c *Client) openWatch(ctx context.Context, cancel context.CancelFunc, body []byte) (*watch, error) {
 	timer := time.AfterFunc(c.timeout, cancel)
-	res, err := c.open(ctx, http.MethodPost, etcdwire.PathWatch, body)
+	res, err := c.open(ctx, request{transport: c.fresh, method: http.MethodPost, path: etcdwire.PathWatch, body: body})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", topo.ErrUnavailable, err)
 	}
--- a/internal/topo/etcdwire/alias.go
+++ b/internal/topo/etcdwire/alias.go
@@ -51,8 +51,12 @@
 	return unmarshalBoth(text, (*plain)(r))
 }
 
-// unmarshalBoth reads an object after changing its field names to snake case.
+// unmarshalBoth reads an object, if necessary after changing its field names to
+// snake case. The first attempt avoids copies of large values.
 func unmarshalBoth(text []byte, into any) error {
+	if Decode(text, into) == nil {
+		return nil
+	}
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(text, &fields); err != nil {
 		return err
