Keep a lower limit for a slow target only if its throughput holds

Cause: the latency gradient hardly ever fired: the learned typical run time followed the slowness within about 15 responses, so nothing looked slow.

--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -240,13 +240,9 @@
 func (t *Controller) learn(class *classState, result Result, ran time.Duration, now time.Time) {
 	switch result {
 	case OK:
-		ratio := 1.0
-		if class.samples > 0 {
-			ratio = float64(ran) / class.median
-		}
 		class.observe(ran)
 		t.overall.observe(ran)
-		t.limit.success(ratio, ran, now)
+		t.limit.success(ran, class.unslowed(now), t.running+1, now)
 	case Shed:
 		t.limit.halve(ran, now)
 	case Silent:
--- a/internal/coordination/admission/cost.go
+++ b/internal/coordination/admission/cost.go
@@ -12,6 +12,10 @@
 	medianStep = 0.05
 	// medianWarmup is the number of samples taken with larger steps.
 	medianWarmup = 8
+	// baselineRise is the relative rise of the baseline per second at most, so
+	// that a target counts as slow for tens of seconds before slowness counts as
+	// its normal state.
+	baselineRise = 0.05
 	// stragglerRatio: a class whose mean is above this multiple of the target's
 	// median run time is a straggler class.
 	stragglerRatio = 4
@@ -24,6 +28,21 @@
 	mean    float64
 	median  float64
 	samples int
+	// baseline follows the median down at once and up slowly.
+	baseline   float64
+	baselineAt time.Time
+}
+
+// unslowed returns the baseline after bringing it up to date.
+func (c *cost) unslowed(now time.Time) float64 {
+	rise := 1 + baselineRise*now.Sub(c.baselineAt).Seconds()
+	if c.samples <= medianWarmup || c.median <= c.baseline*rise {
+		c.baseline = c.median
+	} else {
+		c.baseline *= rise
+	}
+	c.baselineAt = now
+	return c.baseline
 }
 
 func (c *cost) observe(ran time.Duration) {
--- a/internal/coordination/admission/limit.go
+++ b/internal/coordination/admission/limit.go
@@ -7,11 +7,6 @@
 	recoveryPerSecond = 1.0
 	// maxRecoveryGap bounds the time that one success accounts for.
 	maxRecoveryGap = time.Second
-	// slowRatio: at a smoothed run time above this multiple of the class's
-	// typical run time, the target counts as slowed down.
-	slowRatio = 3.0
-	// slowWeight is the number of samples over which the slowdown is smoothed.
-	slowWeight = 16
 )
 
 // limit is the effective concurrency of a target: between one and slots.
@@ -20,42 +15,64 @@
 	value        float64
 	lastSuccess  time.Time
 	lastDecrease time.Time
-	// slowdown is the smoothed ratio of run time to the learned typical one.
-	slowdown float64
+	gradient     gradient
 	// ignoreSlowdown switches the reaction to slowness off.
 	ignoreSlowdown bool
 }
 
-func newLimit(slots int) limit { return limit{slots: slots, value: 1, slowdown: 1} }
+func newLimit(slots int) limit { return limit{slots: slots, value: 1} }
 
 func (l *limit) whole() int { return int(l.value) }
 
-// success accounts for a response whose run took ratio times the typical time.
-func (l *limit) success(ratio float64, ran time.Duration, now time.Time) {
-	l.slowdown += (min(ratio, 4*slowRatio) - l.slowdown) / slowWeight
-	if l.slowdown > slowRatio && !l.ignoreSlowdown {
-		l.halve(ran, now)
-		l.lastSuccess = now
+// success accounts for a response. expected is the baseline of the class's run
+// time in nanoseconds, and running the concurrency that the request ran at.
+func (l *limit) success(ran time.Duration, expected float64, running int, now time.Time) {
+	if !l.current(ran, now) {
 		return
 	}
-	if !l.lastSuccess.IsZero() {
+	if !l.ignoreSlowdown {
+		value, changed := l.gradient.observe(l.value, float64(ran), expected, running, now)
+		if changed {
+			l.set(value, now)
+			return
+		}
+	}
+	l.recover(now)
+}
+
+// current reports whether a request was started under the present limit: others
+// carry no news about it.
+func (l *limit) current(ran time.Duration, now time.Time) bool {
+	return l.lastDecrease.IsZero() || !now.Add(-ran).Before(l.lastDecrease)
+}
+
+func (l *limit) recover(now time.Time) {
+	if !l.lastSuccess.IsZero() && !l.slow() {
 		gap := min(now.Sub(l.lastSuccess), maxRecoveryGap)
 		l.value = min(l.value+gap.Seconds()*recoveryPerSecond, float64(l.slots))
 	}
 	l.lastSuccess = now
 }
 
-// halve reacts to a refusal or to slowness of the target. Requests that were
-// started before the last decrease carry no news about the present limit.
+// slow reports whether the present limit is the result of slowness or on trial
+// for it.
+func (l *limit) slow() bool {
+	return l.gradient.trial || (l.gradient.isSlow && l.gradient.holdoff == 0)
+}
+
+// halve reacts to a refusal by the target.
 func (l *limit) halve(ran time.Duration, now time.Time) {
-	started := now.Add(-ran)
-	if !l.lastDecrease.IsZero() && started.Before(l.lastDecrease) {
+	if !l.current(ran, now) {
 		return
 	}
-	l.value = max(1, l.value/2)
-	l.lastDecrease = now
-	l.lastSuccess = now
-	l.slowdown = 1
+	l.gradient.trial = false
+	l.gradient.reset()
+	l.set(max(1, l.value/2), now)
+}
+
+func (l *limit) set(value float64, now time.Time) {
+	l.value = min(value, float64(l.slots))
+	l.lastDecrease, l.lastSuccess = now, now
 }
 
 func (l *limit) setSlots(n int) {
--- a/internal/coordination/admission/stats.go
+++ b/internal/coordination/admission/stats.go
@@ -38,7 +38,8 @@
 type Stats struct {
 	Slots, Running, Queued, QueueBound int
 	// Limit is the effective concurrency, between one and Slots.
-	Limit    float64
+	Limit float64
+	// Slowdown is the typical run time as a multiple of its baseline.
 	Slowdown float64
 	Held     bool
 	Counts   Counts
@@ -49,7 +50,7 @@
 func (t *Controller) Stats() Stats {
 	s := Stats{
 		Slots: t.slots, Running: t.running, Queued: t.queued, QueueBound: t.bound,
-		Limit: t.limit.value, Slowdown: t.limit.slowdown, Held: t.held, Counts: t.counts,
+		Limit: t.limit.value, Slowdown: t.limit.gradient.slowdown, Held: t.held, Counts: t.counts,
 		Classes: make([]ClassStats, len(t.classes)),
 	}
 	for i := range t.classes {
