Generate the configuration reference; bound the validator's work

Cause: the reference for operators would drift from the parsers if written by hand. Ruled out: a hand-written error column; each row has an example of a wrong value instead, and the generator records what the parser answers. Before: no reference; all entries of an overlong list were checked. After: docs/configuration.md is generated and compared by a test; entries beyond a list's limit are not checked. Conclusion: held_body is lowered to max_body when only max_body is set, since the default would otherwise contradict it.

--- /dev/null
+++ b/internal/reference/reference_test.go
@@ -0,0 +1,58 @@
+package reference
+
+import (
+	"bytes"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+)
+
+// Guards against a committed reference that is out of date, and against
+// documented errors that do not occur.
+func TestReferenceIsCurrent(t *testing.T) {
+	var want bytes.Buffer
+	if err := Write(&want); err != nil {
+		t.Fatal(err)
+	}
+	got, err := os.ReadFile(File)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(got, want.Bytes()) {
+		t.Error("docs/configuration.md is out of date; run go generate ./internal/reference")
+	}
+}
+
+// Guards against fields of the manifest that the reference leaves out or
+// invents.
+func TestEveryFieldIsDocumented(t *testing.T) {
+	documented := map[string]bool{}
+	for _, f := range fields {
+		documented[f.path] = true
+	}
+	var walk func(path string, typ reflect.Type)
+	walk = func(path string, typ reflect.Type) {
+		if typ.Kind() == reflect.Slice && typ.Elem().Kind() == reflect.Struct {
+			path, typ = path+"[]", typ.Elem()
+		}
+		if typ.Kind() != reflect.Struct {
+			return
+		}
+		for i := range typ.NumField() {
+			name, _, _ := strings.Cut(typ.Field(i).Tag.Get("json"), ",")
+			where := strings.TrimPrefix(path+"."+name, ".")
+			if !documented[where] {
+				t.Errorf("%s is not documented", where)
+			}
+			delete(documented, where)
+			walk(where, typ.Field(i).Type)
+		}
+	}
+	walk("", reflect.TypeFor[manifest.Manifest]())
+	for path := range documented {
+		t.Errorf("%s does not exist", path)
+	}
+}
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -53,6 +53,9 @@
 	r.at, scanned = scan(name, b)
 	r.found.Append(scanned)
 	r.read(b)
+	if !r.set["limits.held_body"] {
+		r.settings.Limits.HeldBody = min(r.settings.Limits.HeldBody, r.settings.Limits.MaxBody)
+	}
 	r.found.Append(r.settings.validate(r.at, r.set))
 	return r.settings, r.found, r.at
 }
@@ -117,6 +120,11 @@
 		if o.section != section || o.key != key.Name() {
 			continue
 		}
+		if r.at.lines[section+"."+o.key] == 0 {
+			// The library found a key where scan saw none, so it has not been
+			// checked for repetition.
+			r.add(section, o.key, "not a plain key = value line", "")
+		}
 		value := strings.TrimSpace(key.Value())
 		r.set[section+"."+o.key] = true
 		if o.required && value == "" {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -52,11 +52,12 @@
 			`s.ini:6: listen.peer: "0.0.0.0:8081" names no host; other daemons could not dial it (expected ip:port of this instance)`,
 		}},
 		{"ports clash", "127.0.0.1:8082", "127.0.0.1:8080", []string{"s.ini:7: listen.admin: port 8080 is already used for callers (use another port)"}},
-		{"ranges", "[store]", "[limits]\nmax_key = 513\nmax_body = 1KiB\n[store]\ntimeout = 2s", []string{
-			"s.ini:12: limits.held_body: larger than max_body",
+		{"ranges", "[store]", "[limits]\nmax_key = 513\nmax_body = 1KiB\nheld_body = 2KiB\n[store]\ntimeout = 2s", []string{
 			"s.ini:13: limits.max_key: 513 is out of range (expected bytes, or a number with KiB, MiB or GiB, 1 to 512)",
-			"s.ini:16: store.timeout: 2s is out of range (expected duration such as 500ms or 2s, 50ms to 1s)",
+			"s.ini:15: limits.held_body: larger than max_body",
+			"s.ini:17: store.timeout: 2s is out of range (expected duration such as 500ms or 2s, 50ms to 1s)",
 		}},
+		{"default lowered", "[store]", "[limits]\nmax_body = 1KiB\n[store]", nil},
 		{"embedded with peers", "[store]", "[peers]\nseeds = 127.0.0.1:1\n[store]\nembedded = true", []string{
 			"s.ini:15: store.embedded: cannot be combined with urls (remove one of them)",
 			"s.ini:15: store.embedded: serves a single daemon only (remove peers.seeds, or give store.urls)",
@@ -103,3 +104,33 @@
 		t.Errorf("Load without TLS files: %v; want one finding per file", err)
 	}
 }
+
+// FuzzParse guards against files that crash the parser, are refused without a
+// finding, or give settings that contradict themselves.
+func FuzzParse(f *testing.F) {
+	example, err := os.ReadFile("../../examples/jackdawloomd.ini")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(example)
+	f.Add([]byte(complete))
+	f.Add([]byte("[daemon\nid = `a\n= x\n[]\n[store]\nurls = http://[::1]:1,\ntimeout = %(x)s # c\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, err := Parse("s.ini", b)
+		if err != nil {
+			var found *finding.Error
+			if !errors.As(err, &found) || len(found.Findings) == 0 {
+				t.Fatalf("refused without findings: %v", err)
+			}
+			return
+		}
+		if found := s.Validate(); found.Len() > 0 {
+			t.Fatalf("accepted with findings: %v", found.Err())
+		}
+		// A value that the line scan and the INI library read differently
+		// would escape the checks for repeated and unknown keys.
+		if !strings.Contains(string(b), s.Daemon.ID) {
+			t.Fatalf("id %q is not in the file", s.Daemon.ID)
+		}
+	})
+}
--- a/internal/state/manifest/parse_test.go
+++ b/internal/state/manifest/parse_test.go
@@ -169,3 +169,17 @@
 		}
 	}
 }
+
+// Guards against a document of the largest size that takes the validator
+// quadratic time or gives a report nobody can read.
+func TestParseLargest(t *testing.T) {
+	document := `{"schema": 1, "name": "m", "services": [{}` + strings.Repeat(",{}", MaxBytes/3-20) + `]}`
+	got := findings(t, document)
+	const perService = 8 // one per required field
+	if len(got) == 0 || len(got) > 1+perService*MaxServices {
+		t.Errorf("%d findings", len(got))
+	}
+	if got := findings(t, document+strings.Repeat(" ", MaxBytes)); len(got) != 1 {
+		t.Errorf("%d findings for an oversized document", len(got))
+	}
+}
--- a/internal/state/manifest/validate.go
+++ b/internal/state/manifest/validate.go
@@ -64,12 +64,12 @@
 		v.add("schema", fmt.Sprintf("schema %d is not supported", m.Schema), fmt.Sprintf("set it to %d", Schema))
 	}
 	v.name("name", m.Name)
-	v.count("services", len(m.Services), MaxServices)
-	for i := range m.Services {
-		v.service(index("services", i), &m.Services[i])
+	services := m.Services[:v.count("services", len(m.Services), MaxServices)]
+	for i := range services {
+		v.service(index("services", i), &services[i])
 	}
-	v.unique("services", len(m.Services), func(i int) string { return m.Services[i].Name })
-	v.overlaps(m.Services)
+	v.unique("services", len(services), func(i int) string { return services[i].Name })
+	v.overlaps(services)
 }
 
 func index(path string, i int) string { return path + "[" + strconv.Itoa(i) + "]" }
@@ -97,10 +97,14 @@
 	}
 }
 
-func (v *validator) count(path string, n, most int) {
+// count checks the length of a list and returns how many entries to check.
+// Entries beyond the limit are not checked: a document of the largest size could
+// hold 100,000 of them, and some checks compare all pairs.
+func (v *validator) count(path string, n, most int) int {
 	if n < 1 || n > most {
 		v.add(path, fmt.Sprintf("%d entries; expected 1 to %d", n, most), "")
 	}
+	return min(n, most)
 }
 
 func (v *validator) within(path string, n, least, most int, unit string) {
--- a/internal/state/manifest/validate_service.go
+++ b/internal/state/manifest/validate_service.go
@@ -64,7 +64,7 @@
 }
 
 func (v *validator) classes(path string, classes []Class) {
-	v.count(path, len(classes), MaxClasses)
+	classes = classes[:v.count(path, len(classes), MaxClasses)]
 	for i := range classes {
 		v.class(index(path, i), &classes[i])
 		if i > 0 && hidden(classes[:i], &classes[i]) {
@@ -81,7 +81,7 @@
 	if s.Key.From != KeyFromPath {
 		return
 	}
-	for i := range s.Classes {
+	for i := range s.Classes[:min(len(s.Classes), MaxClasses)] {
 		if fixesKey(&s.Key, &s.Classes[i]) {
 			v.add(index(path, i)+".path_prefix", fmt.Sprintf("%q includes the segment of the key", s.Classes[i].PathPrefix),
 				"use a shorter prefix or a later key segment")
@@ -125,6 +125,7 @@
 func (v *validator) methods(path string, methods []string) {
 	if len(methods) > MaxMethods {
 		v.add(path, fmt.Sprintf("%d entries; expected at most %d", len(methods), MaxMethods), "")
+		return
 	}
 	for i, m := range methods {
 		if !methodPattern.MatchString(m) {
@@ -155,7 +156,7 @@
 }
 
 func (v *validator) targets(path string, targets []Target) {
-	v.count(path, len(targets), MaxTargets)
+	targets = targets[:v.count(path, len(targets), MaxTargets)]
 	draining := 0
 	for i := range targets {
 		v.target(index(path, i), &targets[i])
