Add the service-level burn report

Cause: operators need to see which request class spends its error budget, over windows short enough to react and long enough to matter. Ruled out: merging cumulative counters of several daemons before taking differences; the restart of one daemon would look like negative traffic. Each daemon reports requests per window and the sums are merged. go-echarts was ruled out for the page: it loads its drawing library from a web server and the module does not contain it, so charts are inline SVG. Before: none. A property shows that merging daemons equals sampling their sum.

--- /dev/null
+++ b/internal/burn/snapshot.go
@@ -0,0 +1,134 @@
+package burn
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+)
+
+// MaxSnapshotBytes bounds the encoded form of a snapshot. A point takes up to
+// 80 bytes, so MaxSeries classes with all points take 6 MB.
+const MaxSnapshotBytes = 8 << 20
+
+// Source tells where a snapshot comes from.
+type Source struct {
+	// Daemon names one run of a daemon.
+	Daemon string `json:"daemon"`
+	// Revision is the manifest revision of the objectives.
+	Revision uint64 `json:"revision"`
+}
+
+// Snapshot is what one daemon contributes to a report.
+type Snapshot struct {
+	Source
+	Taken   time.Time       `json:"taken"`
+	Windows []Coverage      `json:"windows"`
+	Classes []ClassSnapshot `json:"classes"`
+}
+
+// Coverage tells how much of a window the samples cover. A daemon that is
+// younger than the window covers less.
+type Coverage struct {
+	WindowMs  int64 `json:"window_ms"`
+	CoveredMs int64 `json:"covered_ms"`
+}
+
+// Shortened reports whether the samples cover less than the window.
+func (c Coverage) Shortened() bool { return c.CoveredMs < c.WindowMs }
+
+// ClassSnapshot holds the requests of a class in each window, in the order of
+// Snapshot.Windows, and the points of its curve in order of time.
+type ClassSnapshot struct {
+	Service   string             `json:"service"`
+	Class     string             `json:"class"`
+	Objective manifest.Objective `json:"objective"`
+	Counts    []Counter          `json:"counts"`
+	Points    []Point            `json:"points,omitempty"`
+}
+
+// Point counts the requests of one bucket. Buckets begin at multiples of
+// BucketLength, so those of several daemons add up. A request falls into the
+// bucket of the sample that first counts it.
+type Point struct {
+	UnixSeconds int64 `json:"at"`
+	Counter
+}
+
+// Snapshot returns the present state of the classes that have an objective.
+func (h *History) Snapshot(from Source, objectives map[ClassID]manifest.Objective) Snapshot {
+	s := Snapshot{Source: from, Taken: h.times[h.head]}
+	starts := make([]int, len(Windows))
+	for i, w := range Windows {
+		starts[i] = h.start(w)
+		covered := s.Taken.Sub(h.times[h.index(starts[i])])
+		s.Windows = append(s.Windows, Coverage{WindowMs: w.Milliseconds(), CoveredMs: covered.Milliseconds()})
+	}
+	for id, objective := range objectives {
+		class := ClassSnapshot{Service: id.Service, Class: id.Class, Objective: objective, Counts: make([]Counter, len(Windows))}
+		if counts := h.series[id]; counts != nil {
+			h.fill(&class, counts.counts, starts)
+		}
+		s.Classes = append(s.Classes, class)
+	}
+	slices.SortFunc(s.Classes, func(a, b ClassSnapshot) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Class, b.Class))
+	})
+	return s
+}
+
+func (h *History) fill(class *ClassSnapshot, counts []Counter, starts []int) {
+	newest := counts[h.head]
+	for i, age := range starts {
+		class.Counts[i] = newest.minus(counts[h.index(age)])
+	}
+	// The samples behind the start of the longest window are all younger than
+	// the window, so they fall into at most MaxBuckets buckets.
+	for age := starts[len(starts)-1] - 1; age >= 0; age-- {
+		class.addPoint(h.times[h.index(age)], counts[h.index(age)].minus(counts[h.index(age+1)]))
+	}
+}
+
+func (c *ClassSnapshot) addPoint(at time.Time, n Counter) {
+	if n == (Counter{}) {
+		return
+	}
+	bucket := at.Truncate(BucketLength).Unix()
+	if last := len(c.Points) - 1; last >= 0 && c.Points[last].UnixSeconds == bucket {
+		c.Points[last].Counter = c.Points[last].plus(n)
+		return
+	}
+	c.Points = append(c.Points, Point{UnixSeconds: bucket, Counter: n})
+}
+
+// DecodeSnapshot reads the JSON form of a snapshot.
+func DecodeSnapshot(b []byte) (Snapshot, error) {
+	var s Snapshot
+	if len(b) > MaxSnapshotBytes {
+		return s, fmt.Errorf("%w: %d bytes", ErrMalformed, len(b))
+	}
+	if err := json.Unmarshal(b, &s); err != nil {
+		return s, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return s, s.check()
+}
+
+func (s *Snapshot) check() error {
+	if len(s.Windows) != len(Windows) || len(s.Classes) > MaxSeries {
+		return fmt.Errorf("%w: %d windows and %d classes", ErrMalformed, len(s.Windows), len(s.Classes))
+	}
+	for i, w := range Windows {
+		if s.Windows[i].WindowMs != w.Milliseconds() {
+			return fmt.Errorf("%w: unknown window of %d ms", ErrMalformed, s.Windows[i].WindowMs)
+		}
+	}
+	for _, c := range s.Classes {
+		if len(c.Counts) != len(Windows) || len(c.Points) > MaxBuckets {
+			return fmt.Errorf("%w: %s/%s has %d counts and %d points", ErrMalformed, c.Service, c.Class, len(c.Counts), len(c.Points))
+		}
+	}
+	return nil
+}
