--- a/internal/state/manifest/parse_test.go
+++ b/internal/state/manifest/parse_test.go
@@ -86,6 +86,9 @@
 		{"key source", `"from": "path", "segment": 0`, `"from": "body"`, []string{
 			`m.json:8: services[0].key.from: unknown key source "body" (use path, query or header)`,
 		}},
+		{"key in a header of the router", `"from": "path", "segment": 0`, `"from": "header", "name": "jackdawloom-key"`, []string{
+			`m.json:8: services[0].key.name: header "jackdawloom-key" is reserved for the router`,
+		}},
 		{"objective missing", `, "objective": {"latency_ms": 50, "ratio": 0.999}`, ``, []string{
 			"m.json:10: services[0].classes[0].objective: missing (give latency_ms and ratio)",
 		}},
@@ -169,3 +172,17 @@
 		}
 	}
 }
+
+// Guards against a document of the largest size that takes the validator
+// quadratic time or gives a report nobody can read.
+func TestParseLargest(t *testing.T) {
+	document := `{"schema": 1, "name": "m", "services": [{}` + strings.Repeat(",{}", MaxBytes/3-20) + `]}`
+	got := findings(t, document)
+	const perService = 8 // one per required field
+	if len(got) == 0 || len(got) > 1+perService*MaxServices {
+		t.Errorf("%d findings", len(got))
+	}
+	if got := findings(t, document+strings.Repeat(" ", MaxBytes)); len(got) != 1 {
+		t.Errorf("%d findings for an oversized document", len(got))
+	}
+}
