Test loading of TLS files; document refused paths and keys

Cause: no test loaded settings whose TLS files exist, so a fault that refuses good files would have passed. The reference did not say which paths and keys are refused as ambiguous. Ruled out: committed certificates for the test, which expire; the test makes its own. Before: only missing files were tested. After: usable files load, relative names resolve to the settings file's directory, and a key of another certificate is a finding.

--- a/internal/reference/manifest.go
+++ b/internal/reference/manifest.go
@@ -15,6 +15,15 @@
 service moves its keys to other targets; ` + "`jackdawctl`" + ` shows such effects before a
 change is applied.
 
+A request is refused as not run if servers could disagree about its path or its
+key, since a never-repeat request could then pass for an idempotent one:
+
+- Paths with empty, ` + "`.`" + ` or ` + "`..`" + ` segments, an escaped slash, a backslash, a raw
+  semicolon or an invalid escape. A slash at the end is allowed. Keys that contain
+  slashes go into the query or a header.
+- Keys that are given more than once, and key queries with a semicolon or an
+  invalid escape.
+
 `
 
 // sample is a valid manifest into which the wrong values are put.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,8 +1,13 @@
 package settings
 
 import (
+	"crypto/ed25519"
+	"crypto/x509"
+	"encoding/pem"
 	"errors"
+	"math/big"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -109,6 +114,49 @@
 	}
 }
 
+// Guards against usable TLS files that are refused, and against a key that does
+// not belong to the certificate.
+func TestLoadChecksTLSFiles(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name string, blocks ...*pem.Block) {
+		var b []byte
+		for _, block := range blocks {
+			b = append(b, pem.EncodeToMemory(block)...)
+		}
+		if err := os.WriteFile(filepath.Join(dir, name), b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, name := range []string{"loom-1", "loom-2"} {
+		public, private, _ := ed25519.GenerateKey(nil)
+		der, _ := x509.MarshalPKCS8PrivateKey(private)
+		template := &x509.Certificate{SerialNumber: big.NewInt(1)}
+		certificate, err := x509.CreateCertificate(nil, template, template, public, private)
+		if err != nil {
+			t.Fatal(err)
+		}
+		write(name+".pem", &pem.Block{Type: "CERTIFICATE", Bytes: certificate})
+		write(name+"-key.pem", &pem.Block{Type: "PRIVATE KEY", Bytes: der})
+	}
+	path := filepath.Join(dir, "s.ini")
+	for file, want := range map[string]int{
+		strings.Replace(complete, "ca.pem", "loom-2.pem", 1):                                          0,
+		strings.NewReplacer("ca.pem", "loom-2-key.pem", "loom-1-key", "loom-2-key").Replace(complete): 2,
+	} {
+		if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := Load(path)
+		var found *finding.Error
+		if want > 0 && (!errors.As(err, &found) || len(found.Findings) != want) {
+			t.Errorf("wrong files: %v; want %d findings", err, want)
+		}
+		if want == 0 && (err != nil || s.TLS.Key != filepath.Join(dir, "loom-1-key.pem")) {
+			t.Errorf("usable files: %+v, %v", s, err)
+		}
+	}
+}
+
 // FuzzParse guards against files that crash the parser, are refused without a
 // finding, or give settings that contradict themselves.
 func FuzzParse(f *testing.F) {
--- a/internal/state/manifest/fuzz_test.go
+++ b/internal/state/manifest/fuzz_test.go
@@ -14,6 +14,7 @@
 // a finding, or are accepted although they are invalid once stored.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(valid))
+	f.Add([]byte(`{"schema": 1e0, "Name": null, "services": [{"shards": -1, "classes": {}, "targets": [[]]}], "name": "\ud800"}{`))
 	for _, name := range []string{"muscat.json", "perinka.json"} {
 		b, err := os.ReadFile("../../../examples/" + name)
 		if err != nil {
