Free a connection whose caller stops sending its body

Cause: net/http returns from a failed or cancelled round trip only after the pending read of the request's body has returned. Ruled out: closing the caller's body (net/http's server bodies hold a lock that a pending read holds too); a goroutine per round trip (cost for every request). Before: connection, permit and the waiting front task were held by the caller. After: streamed bodies pass through a pipe that ends with the socket; bodies in memory are written as before. Test: TestStuckCallerHoldsNothing. Conclusion: no caller can hold a target's connection beyond its deadline.

--- a/internal/transport/targetnet/conn.go
+++ b/internal/transport/targetnet/conn.go
@@ -98,6 +98,7 @@
 		closeBody(req)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	withSource(req, c.socket)
 	resp, err := c.client.RoundTrip(req)
 	if err == nil {
 		return resp, nil
--- a/internal/transport/targetnet/pool.go
+++ b/internal/transport/targetnet/pool.go
@@ -122,8 +122,9 @@
 }
 
 // RoundTrip sends the request once, waiting for a connection if all are in use.
-// The request's scheme and host are ignored. Its errors wrap ErrNotSent or
-// ErrUnknown.
+// The URL's scheme and host are ignored. Its errors wrap ErrNotSent or
+// ErrUnknown; a body may have been read in either case. The body is always
+// closed, but possibly after RoundTrip has returned, as http.RoundTripper allows.
 func (p *Pool) RoundTrip(ctx context.Context, req *http.Request, o Options) (*Response, error) {
 	c, err := p.acquire(ctx, o)
 	if err != nil {
@@ -131,7 +132,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	reused := c.requests > 0
-	resp, err := c.roundTrip(p.prepare(ctx, req, c), o) //nolint:bodyclose // the caller closes it
+	resp, err := c.roundTrip(p.prepare(ctx, req), o) //nolint:bodyclose // the caller closes it
 	if err != nil {
 		p.discard(c)
 		return nil, err
@@ -141,7 +142,7 @@
 }
 
 // prepare returns the request as it is written to the connection.
-func (p *Pool) prepare(ctx context.Context, req *http.Request, c *conn) *http.Request {
+func (p *Pool) prepare(ctx context.Context, req *http.Request) *http.Request {
 	r := req.WithContext(ctx)
 	u := url.URL{}
 	if req.URL != nil {
@@ -153,9 +154,6 @@
 	if r.Header == nil {
 		r.Header = make(http.Header)
 	}
-	if r.Body != nil && r.Body != http.NoBody {
-		r.Body = sourceBody{r.Body, c.socket}
-	}
 	return r
 }
 
--- a/internal/transport/targetnet/socket.go
+++ b/internal/transport/targetnet/socket.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -32,6 +32,10 @@
 	source  atomic.Bool
 	// active is the time since epoch at which the present wait began.
 	active atomic.Int64
+
+	mu        sync.Mutex
+	closed    bool
+	interrupt func()
 }
 
 type socketKey struct{}
@@ -55,6 +59,7 @@
 // begin starts the accounting of a new request. No write is in progress.
 func (s *socket) begin() {
 	s.state.Store(nothingWritten)
+	s.onClose(nil)
 	s.touch()
 }
 
@@ -103,17 +108,26 @@
 	return n, err
 }
 
-// sourceBody marks the time that is spent waiting for the request's body.
-type sourceBody struct {
-	io.ReadCloser
-	socket *socket
+// Close implements net.Conn. It also interrupts the wait for the request's body.
+func (s *socket) Close() error {
+	s.mu.Lock()
+	interrupt := s.interrupt
+	s.closed, s.interrupt = true, nil
+	s.mu.Unlock()
+	if interrupt != nil {
+		interrupt()
+	}
+	return s.Conn.Close()
 }
 
-// Read implements io.Reader.
-func (b sourceBody) Read(p []byte) (int, error) {
-	b.socket.source.Store(true)
-	n, err := b.ReadCloser.Read(p)
-	b.socket.touch()
-	b.socket.source.Store(false)
-	return n, err
+// onClose calls f when the socket is closed, at once if it is closed already. It
+// replaces the function of the previous request.
+func (s *socket) onClose(f func()) {
+	s.mu.Lock()
+	closed := s.closed
+	s.interrupt = f
+	s.mu.Unlock()
+	if closed && f != nil {
+		f()
+	}
 }
--- a/internal/transport/targetnet/time_test.go
+++ b/internal/transport/targetnet/time_test.go
@@ -160,6 +160,32 @@
 	})
 }
 
+// Guards against a caller that stops sending its body and thereby holds a
+// connection beyond the deadline, or beyond the connection's own end.
+func TestStuckCallerHoldsNothing(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, n *memnet.Network, _ *targetsrv.Server) {
+		p := New(Config{Address: "a:1", MaxConnections: 1, Dial: n.DialContext})
+		defer p.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		for _, c := range []context.Context{ctx, context.Background()} {
+			time.AfterFunc(500*time.Millisecond, func() { p.CloseOlderThan(time.Now()) })
+			_, err := p.RoundTrip(c, newRequest("1", "", &slowSource{left: 3}), Options{})
+			if !errors.Is(err, ErrUnknown) {
+				t.Errorf("stuck request: %v", err)
+			}
+		}
+		if held := time.Since(start); held != 500*time.Millisecond {
+			t.Errorf("the connection was held for %v", held)
+		}
+		if _, _, err := call(p, newRequest("2", "", nil), Options{}); err != nil {
+			t.Errorf("next request: %v", err)
+		}
+		time.Sleep(3 * time.Second)
+	})
+}
+
 // Guards against never-repeat requests on connections that the target may have
 // closed, against needless dials for the others, and against idle connections
 // that are kept for ever.
