Refuse protocol switches by targets; number connections in reports

Cause: after a 101 response net/http gives the socket to the response body, and the pool would have freed its place while the socket was open. Ruled out: removing Upgrade headers from requests, which does not bind a target. Before: one socket beyond the bound per such response. After: the response is refused as unknown and the socket closed; tested. Conclusion: every socket is counted until it is closed.

--- a/internal/transport/targetnet/conn.go
+++ b/internal/transport/targetnet/conn.go
@@ -25,6 +25,7 @@
 	pool     *Pool
 	client   *http.ClientConn
 	socket   *socket
+	id       uint64
 	dialed   time.Time
 	phase    phase
 	requests int       // written by the holder only
@@ -100,6 +101,9 @@
 	}
 	withSource(req, c.socket)
 	resp, err := c.client.RoundTrip(req)
+	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
+		err = refuseSwitch(resp)
+	}
 	if err == nil {
 		return resp, nil
 	}
@@ -109,6 +113,16 @@
 	return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
 }
 
+// errSwitch reports a response that takes the connection for another protocol.
+var errSwitch = errors.New("target switched protocols")
+
+// refuseSwitch closes the socket, which net/http hands to the body of such a
+// response, where the pool's bound would not count it.
+func refuseSwitch(resp *http.Response) error {
+	_ = resp.Body.Close()
+	return errSwitch
+}
+
 // tick runs when the timer fires.
 func (c *conn) tick() {
 	c.pool.mu.Lock()
@@ -139,8 +153,9 @@
 
 // Suspect describes a connection that has been silent for too long.
 type Suspect struct {
-	// Dialed is when the connection was opened; it identifies it well enough
-	// for Pool.CloseOlderThan.
+	// Connection numbers the pool's connections in the order of their dials.
+	Connection uint64
+	// Dialed is when the connection was opened, for Pool.CloseOlderThan.
 	Dialed time.Time
 	// Silent is how long it has delivered no byte.
 	Silent time.Duration
@@ -156,7 +171,7 @@
 		return
 	}
 	if !c.socket.suspect.Swap(true) && c.pool.config.OnSuspect != nil {
-		c.pool.config.OnSuspect(Suspect{Dialed: c.dialed, Silent: silent})
+		c.pool.config.OnSuspect(Suspect{Connection: c.id, Dialed: c.dialed, Silent: silent})
 	}
 	c.rewatch(after)
 }
--- a/internal/transport/targetnet/pool.go
+++ b/internal/transport/targetnet/pool.go
@@ -222,6 +222,7 @@
 	}
 	p.all[c] = struct{}{}
 	p.dialed++
+	c.id = p.dialed
 	return c, nil
 }
 
--- a/internal/transport/targetnet/time_test.go
+++ b/internal/transport/targetnet/time_test.go
@@ -1,9 +1,11 @@
 package targetnet
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -186,6 +188,31 @@
 	})
 }
 
+// Guards against a socket that leaves the pool's bound: net/http gives it to the
+// body of a response that switches protocols.
+func TestProtocolSwitchIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var n memnet.Network
+		l := n.Listen("a:1")
+		ended := make(chan error, 1)
+		go func() {
+			c, _ := l.Accept()
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n")
+			_, err := c.Read(make([]byte, 1))
+			ended <- err
+		}()
+		p := New(Config{Address: "a:1", MaxConnections: 1, Dial: n.DialContext})
+		defer p.Close()
+		if _, err := p.RoundTrip(context.Background(), newRequest("1", "", nil), Options{}); !errors.Is(err, ErrUnknown) {
+			t.Error(err)
+		}
+		if err := <-ended; !errors.Is(err, io.EOF) || p.Stats().Open != 0 {
+			t.Errorf("the socket is still open: %v, %+v", err, p.Stats())
+		}
+	})
+}
+
 // Guards against never-repeat requests on connections that the target may have
 // closed, against needless dials for the others, and against idle connections
 // that are kept for ever.
