--- a/internal/transport/targetnet/time_test.go
+++ b/internal/transport/targetnet/time_test.go
@@ -1,9 +1,11 @@
 package targetnet
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -160,6 +162,57 @@
 	})
 }
 
+// Guards against a caller that stops sending its body and thereby holds a
+// connection beyond the deadline, or beyond the connection's own end.
+func TestStuckCallerHoldsNothing(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, n *memnet.Network, _ *targetsrv.Server) {
+		p := New(Config{Address: "a:1", MaxConnections: 1, Dial: n.DialContext})
+		defer p.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		for _, c := range []context.Context{ctx, context.Background()} {
+			time.AfterFunc(500*time.Millisecond, func() { p.CloseOlderThan(time.Now()) })
+			_, err := p.RoundTrip(c, newRequest("1", "", &slowSource{left: 3}), Options{})
+			if !errors.Is(err, ErrUnknown) {
+				t.Errorf("stuck request: %v", err)
+			}
+		}
+		if held := time.Since(start); held != 500*time.Millisecond {
+			t.Errorf("the connection was held for %v", held)
+		}
+		if _, _, err := call(p, newRequest("2", "", nil), Options{}); err != nil {
+			t.Errorf("next request: %v", err)
+		}
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// Guards against a socket that leaves the pool's bound: net/http gives it to the
+// body of a response that switches protocols.
+func TestProtocolSwitchIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var n memnet.Network
+		l := n.Listen("a:1")
+		ended := make(chan error, 1)
+		go func() {
+			c, _ := l.Accept()
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n")
+			_, err := c.Read(make([]byte, 1))
+			ended <- err
+		}()
+		p := New(Config{Address: "a:1", MaxConnections: 1, Dial: n.DialContext})
+		defer p.Close()
+		if _, err := p.RoundTrip(context.Background(), newRequest("1", "", nil), Options{}); !errors.Is(err, ErrUnknown) {
+			t.Error(err)
+		}
+		if err := <-ended; !errors.Is(err, io.EOF) || p.Stats().Open != 0 {
+			t.Errorf("the socket is still open: %v, %+v", err, p.Stats())
+		}
+	})
+}
+
 // Guards against never-repeat requests on connections that the target may have
 // closed, against needless dials for the others, and against idle connections
 // that are kept for ever.
