--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -291,17 +291,22 @@
 	r.write(w)
 }
 
-// body is a request's body, held in memory if it may be sent again.
+// body is a request's body. One of known small size is held; any other is
+// streamed, and its first part is kept for another attempt.
 type body struct {
 	held    []byte
-	stream  io.ReadCloser
-	attempt *streamedBody
+	stream  *stream
+	attempt *streamReader
 }
 
 // replayable reports whether the body can be sent again in full. It ends the
 // present attempt's use of a streamed body.
 func (b *body) replayable() bool {
-	return b.stream == nil || b.attempt == nil || !b.attempt.seal()
+	if b.stream == nil || b.attempt == nil {
+		return true
+	}
+	b.attempt.seal()
+	return b.stream.rewindable()
 }
 
 // readBody holds a small body of known length; any other is streamed.
@@ -315,7 +320,7 @@
 	}
 	limited := http.MaxBytesReader(w, r.Body, limit)
 	if r.ContentLength < 0 || r.ContentLength > held {
-		j.body.stream = limited
+		j.body.stream = newStream(limited, held)
 		return nil
 	}
 	j.body.held = make([]byte, r.ContentLength)
@@ -330,7 +335,7 @@
 	req := j.request.Clone(ctx)
 	switch {
 	case j.body.stream != nil:
-		j.body.attempt = &streamedBody{source: j.body.stream}
+		j.body.attempt = j.body.stream.reader()
 		req.Body = j.body.attempt
 	case j.body.held != nil:
 		req.Body = io.NopCloser(bytes.NewReader(j.body.held))
@@ -341,41 +346,3 @@
 	}
 	return req
 }
-
-// errAttemptEnded is what a transport reads that still sends the body of an
-// attempt that has ended.
-var errAttemptEnded = errors.New("attempt has ended")
-
-// streamedBody is one attempt's use of a streamed body. Transports may read
-// from it after the attempt has ended; they must not take bytes away from the
-// next attempt.
-type streamedBody struct {
-	source io.Reader
-
-	mu     sync.Mutex
-	used   bool
-	sealed bool
-}
-
-// Read implements io.Reader.
-func (b *streamedBody) Read(p []byte) (int, error) {
-	b.mu.Lock()
-	if b.sealed {
-		b.mu.Unlock()
-		return 0, errAttemptEnded
-	}
-	b.used = true
-	b.mu.Unlock()
-	return b.source.Read(p)
-}
-
-// Close leaves the source open for another attempt; the server closes it.
-func (b *streamedBody) Close() error { return nil }
-
-// seal ends the attempt's use and reports whether it read anything.
-func (b *streamedBody) seal() (used bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.sealed = true
-	return b.used
-}
--- a/internal/daemon/targetfront.go
+++ b/internal/daemon/targetfront.go
@@ -66,8 +66,9 @@
 		waiting:    make(map[uint64]chan verdict),
 	}
 	f.pool = targetnet.New(targetnet.Config{
-		Address:        t.Address,
-		MaxConnections: t.Connections,
+		Address: t.Address,
+		// The granter and its probes use a connection of their own.
+		MaxConnections: max(t.Connections-1, 1),
 		OnSuspect:      func(targetnet.Suspect) { f.onSuspect() },
 	})
 	f.granter = targetnet.NewGranter(t.Address, nil)
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -108,6 +108,7 @@
 	t.Helper()
 	runs := f.runs()
 	var ok, notRun, unknown int
+	reasons := make(map[string]int)
 	for _, a := range attempts {
 		n := runs[a.tag]
 		switch {
@@ -118,6 +119,9 @@
 		case a.ok() && n == 0:
 			t.Errorf("request %s was answered and never ran", a.tag)
 		}
+		if !a.ok() {
+			reasons[fmt.Sprintf("%d %s %s", a.status, a.outcome, a.reason)]++
+		}
 		switch {
 		case a.ok():
 			ok++
@@ -127,5 +131,5 @@
 			unknown++
 		}
 	}
-	t.Logf("%d requests: %d answered, %d refused as not run, %d unknown or broken", len(attempts), ok, notRun, unknown)
+	t.Logf("%d requests: %d answered, %d refused as not run, %d unknown or broken; by reason: %v", len(attempts), ok, notRun, unknown, reasons)
 }
--- /dev/null
+++ b/internal/e2e/planned_test.go
@@ -0,0 +1,103 @@
+package e2e
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/protocol/adminapi"
+)
+
+// TestRollingRestart guards against planned stops that cut or refuse requests:
+// every daemon is restarted in turn under load, and the balancer sends nothing
+// to one whose health check fails.
+func TestRollingRestart(t *testing.T) {
+	f := newFleet(t, 3, 5)
+	f.awaitSettled()
+	down := make([]atomic.Bool, len(f.daemons))
+	l := startLoad(f, "rolling", 8, func(i int) bool { return down[i].Load() })
+	for i, d := range f.daemons {
+		// The balancer sees the failing health check at once; without a
+		// balancer in the test, the load is told.
+		down[i].Store(true)
+		if err := d.stop(t); err != nil {
+			t.Errorf("%s stopped with %v", d.id, err)
+		}
+		f.startDaemon(i)
+		f.awaitReady(d)
+		down[i].Store(false)
+		f.awaitSettled()
+	}
+	attempts := l.stop()
+	checkRuns(t, f, attempts)
+	checkAllAnswered(t, attempts)
+}
+
+// checkAllAnswered fails for each request without a good answer.
+func checkAllAnswered(t *testing.T, attempts []attempt) {
+	t.Helper()
+	for _, a := range attempts {
+		if !a.ok() {
+			t.Errorf("request %s (never-repeat %t): status %d, outcome %q, reason %q, error %v", a.tag, a.never, a.status, a.outcome, a.reason, a.err)
+		}
+	}
+}
+
+// TestDrainedTarget guards against a planned drain that refuses requests, and
+// against new work at a leaving target after 3 s.
+func TestDrainedTarget(t *testing.T) {
+	f := newFleet(t, 3, 3)
+	f.awaitSettled()
+	l := startLoad(f, "drain", 6, nil)
+	f.manifest.Services[0].Targets[0].Drain = true
+	if status := f.apply(1, "drain"); status != 200 {
+		t.Fatalf("drain not accepted: %d", status)
+	}
+	f.await("drained target", 10*time.Second, func() bool {
+		var table adminapi.Table
+		f.getJSON(f.daemons[0].admin, adminapi.PathTable, &table)
+		return table.Services[0].Targets[0].Shards == 0 && table.Services[0].Moves == 0
+	})
+	time.Sleep(500 * time.Millisecond)
+	attempts := l.stop()
+	checkRuns(t, f, attempts)
+	checkAllAnswered(t, attempts)
+}
+
+// TestRacingOperators guards against two accepted changes of one revision.
+func TestRacingOperators(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	const operators = 8
+	var statuses [operators]int
+	var wg sync.WaitGroup
+	for n := range operators {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			statuses[n] = f.apply(1, "operator-"+string(rune('a'+n)))
+		}()
+	}
+	wg.Wait()
+	won := 0
+	for _, s := range statuses {
+		switch s {
+		case 200:
+			won++
+		case 409:
+		default:
+			t.Errorf("an operator was told %d; a conflict is 409", s)
+		}
+	}
+	if won != 1 {
+		t.Errorf("%d of %d operators won revision 2", won, operators)
+	}
+	f.await("revision 2 at every daemon", 5*time.Second, func() bool {
+		for _, d := range f.daemons {
+			if s, ok := f.state(d); !ok || s.InForce.Config != 2 {
+				return false
+			}
+		}
+		return true
+	})
+}
