--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -119,7 +119,6 @@
 // it is a candidate again only after SetCandidate.
 func (m *Machine) Resign() {
 	m.candidate = false
-	m.term = 0
 	if m.lease != 0 {
 		m.phase = resigning
 		m.nextAt = time.Time{}
