--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -135,7 +135,6 @@
 // it is a candidate again only after SetCandidate.
 func (m *Machine) Resign() {
 	m.candidate = false
-	m.term = 0
 	if m.lease != 0 {
 		m.phase = resigning
 		m.nextAt = time.Time{}
