Tell silent connections from long requests by the target's own count

Cause: a connection that went silent held the only slot of a cold target until its request's deadline, since one suspect alone was never closed; closing on slowness alone would cut requests that merely run long. Ruled out: a lost target; its grants were answered throughout, and no verdict changed in the logs. Conclusion: two grant answers in a row that miss a running request prove the loss.

--- a/internal/daemon/targetfront.go
+++ b/internal/daemon/targetfront.go
@@ -48,6 +48,7 @@
 	waiting    map[uint64]chan verdict
 	nextID     uint64
 	boot       string
+	missing    int // answers in a row that miss a request
 	health     peer.TargetHealth
 }
 
@@ -245,6 +246,7 @@
 		return
 	}
 	f.noteBoot(reply)
+	f.compareRunning(reply)
 	f.machine.GrantReply(a.Seq, reply, now)
 }
 
@@ -278,16 +280,37 @@
 	return front.ExchangeOther
 }
 
-// onSuspect closes silent connections once there are two: if the target itself
-// is silent, its grants go unanswered and decide; if only old connections are,
-// new ones replace them.
+// onSuspect handles a connection that was silent for long. A request that runs
+// long looks the same, and a target that does not check grants does not tell
+// how many run; so its connections are closed only if all of several in use are
+// silent.
 func (f *targetFront) onSuspect() {
 	f.daemon.metrics.suspects.Inc(1)
-	if f.pool.Stats().Suspects >= 2 {
+	f.mu.Lock()
+	checks, running := f.declared.ChecksGrants, f.machine.Running()
+	f.mu.Unlock()
+	suspects := f.pool.Stats().Suspects
+	if !checks && suspects >= 2 && suspects >= running {
 		f.pool.CloseSuspects()
 	}
 }
 
+// compareRunning closes suspect connections if the target, in two answers in a
+// row, runs fewer requests than this front waits for: a request or its response
+// is lost on the way, while grants on another connection are answered. The
+// caller holds the mutex.
+func (f *targetFront) compareRunning(r grant.Reply) {
+	if r.Running >= f.machine.Running() {
+		f.missing = 0
+		return
+	}
+	f.missing++
+	if f.missing >= 2 && f.pool.Stats().Suspects > 0 {
+		f.missing = 0
+		go f.pool.CloseSuspects()
+	}
+}
+
 // apply hands the queue's changes to the waiting requests. The caller holds the
 // mutex.
 func (f *targetFront) apply(ch admission.Changes) {
@@ -458,6 +481,9 @@
 		return &refusal{status: http.StatusServiceUnavailable, outcome: notRun, reason: reasonUnreachable, cause: err}
 	}
 	switch {
+	case errors.Is(err, targetnet.ErrSilent) && ctx.Err() == nil:
+		f.end(r, front.Cancelled, admission.Cancelled)
+		return &refusal{status: http.StatusBadGateway, outcome: unknown, reason: reasonConnection, cause: err}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		f.end(r, front.Silent, admission.Silent)
 		return &refusal{status: http.StatusGatewayTimeout, outcome: unknown, reason: reasonDeadline, cause: err}
--- /dev/null
+++ b/internal/e2e/gray_test.go
@@ -0,0 +1,151 @@
+package e2e
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/protocol/header"
+	"github.com/jackdawloom/jackdawloom/internal/standin/targetsrv"
+	"github.com/jackdawloom/jackdawloom/internal/topo/memstore"
+)
+
+func (f *fleet) setTarget(i int, faults targetsrv.Faults) {
+	f.t.Helper()
+	b, err := json.Marshal(faults)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	url := "http://" + f.manifest.Services[0].Targets[i].Address + targetsrv.FaultsPath
+	if status, reply := f.do(http.MethodPut, url, b); status >= 300 {
+		f.t.Fatalf("set target faults: %d %s", status, reply)
+	}
+}
+
+// TestSilentConnections guards against requests that wait on connections that
+// lost their way while new ones work: keys must be served again within 2 s, and
+// a never-repeat request must not be sent again.
+func TestSilentConnections(t *testing.T) {
+	f := newFleet(t, 3, 3)
+	f.awaitSettled()
+	p := startProber(f, func() []int { return []int{0, 1, 2} })
+	l := startLoad(f, "silent", 6, nil)
+	var gaps []time.Duration
+	for n := range losses {
+		i := n % len(f.targets)
+		time.Sleep(500 * time.Millisecond)
+		at := time.Now()
+		f.setTarget(i, targetsrv.Faults{Silence: true})
+		time.Sleep(2500 * time.Millisecond)
+		gap, key := p.longestGap(at)
+		t.Logf("silence of %s at %v: %v (%s)", f.manifest.Services[0].Targets[i].Name, at.UTC().Format("05.000"), gap.Round(time.Millisecond), key)
+		gaps = append(gaps, gap)
+		f.setTarget(i, targetsrv.Faults{})
+		f.awaitShards(i)
+	}
+	p.stop()
+	checkRuns(t, f, l.stop())
+	reportGaps(t, "silence of open connections", gaps)
+}
+
+// TestLostAndTruncatedResponses guards against repeating a never-repeat request
+// whose response was lost, and against a truncated body that looks whole.
+func TestLostAndTruncatedResponses(t *testing.T) {
+	f := newFleet(t, 2, 3)
+	f.awaitSettled()
+	l := startLoad(f, "lost", 6, nil)
+	for _, faults := range []targetsrv.Faults{{LoseResponse: true}, {Truncate: 700}} {
+		time.Sleep(500 * time.Millisecond)
+		f.setTarget(0, faults)
+		time.Sleep(500 * time.Millisecond)
+		f.setTarget(0, targetsrv.Faults{})
+		f.awaitShards(0)
+	}
+	attempts := l.stop()
+	checkRuns(t, f, attempts)
+	broken := 0
+	for _, a := range attempts {
+		if a.ok() {
+			continue
+		}
+		broken++
+		if a.status == http.StatusOK && a.err == nil {
+			t.Errorf("request %s: a truncated body ended like a whole one", a.tag)
+		}
+	}
+	if broken == 0 {
+		t.Error("no fault took effect")
+	}
+}
+
+// TestStoreFaults guards against a store that is down, slow, loses answers or
+// answers from an old state: requests must be served throughout, and no daemon
+// may fall back to an older configuration.
+func TestStoreFaults(t *testing.T) {
+	f := newFleet(t, 3, 3)
+	f.awaitSettled()
+	if f.apply(1, "second") != http.StatusOK {
+		t.Fatal("second configuration not accepted")
+	}
+	l := startLoad(f, "store", 6, nil)
+	for _, faults := range []memstore.Faults{
+		{Down: memstore.DownRefuse},
+		{Down: memstore.DownReset},
+		{DelayMs: 900},
+		{LoseWriteAnswers: memstore.All},
+		{RollbackTo: 3},
+		{Nonsense: memstore.NonsenseGarbage},
+		{ExpireLeases: true},
+		{SilentWatch: true},
+	} {
+		f.setStore(faults)
+		time.Sleep(2500 * time.Millisecond)
+		f.setStore(memstore.Faults{})
+		time.Sleep(500 * time.Millisecond)
+		for _, d := range f.daemons {
+			if s, ok := f.state(d); !ok || s.InForce.Config < 2 {
+				t.Errorf("%s has configuration %d in force after %+v", d.id, s.InForce.Config, faults)
+			}
+		}
+	}
+	attempts := l.stop()
+	checkRuns(t, f, attempts)
+	checkAllAnswered(t, attempts)
+}
+
+// TestLostAnswerOfApply guards against telling an operator that a stored change
+// failed, or storing it twice.
+func TestLostAnswerOfApply(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	f.setStore(memstore.Faults{LoseWriteAnswers: memstore.All})
+	if status := f.apply(1, "lost-answer"); status != http.StatusOK {
+		t.Errorf("a stored change whose answer was lost was reported as %d", status)
+	}
+	f.setStore(memstore.Faults{})
+	if status := f.apply(1, "lost-answer"); status != http.StatusOK {
+		t.Errorf("the same operation again was reported as %d", status)
+	}
+	if status := f.apply(1, "another"); status != http.StatusConflict {
+		t.Errorf("a change based on the old revision was reported as %d", status)
+	}
+}
+
+// TestForgedHeaders guards against callers that set the router's own fields.
+func TestForgedHeaders(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	req, _ := http.NewRequest(http.MethodGet, "http://"+f.daemons[0].callers+"/display/k", nil)
+	req.Header.Set(header.FrontEpoch, "1")
+	req.Header.Set(header.Unit, "s0")
+	req.Header.Set(header.RequestID, "forged")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d: %s", resp.StatusCode, b)
+	}
+}
--- a/internal/transport/targetnet/conn.go
+++ b/internal/transport/targetnet/conn.go
@@ -110,6 +110,9 @@
 	if c.socket.seal() {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if c.socket.suspect.Load() {
+		return nil, fmt.Errorf("%w: %w: %w", ErrUnknown, ErrSilent, err)
+	}
 	return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
 }
 
--- a/internal/transport/targetnet/granter.go
+++ b/internal/transport/targetnet/granter.go
@@ -47,10 +47,10 @@
 }
 
 // NewGranter returns a granter that dials on the first Send. A nil dial means
-// net.Dialer.
+// the pool's own dialer.
 func NewGranter(address string, dial DialFunc) *Granter {
 	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
+		dial = dialTCP
 	}
 	g := &Granter{address: address, turn: make(chan struct{}, 1)}
 	g.transport = &http.Transport{DialContext: dial, DisableCompression: true}
--- a/internal/transport/targetnet/pool.go
+++ b/internal/transport/targetnet/pool.go
@@ -25,6 +25,10 @@
 	ErrUnknown = errors.New("request sent, outcome unknown")
 )
 
+// ErrSilent is a further reason of failures on a connection that was suspect,
+// such as after CloseSuspects. It says nothing about the target.
+var ErrSilent = errors.New("connection was silent")
+
 // ErrClosed is the reason of failures of a closed pool.
 var ErrClosed = errors.New("pool is closed")
 
@@ -58,7 +62,7 @@
 	// OnSuspect is called, from a goroutine of its own, when a connection has
 	// been silent for longer than a request allows.
 	OnSuspect func(Suspect)
-	// Dial replaces net.Dialer.
+	// Dial replaces the pool's own dialer.
 	Dial DialFunc
 }
 
@@ -106,7 +110,7 @@
 		c.DialTimeout = DefaultDialTimeout
 	}
 	if c.Dial == nil {
-		c.Dial = (&net.Dialer{}).DialContext
+		c.Dial = dialTCP
 	}
 	c.MaxConnections = max(c.MaxConnections, 1)
 	return &Pool{
