--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -40,7 +40,7 @@
 		leases: map[topo.LeaseID]time.Time{},
 	}
 	for i := range 3 {
-		m := New(table.MemberID(fmt.Sprint("n", i)))
+		m := New(table.MemberID(fmt.Sprint("n", i)), "peer:1")
 		w.nodes = append(w.nodes, &node{clock: proptest.DrawClock(t, "clock"), m: m})
 	}
 	return w
