--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -295,3 +295,26 @@
 		d.addresses[m.ID.Run()] = m.Address
 	}
 }
+
+// Ready reports whether the daemon is a member with authority and every shard
+// of the table in force has an owner.
+func (d *Daemon) Ready() bool {
+	s := d.docs.get()
+	if s.table == nil || s.config == nil || d.callerAddr == nil {
+		return false
+	}
+	if !d.present().authorityUntil().After(time.Now()) {
+		return false
+	}
+	for _, svc := range s.table.Services {
+		for _, owner := range svc.Owners {
+			if owner == table.NoOwner {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Fronts returns the number of targets that this daemon fronts.
+func (d *Daemon) Fronts() int { return len(d.fronts.list()) }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	promclient "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -40,7 +41,8 @@
 }
 
 func newMetrics() *metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := promclient.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "jackdawloom", Separator: prometheus.DefaultSeparator, CachedReporter: reporter,
 	}, metricsInterval)
