--- a/internal/coordination/admission/gradient.go
+++ b/internal/coordination/admission/gradient.go
@@ -7,7 +7,7 @@
 	// class's baseline, and a target if most responses are slow.
 	slowRatio = 2.5
 	// windowSamples is the number of responses on which a limit is judged.
-	windowSamples = 16
+	windowSamples = 8
 	// maxSlowdown limits how much a single straggler adds to a window.
 	maxSlowdown = 32
 	// trialGain: a lower limit is kept if the target's throughput at it is at
@@ -52,11 +52,14 @@
 	if g.samples < windowSamples {
 		return limit, false
 	}
+	// The first slow window may contain responses from before the slowness, so
+	// its throughput is no measure for a trial.
+	wasSlow := g.isSlow
 	g.closeWindow()
 	if g.trial {
 		return g.judge(limit, now)
 	}
-	if !g.isSlow || limit <= 1 || now.Before(g.quiet) {
+	if !wasSlow || !g.isSlow || limit <= 1 || now.Before(g.quiet) {
 		return limit, false
 	}
 	return g.begin(limit), true
