Add a fleet model for the coordinator, fronts and leases

Cause: the coordinator, the placement and the table had no tests. The model runs the real machines in virtual time with a faulty network.

--- /dev/null
+++ b/internal/coordination/fleettest/converge_test.go
@@ -0,0 +1,159 @@
+package fleettest
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/coordination/placement"
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+	"github.com/jackdawloom/jackdawloom/internal/state/table"
+)
+
+// unserved returns a shard that no target serves, or "".
+func (w *world) unserved() string {
+	for _, s := range w.store.config.Manifest.Services {
+		if candidates(&s) == 0 {
+			continue
+		}
+		for shard := range s.Shards {
+			if n := w.served(s.Name, table.Unit{Shard: uint32(shard)}); n != 1 {
+				return fmt.Sprintf("%s shard %d is served by %d targets", s.Name, shard, n)
+			}
+		}
+	}
+	return ""
+}
+
+func candidates(s *manifest.Service) int {
+	n := 0
+	for _, t := range s.Targets {
+		if !t.Drain {
+			n++
+		}
+	}
+	return n
+}
+
+// unsettled returns what keeps the fleet from its final state, or "".
+func (w *world) unsettled() string {
+	t, c := w.store.current(), w.store.config
+	if t == nil || t.Config != c.Revision {
+		return "configuration not in force"
+	}
+	for _, n := range w.live() {
+		if reason := unsettledNode(n, t); reason != "" {
+			return reason
+		}
+	}
+	if len(t.Services) != len(c.Manifest.Services) {
+		return "a removed service is left"
+	}
+	for i := range c.Manifest.Services {
+		if reason := w.unsettledService(&c.Manifest.Services[i], t); reason != "" {
+			return reason
+		}
+	}
+	return w.unserved()
+}
+
+func unsettledNode(n *node, t *table.Table) string {
+	m := n.members[len(n.members)-1]
+	switch {
+	case n.table != t && (n.table == nil || n.table.Revision != t.Revision):
+		return string(n.run) + " holds an old table"
+	case m.holder == nil || !m.holder.HasAuthority(n.clock()):
+		return string(m.id) + " has no authority"
+	case len(n.members) > 1:
+		return string(n.members[0].id) + " is left"
+	}
+	return ""
+}
+
+func (w *world) unsettledService(declared *manifest.Service, t *table.Table) string {
+	s := t.Service(declared.Name)
+	if s == nil || len(s.Targets) != len(declared.Targets) {
+		return "targets of " + declared.Name + " differ"
+	}
+	if len(s.Moves) > 0 {
+		return fmt.Sprintf("%s has %d moves", s.Name, len(s.Moves))
+	}
+	in := placement.Input{Owners: s.Owners}
+	for i, target := range s.Targets {
+		if reason := w.unsettledTarget(s.Name, target); reason != "" {
+			return reason
+		}
+		d := declared.TargetNamed(target.Name)
+		if !d.Drain {
+			in.Candidates = append(in.Candidates, placement.Candidate{Index: uint16(i), Name: d.Name, Capacity: d.Slots})
+		}
+	}
+	if p := placement.Make(in); len(in.Candidates) > 0 && len(p.Moves)+len(p.Orphans) > 0 {
+		return fmt.Sprintf("%s is unbalanced: %.2f", s.Name, placement.Imbalance(in))
+	}
+	return ""
+}
+
+func (w *world) unsettledTarget(service string, t table.Target) string {
+	live := 0
+	for _, n := range w.live() {
+		if !n.stopping {
+			live++
+		}
+	}
+	switch {
+	case t.Front == "" || t.Standby == "" && live > 1:
+		return fmt.Sprintf("%s/%s has front %q and standby %q", service, t.Name, t.Front, t.Standby)
+	case t.Next != "" || t.Release:
+		return fmt.Sprintf("%s/%s changes its front", service, t.Name)
+	case t.State == table.TargetLost:
+		return fmt.Sprintf("%s/%s is lost", service, t.Name)
+	}
+	return ""
+}
+
+// await advances until the condition gives "" and returns the time it took.
+func (w *world) await(what string, bound time.Duration, condition func() string) time.Duration {
+	start := w.now
+	for reason := condition(); reason != ""; reason = condition() {
+		if w.now-start > bound {
+			w.dump()
+			w.t.Fatalf("%s not reached within %v: %s", what, bound, reason)
+		}
+		w.advance(100 * time.Millisecond)
+	}
+	return w.now - start
+}
+
+// awaitQuiet checks that no further table is written.
+func (w *world) awaitQuiet(period time.Duration) {
+	n := len(w.store.written)
+	w.advance(period)
+	if got := len(w.store.written); got != n {
+		w.dump()
+		w.t.Fatalf("%d tables written in %v after everything has settled", got-n, period)
+	}
+}
+
+// dump logs the last table.
+func (w *world) dump() {
+	t := w.store.current()
+	if t == nil {
+		return
+	}
+	w.t.Logf("at %v table %d of term %d (now %d) written at %v", w.now, t.Revision, t.Term, w.store.term, w.store.lastAt)
+	for _, m := range t.Members {
+		w.t.Logf("  member %s domain %s voters %v draining %v", m.ID, m.Domain, m.Voters, m.Draining)
+	}
+	for _, s := range t.Services {
+		w.t.Logf("  service %s owners %v moves %v", s.Name, s.Owners, s.Moves)
+		for _, tg := range s.Targets {
+			w.t.Logf("    target %+v", tg)
+		}
+	}
+	for _, n := range w.live() {
+		w.t.Logf("  daemon %s coordinator %v hint %s stopping %v paused %v fencing %v", n.run, n.office.machine != nil, n.hint, n.stopping, n.paused, n.fences.fencing)
+		for _, m := range n.members {
+			w.t.Logf("    %s leaving %v authority %v", m.id, m.leaving, m.authorityUntil().Sub(n.clock()))
+		}
+	}
+}
