Keep reporting a target's end until the table has taken its units

Cause: a front bars the units of a target that it reports as ended, for good under their present epochs. If the coordinator missed that report (store outage, change of the coordinator, lost message) and the target recovered within RecoveryTime, the front then reported it as serving; the coordinator changed nothing, and the units stayed without service for ever. Now a target with barred units does not recover, so that its front reports the end until a table takes the units away.

--- a/internal/coordination/front/front.go
+++ b/internal/coordination/front/front.go
@@ -120,6 +120,8 @@
 	// ended: the coordinator may have given it away under this epoch. Thus a
 	// move that is cancelled after the release needs a new unit epoch.
 	dead bool
+	// condemned is set if the unit is dead because its target has ended.
+	condemned bool
 	// dropped is set when the unit has left the wanted grant; version is
 	// the first grant without it, and ends bounds the grants with it.
 	dropped bool
@@ -259,12 +261,25 @@
 			continue
 		}
 		s.dead = true
+		s.condemned = true
 		s.leave.set(true, now)
 		m.leaving[u] = s
 		m.grants.dirty = true
 	}
 }
 
+// condemned reports whether units are left that the table must take away. Until
+// then the target counts as ended even if it has recovered: the coordinator may
+// have missed the first reports, and nobody else can use the units.
+func (m *Machine) condemned() bool {
+	for _, s := range m.units {
+		if s.condemned {
+			return true
+		}
+	}
+	return false
+}
+
 // longest is the longest time for which a request runs after its dispatch, on
 // this daemon's clock.
 func (m *Machine) longest() time.Duration { return stretch(m.cfg.LongestDeadline) }
--- a/internal/coordination/front/grants.go
+++ b/internal/coordination/front/grants.go
@@ -212,7 +212,7 @@
 		return
 	}
 	m.read(e, r, now)
-	m.health.answered(now)
+	m.health.answered(now, m.condemned())
 	m.health.draining.set(r.Draining, now)
 	switch {
 	case e.units == nil:
@@ -227,7 +227,7 @@
 // ProbeReply records that the target accepted a connection.
 func (m *Machine) ProbeReply(seq uint64, now time.Time) {
 	if m.landed(seq) != nil {
-		m.health.answered(now)
+		m.health.answered(now, m.condemned())
 	}
 }
 
--- a/internal/coordination/front/health.go
+++ b/internal/coordination/front/health.go
@@ -90,8 +90,9 @@
 // to exchange anything.
 func (h *health) forgive() { h.waiting = time.Time{} }
 
-// answered notes an answer of the target.
-func (h *health) answered(now time.Time) {
+// answered notes an answer of the target. While barred, it does not serve again
+// however long it answers.
+func (h *health) answered(now time.Time, barred bool) {
 	h.waiting = time.Time{}
 	switch h.condition {
 	case untried:
@@ -99,7 +100,7 @@
 	case lost:
 		h.enter(recovering, now)
 	case recovering:
-		if now.Sub(h.at) >= RecoveryTime {
+		if !barred && now.Sub(h.at) >= RecoveryTime {
 			h.failures = 0
 			h.enter(serving, now)
 		}
