Replace a membership whose voters agreed to a failed fence

Cause: a voter's agreement to a fence is final, but a fence by a minority does not end the incarnation. Together with one lost voter, the member had two of five votes: too few to serve, too many to be fenced, and NeedsRejoin counted the refusing voters as live. Its targets had a front without authority for ever. Now such voters do not count as live. Holder.LostVoters had no user and is replaced by FencedVoters.

--- a/internal/coordination/coordinator/members.go
+++ b/internal/coordination/coordinator/members.go
@@ -123,8 +123,9 @@
 // NeedsRejoin reports whether a member should take up a new membership, since
 // so many of its voters have left that it could not lose another one although
 // the fleet offers a better set. Voter sets are fixed, so this is the only way
-// to replace voters.
-func NeedsRejoin(t *table.Table, id table.MemberID) bool {
+// to replace voters. Voters in refused never vote for the member again, since
+// they agreed to a fence of it that may have failed.
+func NeedsRejoin(t *table.Table, id table.MemberID, refused []table.MemberID) bool {
 	member, ok := t.Member(id)
 	if !ok || member.Draining {
 		return false
@@ -135,7 +136,7 @@
 	}
 	live := 0
 	for _, v := range member.Voters {
-		if runs[v] {
+		if runs[v] && !slices.Contains(refused, v) {
 			live++
 		}
 	}
--- a/internal/coordination/fleettest/converge_test.go
+++ b/internal/coordination/fleettest/converge_test.go
@@ -35,9 +35,16 @@
 	return n
 }
 
+// restTime without a table write counts as rest: after it, a voter set that was
+// weakened meanwhile would have been replaced.
+const restTime = rejoinPause + time.Second
+
 // unsettled returns what keeps the fleet from its final state, or "".
 func (w *world) unsettled() string {
 	t, c := w.store.current(), w.store.config
+	if w.now-w.store.lastAt < restTime {
+		return "a table was written"
+	}
 	if t == nil || t.Config != c.Revision {
 		return "configuration not in force"
 	}
@@ -65,6 +72,8 @@
 func unsettledNode(n *node, t *table.Table) string {
 	m := n.members[len(n.members)-1]
 	switch {
+	case len(n.fences.fencing) > 0:
+		return string(n.run) + " fences"
 	case n.stopping:
 		return string(n.run) + " has not stopped"
 	case n.table != t && (n.table == nil || n.table.Revision != t.Revision):
@@ -73,7 +82,7 @@
 		return string(m.id) + " has no authority"
 	case len(n.members) > 1:
 		return string(n.members[0].id) + " is left"
-	case coordinator.NeedsRejoin(t, m.id):
+	case coordinator.NeedsRejoin(t, m.id, m.holder.FencedVoters()):
 		return string(m.id) + " has a weak voter set"
 	}
 	return ""
--- a/internal/coordination/fleettest/node_test.go
+++ b/internal/coordination/fleettest/node_test.go
@@ -223,7 +223,7 @@
 		return
 	}
 	_, member := n.table.Member(m.id)
-	weak := member && n.clock().Sub(m.firstSeen) > rejoinPause && coordinator.NeedsRejoin(n.table, m.id)
+	weak := member && n.clock().Sub(m.firstSeen) > rejoinPause && coordinator.NeedsRejoin(n.table, m.id, m.holder.FencedVoters())
 	if m.holder.Fenced() || !member || weak {
 		m.leaving = true
 		n.addMembership()
--- a/internal/coordination/lease/holder.go
+++ b/internal/coordination/lease/holder.go
@@ -143,18 +143,17 @@
 	return left < majority(h.voters)
 }
 
-// LostVoters returns the members whose vote is gone for good, or that gave none
-// for the duration after. The store is never among them: it is not replaced.
-func (h *Holder) LostVoters(now time.Time, after time.Duration) []table.MemberID {
-	var lost []table.MemberID
-	for _, id := range h.Voters() {
-		v := h.votes[id]
-		silent := !v.lastHeard.IsZero() && now.Sub(v.lastHeard) >= after
-		if v.fenced || silent {
-			lost = append(lost, id)
+// FencedVoters returns the voters that have agreed to a fence of this
+// incarnation. Their votes are gone for good, also if the fence never got a
+// majority.
+func (h *Holder) FencedVoters() []table.MemberID {
+	var out []table.MemberID
+	for _, id := range h.voters {
+		if v := h.votes[id]; v != nil && v.fenced {
+			out = append(out, id)
 		}
 	}
-	return lost
+	return out
 }
 
 // ends returns the ends of the other voters' votes, the latest first.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,7 +19,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/jackdawloom/jackdawloom/internal/coordination/coordinator"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/lease"
 	"github.com/jackdawloom/jackdawloom/internal/pki"
 	"github.com/jackdawloom/jackdawloom/internal/ring"
@@ -277,10 +276,6 @@
 	return true
 }
 
-func (d *Daemon) needsRejoin(t *table.Table, id table.MemberID) bool {
-	return coordinator.NeedsRejoin(t, id)
-}
-
 // addressOf returns the peer address of a run, as last named by a table.
 func (d *Daemon) addressOf(run table.MemberID) string {
 	d.addressMu.Lock()
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/jackdawloom/jackdawloom/internal/coordination/coordinator"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/lease"
 	"github.com/jackdawloom/jackdawloom/internal/protocol/peer"
 	"github.com/jackdawloom/jackdawloom/internal/state/table"
@@ -223,6 +224,10 @@
 	m.mu.Lock()
 	known := m.holder != nil
 	seen := m.firstSeen
+	var refused []table.MemberID
+	if known {
+		refused = m.holder.FencedVoters()
+	}
 	m.mu.Unlock()
 	switch {
 	case m.fenced():
@@ -231,7 +236,7 @@
 		return ""
 	case t != nil && !isMember(t, m.id):
 		return "not in the table"
-	case t != nil && now.Sub(seen) > rejoinPause && d.needsRejoin(t, m.id):
+	case t != nil && now.Sub(seen) > rejoinPause && coordinator.NeedsRejoin(t, m.id, refused):
 		return "too few voters left"
 	}
 	return ""
