Never admit an incarnation again after its removal

Cause: only the coordinator's memory kept a fenced incarnation out. After a change of the coordinator, a report of the incarnation (which did not know of its fence) counted as a request to join. Since voters forget a removed member, they renewed it, and it had authority again under its old front epochs, while its standby had succeeded it. Now the table lists the last 256 removed members.

--- a/internal/coordination/coordinator/members.go
+++ b/internal/coordination/coordinator/members.go
@@ -37,7 +37,7 @@
 func (b *build) joins() []peer.Report {
 	var out []peer.Report
 	for id, v := range b.views {
-		if b.isMember(id) || b.fenced[id] || v.report.Leaving || b.now.Sub(v.at) > joinLife {
+		if b.isMember(id) || b.next.WasRemoved(id) || b.fenced[id] || v.report.Leaving || b.now.Sub(v.at) > joinLife {
 			continue
 		}
 		out = append(out, v.report)
@@ -153,6 +153,7 @@
 	keep := b.next.Members[:0:0]
 	for _, member := range b.next.Members {
 		if b.fenced[member.ID] {
+			b.next.Remove(member.ID)
 			b.changed = true
 			continue
 		}
@@ -220,6 +221,7 @@
 			b.changed = true
 		}
 		if member.Draining && !b.holds(member.ID) && b.confirmed(member.ID) {
+			b.next.Remove(member.ID)
 			b.changed = true
 			continue
 		}
--- a/internal/coordination/fleettest/node_test.go
+++ b/internal/coordination/fleettest/node_test.go
@@ -219,7 +219,15 @@
 // renewMembership takes up a new membership when the present one is of no use.
 func (n *node) renewMembership() {
 	m := n.members[len(n.members)-1]
-	if n.stopping || m.holder == nil {
+	if n.stopping || n.table == nil {
+		return
+	}
+	if n.table.WasRemoved(m.id) {
+		m.leaving = true
+		n.addMembership()
+		return
+	}
+	if m.holder == nil {
 		return
 	}
 	_, member := n.table.Member(m.id)
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -232,6 +232,8 @@
 	switch {
 	case m.fenced():
 		return "fenced"
+	case t != nil && t.WasRemoved(m.id):
+		return "removed from the table"
 	case !known:
 		return ""
 	case t != nil && !isMember(t, m.id):
--- a/internal/state/table/table.go
+++ b/internal/state/table/table.go
@@ -124,8 +124,26 @@
 	Config    uint64    `cbor:"4,keyasint"`
 	Members   []Member  `cbor:"5,keyasint"`
 	Services  []Service `cbor:"6,keyasint"`
+	// Removed lists the members removed last, the latest at the end. They must
+	// not be admitted again: voters forget the fences of removed members.
+	Removed []MemberID `cbor:"7,keyasint,omitempty"`
 }
 
+// MaxRemoved bounds Removed. A request to join would have to be delayed by as
+// many removals to revive a member, which takes days.
+const MaxRemoved = 256
+
+// Remove notes a member as removed.
+func (t *Table) Remove(id MemberID) {
+	t.Removed = append(t.Removed, id)
+	if extra := len(t.Removed) - MaxRemoved; extra > 0 {
+		t.Removed = slices.Delete(t.Removed, 0, extra)
+	}
+}
+
+// WasRemoved reports whether the member was removed lately.
+func (t *Table) WasRemoved(id MemberID) bool { return slices.Contains(t.Removed, id) }
+
 // KeyHash returns the hash that places a key.
 func KeyHash(key string) uint64 { return xxhash.Sum64String(key) }
 
@@ -271,6 +289,7 @@
 // Clone returns a deep copy, the starting point of the next revision.
 func (t *Table) Clone() *Table {
 	c := *t
+	c.Removed = slices.Clone(t.Removed)
 	c.Members = make([]Member, len(t.Members))
 	for i, m := range t.Members {
 		m.Voters = append([]MemberID(nil), m.Voters...)
