Leave an old membership only when the new one is in the table

Cause: a daemon that replaces its membership made the old one leave at once, before the new one could join (it needs a presence key first). A run whose only membership leaves is no candidate for voter sets. Daemons that replaced their memberships together thus got sets such as [self store], which count as weak, and replaced them again every 2 s without end.

--- a/internal/coordination/fleettest/converge_test.go
+++ b/internal/coordination/fleettest/converge_test.go
@@ -13,9 +13,6 @@
 // unserved returns a shard that no target serves, or "".
 func (w *world) unserved() string {
 	for _, s := range w.store.config.Manifest.Services {
-		if candidates(&s) == 0 {
-			continue
-		}
 		for shard := range s.Shards {
 			if n := w.served(s.Name, table.Unit{Shard: uint32(shard)}); n != 1 {
 				return fmt.Sprintf("%s shard %d is served by %d targets", s.Name, shard, n)
@@ -25,16 +22,6 @@
 	return ""
 }
 
-func candidates(s *manifest.Service) int {
-	n := 0
-	for _, t := range s.Targets {
-		if !t.Drain {
-			n++
-		}
-	}
-	return n
-}
-
 // restTime without a table write counts as rest: after it, a voter set that was
 // weakened meanwhile would have been replaced.
 const restTime = rejoinPause + time.Second
@@ -89,9 +76,6 @@
 }
 
 func (w *world) unsettledService(declared *manifest.Service, t *table.Table) string {
-	if candidates(declared) == 0 {
-		return "" // units stay where they are
-	}
 	s := t.Service(declared.Name)
 	if s == nil || len(s.Targets) != len(declared.Targets) {
 		return "targets of " + declared.Name + " differ"
--- a/internal/coordination/fleettest/docs_test.go
+++ b/internal/coordination/fleettest/docs_test.go
@@ -82,6 +82,7 @@
 		for _, m := range n.members {
 			n.adopt(m)
 		}
+		n.leaveOld()
 	}
 	n.fronts.apply()
 	if n.table != nil {
@@ -108,6 +109,14 @@
 	m.firstSeen = n.clock()
 }
 
+// leaveOld makes old memberships leave once the latest one is in the table.
+func (n *node) leaveOld() {
+	last := len(n.members) - 1
+	for _, m := range n.members[:last] {
+		m.leaving = m.leaving || n.members[last].holder != nil
+	}
+}
+
 // dropMemberships forgets old memberships that have left the table.
 func (n *node) dropMemberships() {
 	keep := n.members[:0:0]
--- a/internal/coordination/fleettest/fleet_test.go
+++ b/internal/coordination/fleettest/fleet_test.go
@@ -34,15 +34,21 @@
 type draft struct {
 	declared map[targetKey]bool
 	drain    map[targetKey]bool
+	deadline int // of all requests, in ms
 }
 
-// apply stores the draft as the next configuration.
+// apply stores the draft as the next configuration. The first target of a
+// service is never drained: units stay where they are if all are.
 func (w *world) apply(d draft) {
+	first, second := pool[3].key, pool[4].key
+	d.declared[pool[0].key] = true
+	d.declared[first] = d.declared[first] || d.declared[second]
+	d.drain[pool[0].key], d.drain[first] = false, false
 	m := manifest.Manifest{Schema: manifest.Schema, Name: "fleet"}
 	for _, name := range []string{"keys", "other"} {
 		s := manifest.Service{
 			Name: name, PathPrefix: "/" + name, Shards: shardsPerService,
-			Classes: []manifest.Class{{Name: "all", Repeat: manifest.RepeatNever, DeadlineMs: 600}},
+			Classes: []manifest.Class{{Name: "all", Repeat: manifest.RepeatNever, DeadlineMs: d.deadline}},
 		}
 		for _, p := range pool {
 			if p.key.service == name && d.declared[p.key] {
@@ -63,9 +69,9 @@
 }
 
 // newFleet starts daemons in three failure domains and waits for service.
-func newFleet(t failer, seed uint64, daemons int) (*world, draft) {
+func newFleet(t failer, seed uint64, daemons, deadlineMs int) (*world, draft) {
 	w := newWorld(t, seed)
-	d := draft{declared: make(map[targetKey]bool), drain: make(map[targetKey]bool)}
+	d := draft{declared: make(map[targetKey]bool), drain: make(map[targetKey]bool), deadline: deadlineMs}
 	for _, p := range pool {
 		newTarget(w, p.key, p.checks)
 		d.declared[p.key] = true
@@ -86,10 +92,14 @@
 	var slowest time.Duration
 	proptest.Check(t, fleetSeed, fleetChecks, func(rt *rapid.T) {
 		f := &faults{}
-		f.w, f.draft = newFleet(rt, rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(3, 5).Draw(rt, "daemons"))
+		deadline := rapid.SampledFrom([]int{200, 600, 3000}).Draw(rt, "deadline")
+		f.w, f.draft = newFleet(rt, rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(2, 5).Draw(rt, "daemons"), deadline)
 		rt.Repeat(f.actions())
 		f.w.heal()
-		slowest = max(slowest, f.w.await("service after the faults", serveBound, f.w.unserved))
+		took := f.w.await("service after the faults", serveBound, f.w.unserved)
+		if f.w.past.undeclared < 0 {
+			slowest = max(slowest, took)
+		}
 		f.w.await("rest after the faults", settleBound, f.w.unsettled)
 		f.w.awaitQuiet(5 * time.Second)
 		starts, overlaps, cases = starts+f.w.past.starts, overlaps+f.w.past.overlaps, cases+1
@@ -262,7 +272,6 @@
 		on := f.draft.declared[pool[3].key]
 		f.draft.declared[pool[3].key], f.draft.declared[pool[4].key] = !on, !on
 	}
-	f.draft.declared[pool[0].key] = true
 	f.w.apply(f.draft)
 	f.w.advance(time.Duration(rapid.IntRange(0, 1500).Draw(rt, "ms")) * time.Millisecond)
 }
--- a/internal/coordination/fleettest/node_test.go
+++ b/internal/coordination/fleettest/node_test.go
@@ -223,7 +223,6 @@
 		return
 	}
 	if n.table.WasRemoved(m.id) {
-		m.leaving = true
 		n.addMembership()
 		return
 	}
@@ -233,7 +232,6 @@
 	_, member := n.table.Member(m.id)
 	weak := member && n.clock().Sub(m.firstSeen) > rejoinPause && coordinator.NeedsRejoin(n.table, m.id, m.holder.FencedVoters())
 	if m.holder.Fenced() || !member || weak {
-		m.leaving = true
 		n.addMembership()
 	}
 }
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -60,6 +60,13 @@
 	return m.holder.ValidUntil()
 }
 
+// joined reports whether a table has named the member.
+func (m *membership) joined() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.holder != nil
+}
+
 func (m *membership) fenced() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -209,7 +216,6 @@
 	if reason == "" {
 		return
 	}
-	m.setLeaving()
 	next := d.addMembership(now)
 	d.log.Warn("taking up a new membership", slog.String("old", string(m.id)),
 		slog.String("new", string(next.id)), slog.String("reason", reason))
@@ -249,6 +255,21 @@
 	return ok
 }
 
+// leaveOld makes the old memberships leave once the latest one is in the table.
+// Not before: a run whose only membership leaves is chosen as no one's voter,
+// so daemons that replace their memberships together would get voter sets that
+// are too small, and replace them again.
+func (d *Daemon) leaveOld() {
+	members := d.memberships()
+	last := len(members) - 1
+	if !members[last].joined() {
+		return
+	}
+	for _, m := range members[:last] {
+		m.setLeaving()
+	}
+}
+
 // dropMemberships forgets old memberships that have left the table.
 func (d *Daemon) dropMemberships(t *table.Table) {
 	d.memberMu.Lock()
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -32,6 +32,7 @@
 		for _, m := range d.memberships() {
 			m.adopt(s.table, now)
 		}
+		d.leaveOld()
 	}
 	d.fronts.apply(s, now)
 	if s.table != nil {
