Fence members whose runs have ended; hear refused members

Three faults, all seen by TestFleetSurvivesFaults: - Members of ended runs stayed for ever once a majority of their voters had ended too, such as after a restart of all daemons, although the store was up.

--- a/internal/coordination/fleettest/converge_test.go
+++ b/internal/coordination/fleettest/converge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/coordination/coordinator"
@@ -12,8 +13,15 @@
 
 // unserved returns a shard that no target serves, or "".
 func (w *world) unserved() string {
+	if w.store.current() == nil {
+		return "no table"
+	}
 	for _, s := range w.store.config.Manifest.Services {
+		held := w.store.current().Service(s.Name)
 		for shard := range s.Shards {
+			if held != nil && moving(held, uint32(shard)) {
+				continue // held back until the requests that run have ended
+			}
 			if n := w.served(s.Name, table.Unit{Shard: uint32(shard)}); n != 1 {
 				return fmt.Sprintf("%s shard %d is served by %d targets", s.Name, shard, n)
 			}
@@ -22,6 +30,10 @@
 	return ""
 }
 
+func moving(s *table.Service, shard uint32) bool {
+	return slices.ContainsFunc(s.Moves, func(mv table.Move) bool { return mv.Shard == shard })
+}
+
 // restTime without a table write counts as rest: after it, a voter set that was
 // weakened meanwhile would have been replaced.
 const restTime = rejoinPause + time.Second
--- a/internal/coordination/lease/fencer.go
+++ b/internal/coordination/lease/fencer.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/state/table"
 )
@@ -15,11 +16,14 @@
 	member table.MemberID
 	voters []table.MemberID
 	agreed map[table.MemberID]bool
+	// ended are the runs that have certainly ended, by when that was known.
+	ended map[table.MemberID]time.Time
 }
 
 // NewFencer returns a fencer of the member with its fixed voter set.
 func NewFencer(member table.MemberID, voters []table.MemberID) *Fencer {
-	return &Fencer{member: member, voters: distinct(voters), agreed: make(map[table.MemberID]bool)}
+	return &Fencer{member: member, voters: distinct(voters), agreed: make(map[table.MemberID]bool),
+		ended: make(map[table.MemberID]time.Time)}
 }
 
 // Agreed records a voter's final agreement. The member's own agreement does
@@ -30,11 +34,30 @@
 	}
 }
 
-// Done reports whether a majority has agreed: the member has no authority now
-// and never will again.
-func (f *Fencer) Done() bool { return len(f.agreed) >= majority(f.voters) }
+// Ended records that a run has certainly ended, as known at now: another run
+// answers at its address. A voter that has ended renews nobody, so it counts as
+// agreed once its promises are over. A member whose own run has ended has no
+// authority. Without this, nobody could fence the members of a fleet that lost
+// a majority of a voter set and was started again.
+func (f *Fencer) Ended(run table.MemberID, now time.Time) {
+	first, known := f.ended[run]
+	if !known {
+		f.ended[run] = now
+		return
+	}
+	if now.Sub(first) >= table.VoteLife {
+		f.Agreed(run)
+	}
+}
+
+// Done reports whether a majority has agreed or the member's run has ended: the
+// member has no authority now and never will again.
+func (f *Fencer) Done() bool {
+	_, ended := f.ended[f.member.Run()]
+	return ended || len(f.agreed) >= majority(f.voters)
+}
 
-// Waiting returns the voters that have not agreed yet.
+// Waiting returns the voters that have not agreed yet, without the member.
 func (f *Fencer) Waiting() []table.MemberID {
 	var waiting []table.MemberID
 	for _, v := range f.voters {
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -185,7 +185,9 @@
 func (d *Daemon) heartbeat(b peer.Heartbeat, from string) peer.HeartbeatReply {
 	now := time.Now()
 	renewed, fenced := d.vote(b, now)
-	if renewed {
+	// A member that this voter refuses for good is not silent: fencing it again
+	// and again would turn every short silence to another voter into a refusal.
+	if renewed || fenced {
 		d.heard(b.From, now)
 	}
 	d.compareRevisions(from, b.Revisions)
--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -151,22 +151,20 @@
 	d.reportNow()
 }
 
-// askVoters asks the voters that have not agreed once, in parallel.
+// askVoters asks the voters that have not agreed once, in parallel. It asks the
+// member too: if its run has ended, another run may answer at its address.
 func (d *Daemon) askVoters(ctx context.Context, fencer *lease.Fencer, member table.MemberID) {
-	waiting := fencer.Waiting()
-	agreed := make(chan table.MemberID, len(waiting))
-	for _, v := range waiting {
-		go func() {
-			if d.askVoter(ctx, v, member) {
-				agreed <- v
-				return
-			}
-			agreed <- ""
-		}()
+	asked := append(fencer.Waiting(), member.Run())
+	answers := make(chan fenceAnswer, len(asked))
+	for _, v := range asked {
+		go func() { answers <- d.askVoter(ctx, v, member) }()
 	}
-	for range waiting {
-		if v := <-agreed; v != "" {
-			fencer.Agreed(v)
+	for range asked {
+		switch a := <-answers; {
+		case a.agreed:
+			fencer.Agreed(a.voter)
+		case a.ended:
+			fencer.Ended(a.voter, time.Now())
 		}
 		if fencer.Done() {
 			return
@@ -175,20 +173,32 @@
 	sleep(ctx, fenceRetry)
 }
 
-func (d *Daemon) askVoter(ctx context.Context, voter, member table.MemberID) bool {
-	if voter == table.StoreVoter {
-		return d.storeAgrees(ctx, string(member))
-	}
-	if voter == d.run {
-		return d.agree(peer.FenceRequest{From: d.run, To: voter, Member: member}).Agreed
-	}
+// fenceAnswer is what asking a voter has shown: that it agrees, or that it has
+// ended, because another run answers at its address.
+type fenceAnswer struct {
+	voter  table.MemberID
+	agreed bool
+	ended  bool
+}
+
+func (d *Daemon) askVoter(ctx context.Context, voter, member table.MemberID) fenceAnswer {
+	a := fenceAnswer{voter: voter}
+	request := peer.FenceRequest{From: d.run, To: voter, Member: member}
 	address := d.addressOf(voter)
-	if address == "" {
-		return false
+	switch {
+	case voter == table.StoreVoter:
+		a.agreed = d.storeAgrees(ctx, string(member))
+	case voter == d.run:
+		a.agreed = d.agree(request).Agreed
+	case address == d.net.Addr():
+		a.ended = true
+	case address != "":
+		var reply peer.FenceReply
+		err := d.call(ctx, address, peer.PathFence, request, &reply)
+		a.agreed = err == nil && reply.Agreed && reply.From == voter && reply.Member == member
+		a.ended = err == nil && reply.From != voter && reply.From != ""
 	}
-	var reply peer.FenceReply
-	err := d.call(ctx, address, peer.PathFence, peer.FenceRequest{From: d.run, To: voter, Member: member}, &reply)
-	return err == nil && reply.Agreed && reply.From == voter && reply.Member == member
+	return a
 }
 
 // agree answers a fence request as a voter.
@@ -199,7 +209,9 @@
 	return peer.FenceReply{From: d.run, Member: r.Member, Agreed: agreed, RemainingMs: remaining.Milliseconds()}
 }
 
-// fencedMembers returns the members that this daemon knows to be fenced.
+// fencedMembers returns the members that this daemon knows to have no authority
+// any more: the fenced ones, and memberships of its own that it has given up
+// before a table named them.
 func (d *Daemon) fencedMembers() []table.MemberID {
 	d.fenceMu.Lock()
 	defer d.fenceMu.Unlock()
@@ -207,6 +219,19 @@
 	for id := range d.fencedIDs {
 		out = append(out, id)
 	}
+	return append(out, d.givenUp(d.docs.get().table)...)
+}
+
+func (d *Daemon) givenUp(t *table.Table) []table.MemberID {
+	if t == nil {
+		return nil
+	}
+	var out []table.MemberID
+	for _, m := range t.Members {
+		if m.ID.Run() == d.run && d.membershipNamed(m.ID) == nil {
+			out = append(out, m.ID)
+		}
+	}
 	return out
 }
 
