Front targets that the configuration no longer declares

Cause: a daemon that became the front of a target after the configuration had dropped it ignored the target, and a standby did not succeed to it. If the front was lost between the removal and the end of the moves, the units stayed with the removed target without service, and a removed service was never removed. A daemon now remembers the last declaration of targets that the table names. Without one, it assumes the longest deadline allowed and sends nothing.

--- a/internal/daemon/fronts.go
+++ b/internal/daemon/fronts.go
@@ -33,14 +33,22 @@
 	mu      sync.Mutex
 	targets map[targetKey]*targetFront
 	claims  map[targetKey]claim
+	known   map[targetKey]declaration
 	applied *snapshot
 }
 
+// declaration is what the configuration says, or said last, of a target.
+type declaration struct {
+	service *manifest.Service
+	target  *manifest.Target
+}
+
 func newFronts(d *Daemon) *fronts {
 	return &fronts{
 		daemon:  d,
 		targets: make(map[targetKey]*targetFront),
 		claims:  make(map[targetKey]claim),
+		known:   make(map[targetKey]declaration),
 		applied: &snapshot{},
 	}
 }
@@ -55,6 +63,7 @@
 	}
 	f.dropClaims(s.table)
 	f.applied = s
+	f.remember(s)
 	wanted := make(map[targetKey]bool)
 	for i := range s.table.Services {
 		f.applyService(s, &s.table.Services[i], wanted, now)
@@ -89,8 +98,7 @@
 		key := targetKey{svc.Name, svc.Targets[i].Name}
 		member, epoch := f.frontOf(key, &svc.Targets[i])
 		m := f.daemon.membershipNamed(member)
-		declared := s.target(key.service, key.target)
-		if m == nil || declared == nil && f.targets[key] == nil {
+		if m == nil {
 			continue
 		}
 		wanted[key] = true
@@ -98,6 +106,37 @@
 	}
 }
 
+// remember keeps the declarations of targets that the table still names after
+// the configuration has dropped them.
+func (f *fronts) remember(s *snapshot) {
+	for key := range f.known {
+		if findTarget(s.table, key) == nil {
+			delete(f.known, key)
+		}
+	}
+	for i := range s.config.Manifest.Services {
+		svc := &s.config.Manifest.Services[i]
+		for j := range svc.Targets {
+			f.known[targetKey{svc.Name, svc.Targets[j].Name}] = declaration{svc, &svc.Targets[j]}
+		}
+	}
+}
+
+// declaration returns the last known declaration of a target. Somebody must
+// front a target that the configuration dropped before this daemon started, or
+// its units would stay with it for ever. Nothing can be sent to it, since its
+// address is unknown; its requests may run for the longest deadline allowed.
+func (f *fronts) declaration(key targetKey) declaration {
+	if d, ok := f.known[key]; ok {
+		return d
+	}
+	longest := manifest.Class{Repeat: manifest.RepeatNever, DeadlineMs: manifest.MaxDeadlineMs}
+	return declaration{
+		service: &manifest.Service{Name: key.service, Classes: []manifest.Class{longest}},
+		target:  &manifest.Target{Name: key.target, Slots: 1, Connections: 1},
+	}
+}
+
 // frontOf returns the target's front with its epoch: the table's, unless this
 // daemon has succeeded it.
 func (f *fronts) frontOf(key targetKey, t *table.Target) (table.MemberID, uint64) {
@@ -110,7 +149,8 @@
 func (f *fronts) applyTarget(s *snapshot, svc *table.Service, index uint16, key targetKey, m *membership, epoch uint64, now time.Time) {
 	tf := f.targets[key]
 	if tf == nil {
-		tf = newTargetFront(f.daemon, key, m, s.service(key.service), s.target(key.service, key.target))
+		declared := f.declaration(key)
+		tf = newTargetFront(f.daemon, key, m, declared.service, declared.target)
 		f.targets[key] = tf
 	}
 	if declared := s.target(key.service, key.target); declared != nil {
@@ -184,7 +224,7 @@
 		m := f.daemon.membershipNamed(t.Standby)
 		key := targetKey{svc.Name, t.Name}
 		_, claimed := f.claims[key]
-		if t.Front != fenced || t.Next != "" || m == nil || claimed || s.target(key.service, key.target) == nil {
+		if t.Front != fenced || t.Next != "" || m == nil || claimed {
 			continue
 		}
 		c := claim{member: m.id, epoch: t.Epoch + 1}
