--- a/internal/coordination/coordinator/members.go
+++ b/internal/coordination/coordinator/members.go
@@ -37,7 +37,7 @@
 func (b *build) joins() []peer.Report {
 	var out []peer.Report
 	for id, v := range b.views {
-		if b.isMember(id) || b.fenced[id] || v.report.Leaving || b.now.Sub(v.at) > joinLife {
+		if b.isMember(id) || b.next.WasRemoved(id) || b.fenced[id] || v.report.Leaving || b.now.Sub(v.at) > joinLife {
 			continue
 		}
 		out = append(out, v.report)
@@ -124,13 +124,15 @@
 // another voter set. Voter sets are fixed, so this is the only way to replace
 // voters. It is due at once if no further voter may be lost although the fleet
 // offers a better set. Otherwise a better set is taken up by one member at a
-// time, and while nothing else changes in the membership.
-func NeedsRejoin(t *table.Table, id table.MemberID) bool {
+// time, and while nothing else changes in the membership. Voters in refused
+// never vote for the member again, since they agreed to a fence of it that may
+// have failed.
+func NeedsRejoin(t *table.Table, id table.MemberID, refused []table.MemberID) bool {
 	member, ok := t.Member(id)
 	if !ok || member.Draining {
 		return false
 	}
-	spare, better := spareVotes(t, member)
+	spare, better := spareVotes(t, member, refused)
 	if spare >= better {
 		return false
 	}
@@ -138,15 +140,16 @@
 }
 
 // spareVotes returns how many of the member's voters may be lost, with its
-// present voter set and with the best one that the members offer.
-func spareVotes(t *table.Table, member table.Member) (present, best int) {
+// present voter set and with the best one that the members offer. Refused ones
+// count as lost.
+func spareVotes(t *table.Table, member table.Member, refused []table.MemberID) (present, best int) {
 	runs := map[table.MemberID]bool{table.StoreVoter: true}
 	for _, m := range t.Members {
 		runs[m.ID.Run()] = true
 	}
 	live := 0
 	for _, v := range member.Voters {
-		if runs[v] {
+		if runs[v] && !slices.Contains(refused, v) {
 			live++
 		}
 	}
@@ -161,7 +164,7 @@
 		}
 	}
 	for _, m := range t.Members {
-		if spare, better := spareVotes(t, m); spare < better && m.ID < id {
+		if spare, better := spareVotes(t, m, nil); spare < better && m.ID < id {
 			return false
 		}
 	}
@@ -176,6 +179,7 @@
 	keep := b.next.Members[:0:0]
 	for _, member := range b.next.Members {
 		if b.fenced[member.ID] {
+			b.next.Remove(member.ID)
 			b.changed = true
 			continue
 		}
@@ -243,6 +247,7 @@
 			b.changed = true
 		}
 		if member.Draining && !b.holds(member.ID) && b.confirmed(member.ID) {
+			b.next.Remove(member.ID)
 			b.changed = true
 			continue
 		}
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/jackdawloom/jackdawloom/internal/coordination/coordinator"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/lease"
 	"github.com/jackdawloom/jackdawloom/internal/protocol/peer"
 	"github.com/jackdawloom/jackdawloom/internal/state/table"
@@ -59,6 +60,13 @@
 	return m.holder.ValidUntil()
 }
 
+// joined reports whether a table has named the member.
+func (m *membership) joined() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.holder != nil
+}
+
 func (m *membership) fenced() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -177,7 +185,9 @@
 func (d *Daemon) heartbeat(b peer.Heartbeat, from string) peer.HeartbeatReply {
 	now := time.Now()
 	renewed, fenced := d.vote(b, now)
-	if renewed {
+	// A member that this voter refuses for good is not silent: fencing it again
+	// and again would turn every short silence to another voter into a refusal.
+	if renewed || fenced {
 		d.heard(b.From, now)
 	}
 	d.compareRevisions(from, b.Revisions)
@@ -208,7 +218,6 @@
 	if reason == "" {
 		return
 	}
-	m.setLeaving()
 	next := d.addMembership(now)
 	d.log.Warn("taking up a new membership", slog.String("old", string(m.id)),
 		slog.String("new", string(next.id)), slog.String("reason", reason))
@@ -223,15 +232,21 @@
 	m.mu.Lock()
 	known := m.holder != nil
 	seen := m.firstSeen
+	var refused []table.MemberID
+	if known {
+		refused = m.holder.FencedVoters()
+	}
 	m.mu.Unlock()
 	switch {
 	case m.fenced():
 		return "fenced"
+	case t != nil && t.WasRemoved(m.id):
+		return "removed from the table"
 	case !known:
 		return ""
 	case t != nil && !isMember(t, m.id):
 		return "not in the table"
-	case t != nil && now.Sub(seen) > rejoinPause && d.needsRejoin(t, m.id):
+	case t != nil && now.Sub(seen) > rejoinPause && coordinator.NeedsRejoin(t, m.id, refused):
 		return "too few voters left"
 	}
 	return ""
@@ -242,6 +257,21 @@
 	return ok
 }
 
+// leaveOld makes the old memberships leave once the latest one is in the table.
+// Not before: a run whose only membership leaves is chosen as no one's voter,
+// so daemons that replace their memberships together would get voter sets that
+// are too small, and replace them again.
+func (d *Daemon) leaveOld() {
+	members := d.memberships()
+	last := len(members) - 1
+	if !members[last].joined() {
+		return
+	}
+	for _, m := range members[:last] {
+		m.setLeaving()
+	}
+}
+
 // dropMemberships forgets old memberships that have left the table.
 func (d *Daemon) dropMemberships(t *table.Table) {
 	d.memberMu.Lock()
--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -148,20 +148,26 @@
 
 // collectAgreements asks all voters until a majority has agreed or the fencing
 // is given up. Each voter is asked on its own: one that is gone too must not
-// delay the others by its timeout.
+// delay the others by its timeout. The member is asked too: if its run has
+// ended, another run may answer at its address.
 func (d *Daemon) collectAgreements(ctx context.Context, member table.Member) bool {
 	ctx, cancel := context.WithTimeout(ctx, fenceGiveUp)
 	defer cancel()
 	fencer := lease.NewFencer(member.ID, member.Voters)
-	waiting := fencer.Waiting()
-	agreed := make(chan table.MemberID, len(waiting))
-	for _, v := range waiting {
-		go d.askUntilAgreed(ctx, v, member.ID, agreed)
+	asked := append(fencer.Waiting(), member.ID.Run())
+	answers := make(chan fenceAnswer, len(asked))
+	for _, v := range asked {
+		go d.askUntilAgreed(ctx, v, member.ID, answers)
 	}
 	for !fencer.Done() {
 		select {
-		case v := <-agreed:
-			fencer.Agreed(v)
+		case a := <-answers:
+			if a.agreed {
+				fencer.Agreed(a.voter)
+			}
+			if a.ended {
+				fencer.Ended(a.voter, time.Now())
+			}
 		case <-ctx.Done():
 			return false
 		}
@@ -169,30 +175,48 @@
 	return true
 }
 
-func (d *Daemon) askUntilAgreed(ctx context.Context, voter, member table.MemberID, agreed chan<- table.MemberID) {
+func (d *Daemon) askUntilAgreed(ctx context.Context, voter, member table.MemberID, answers chan<- fenceAnswer) {
 	for ctx.Err() == nil {
-		if d.askVoter(ctx, voter, member) {
-			agreed <- voter
+		a := d.askVoter(ctx, voter, member)
+		if a.agreed || a.ended {
+			select {
+			case answers <- a:
+			case <-ctx.Done():
+			}
+		}
+		if a.agreed {
 			return
 		}
 		sleep(ctx, fenceRetry)
 	}
 }
 
-func (d *Daemon) askVoter(ctx context.Context, voter, member table.MemberID) bool {
-	if voter == table.StoreVoter {
-		return d.storeAgrees(ctx, string(member))
-	}
-	if voter == d.run {
-		return d.agree(peer.FenceRequest{From: d.run, To: voter, Member: member}).Agreed
-	}
+// fenceAnswer is what asking a voter has shown: that it agrees, or that it has
+// ended, because another run answers at its address.
+type fenceAnswer struct {
+	voter  table.MemberID
+	agreed bool
+	ended  bool
+}
+
+func (d *Daemon) askVoter(ctx context.Context, voter, member table.MemberID) fenceAnswer {
+	a := fenceAnswer{voter: voter}
+	request := peer.FenceRequest{From: d.run, To: voter, Member: member}
 	address := d.addressOf(voter)
-	if address == "" {
-		return false
+	switch {
+	case voter == table.StoreVoter:
+		a.agreed = d.storeAgrees(ctx, string(member))
+	case voter == d.run:
+		a.agreed = d.agree(request).Agreed
+	case address == d.net.Addr():
+		a.ended = true
+	case address != "":
+		var reply peer.FenceReply
+		err := d.call(ctx, address, peer.PathFence, request, &reply)
+		a.agreed = err == nil && reply.Agreed && reply.From == voter && reply.Member == member
+		a.ended = err == nil && reply.From != voter && reply.From != ""
 	}
-	var reply peer.FenceReply
-	err := d.call(ctx, address, peer.PathFence, peer.FenceRequest{From: d.run, To: voter, Member: member}, &reply)
-	return err == nil && reply.Agreed && reply.From == voter && reply.Member == member
+	return a
 }
 
 // agree answers a fence request as a voter.
@@ -203,7 +227,9 @@
 	return peer.FenceReply{From: d.run, Member: r.Member, Agreed: agreed, RemainingMs: remaining.Milliseconds()}
 }
 
-// fencedMembers returns the members that this daemon knows to be fenced.
+// fencedMembers returns the members that this daemon knows to have no authority
+// any more: the fenced ones, and memberships of its own that it has given up
+// before a table named them.
 func (d *Daemon) fencedMembers() []table.MemberID {
 	d.fenceMu.Lock()
 	defer d.fenceMu.Unlock()
@@ -211,6 +237,19 @@
 	for id := range d.fencedIDs {
 		out = append(out, id)
 	}
+	return append(out, d.givenUp(d.docs.get().table)...)
+}
+
+func (d *Daemon) givenUp(t *table.Table) []table.MemberID {
+	if t == nil {
+		return nil
+	}
+	var out []table.MemberID
+	for _, m := range t.Members {
+		if m.ID.Run() == d.run && d.membershipNamed(m.ID) == nil {
+			out = append(out, m.ID)
+		}
+	}
 	return out
 }
 
