Add jackdawctl with validate, diff, apply, config, instances, targets, owner

Operators had only the raw administrative interface. The tool shows the changes before it stores a manifest, tells a conflict with the current revision, and resolves a lost answer by reading back and comparing the operation id. A second write after a lost answer was ruled out although the daemon would recognize the operation: it would hide a conflict that arose in between.

--- /dev/null
+++ b/internal/ctl/apply.go
@@ -0,0 +1,200 @@
+package ctl
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+)
+
+// Names of the flags of apply.
+const (
+	flagBasedOn   = "based-on"
+	flagOperation = "operation"
+	flagAuthor    = "author"
+	flagWait      = "wait"
+)
+
+// basedOnCurrent is the value of --based-on that accepts whatever is current.
+const basedOnCurrent = "current"
+
+// defaultWait covers the limit of 16 s in which a change is to be in force
+// everywhere.
+const defaultWait = 20 * time.Second
+
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "apply",
+		Usage:     "store a manifest and wait until it is in force on every member",
+		ArgsUsage: "FILE --based-on N",
+		Description: `Prints the changes first. The manifest is stored only if revision N is still the
+current one; otherwise another operator was faster, and nothing is changed.
+
+If the answer is lost, the configuration is read back and the operation id tells
+whether the change was stored; the write is never sent a second time. If even
+that stays open (exit code 5), run the command again with the same --operation
+and --based-on: an operation is stored at most once.
+
+Examples:
+   jackdawctl apply muscat.json --based-on 7
+   jackdawctl apply muscat.json --based-on current --wait 30s`,
+		Flags: append([]cli.Flag{
+			&cli.StringFlag{
+				Name: flagBasedOn, Required: true,
+				Usage: "the `REVISION` that the manifest was made from; 0 for the first, or current to accept any",
+			},
+		}, writeFlags()...),
+		Action: apply,
+	}
+}
+
+// writeFlags are the flags of every command that changes the configuration.
+func writeFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: flagOperation, Usage: "operation `ID`, to repeat a call whose result is unknown (default: a new one)"},
+		&cli.StringFlag{Name: flagAuthor, Usage: "`NAME` stored with the revision (default: the user and host)"},
+		&cli.DurationFlag{Name: flagWait, Value: defaultWait, Usage: "how long to wait for an answer and for every member"},
+	}
+}
+
+// applied is the result of a change for scripts.
+type applied struct {
+	Revision  uint64            `json:"revision"`
+	Operation string            `json:"operation"`
+	Changes   []manifest.Change `json:"changes"`
+	InForce   bool              `json:"in_force"`
+	// Behind lists the members that do not have the revision in force.
+	Behind []behind `json:"behind"`
+}
+
+func apply(ctx context.Context, cmd *cli.Command) error {
+	args, err := arguments(cmd, 1)
+	if err != nil {
+		return err
+	}
+	basedOn, err := parseBasedOn(cmd.String(flagBasedOn))
+	if err != nil {
+		return err
+	}
+	m, err := readManifest(args[0])
+	if err != nil {
+		return err
+	}
+	c, err := newClient(cmd)
+	if err != nil {
+		return err
+	}
+	current, err := c.config(ctx)
+	if err != nil {
+		return err
+	}
+	if basedOn == nil {
+		basedOn = &current.Revision
+	}
+	return c.change(ctx, cmd, current, *basedOn, m)
+}
+
+// parseBasedOn returns nil for the current revision.
+func parseBasedOn(s string) (*uint64, error) {
+	if s == basedOnCurrent {
+		return nil, nil
+	}
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		return nil, usage(fmt.Sprintf("--%s %q is neither a revision nor %q", flagBasedOn, s, basedOnCurrent))
+	}
+	return &n, nil
+}
+
+// change shows the difference, stores the manifest and waits for the members.
+func (c *client) change(ctx context.Context, cmd *cli.Command, current manifest.Accepted, basedOn uint64, m *manifest.Manifest) error {
+	d := differenceFrom(current, m)
+	progress := cmd.Root().ErrWriter
+	if !cmd.Bool(flagJSON) {
+		progress = output(cmd)
+		if err := d.print(progress); err != nil {
+			return err
+		}
+	}
+	w := write{basedOn: basedOn, operation: cmd.String(flagOperation), author: cmd.String(flagAuthor), manifest: m}
+	w.fill()
+	_, _ = fmt.Fprintf(progress, "operation %s\n", w.operation)
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration(flagWait))
+	defer cancel()
+	stored, err := c.store(ctx, w)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(progress, "stored as revision %d\n", stored.Revision)
+	result := applied{Revision: stored.Revision, Operation: w.operation, Changes: d.Changes}
+	result.Behind = c.awaitInForce(ctx, stored.Revision)
+	result.InForce = len(result.Behind) == 0
+	if err := emit(cmd, result, result.print); err != nil {
+		return err
+	}
+	return result.failure()
+}
+
+func (a applied) print(w io.Writer) error {
+	if a.InForce {
+		_, err := fmt.Fprintf(w, "revision %d is in force on every member\n", a.Revision)
+		return err
+	}
+	t := newTable(w, "Instance", "Admin address", "Config in force", "Problem")
+	for _, b := range a.Behind {
+		t.AppendRow([]any{b.Daemon, b.Admin, b.Config, b.Problem})
+	}
+	t.Render()
+	return nil
+}
+
+func (a applied) failure() error {
+	if a.InForce {
+		return nil
+	}
+	return &Failure{
+		Code:    ExitNotInForce,
+		Problem: fmt.Sprintf("revision %d is stored, but %d members do not have it in force yet", a.Revision, len(a.Behind)),
+		Remedy:  "look at the listed members with jackdawctl instances; do not apply again, they will catch up",
+	}
+}
+
+// write is one change of the configuration.
+type write struct {
+	basedOn   uint64
+	operation string
+	author    string
+	manifest  *manifest.Manifest
+}
+
+// fill sets what the operator left out.
+func (w *write) fill() {
+	if w.operation == "" {
+		w.operation = "ctl-" + rand.Text()
+	}
+	if w.author == "" {
+		w.author = defaultAuthor()
+	}
+}
+
+func (w *write) encoded() (json.RawMessage, error) { return json.Marshal(w.manifest) }
+
+func defaultAuthor() string {
+	name, host := "unknown", "unknown"
+	if u, err := user.Current(); err == nil {
+		name = u.Username
+	}
+	if h, err := os.Hostname(); err == nil {
+		host = h
+	}
+	return name + "@" + host
+}
--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,155 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jackdawloom/jackdawloom/internal/protocol/adminapi"
+	"github.com/jackdawloom/jackdawloom/internal/state/finding"
+)
+
+// callTimeout bounds one call. A daemon gives its store calls 3 s.
+const callTimeout = 5 * time.Second
+
+// maxReply bounds a reply in bytes. The largest is a burn snapshot.
+const maxReply = 8 << 20
+
+// ErrNoAnswer reports a call that got no complete answer. A write may have
+// taken effect.
+var ErrNoAnswer = errors.New("no answer")
+
+// statusError is an error answer of a daemon.
+type statusError struct {
+	status int
+	body   adminapi.Error
+}
+
+// Error returns the daemon's message.
+func (e *statusError) Error() string {
+	if e.body.Message == "" {
+		return "the daemon answered " + http.StatusText(e.status)
+	}
+	return e.body.Message
+}
+
+// Unwrap returns the findings that the answer carries.
+func (e *statusError) Unwrap() error {
+	if len(e.body.Findings) == 0 {
+		return nil
+	}
+	return &finding.Error{Findings: e.body.Findings}
+}
+
+// client calls the administrative interface of one of several daemons.
+type client struct {
+	addresses []string
+	http      *http.Client
+}
+
+func newClient(cmd *cli.Command) (*client, error) {
+	c := &client{http: &http.Client{Timeout: callTimeout}}
+	for _, a := range strings.Split(cmd.String(flagAdmin), ",") {
+		if a = strings.TrimSpace(a); a != "" {
+			c.addresses = append(c.addresses, a)
+		}
+	}
+	if len(c.addresses) == 0 {
+		return nil, usage("--admin names no address")
+	}
+	return c, nil
+}
+
+// get reads from the first daemon that answers.
+func (c *client) get(ctx context.Context, path string, into any) error {
+	var failed []error
+	for _, address := range c.addresses {
+		err := c.getFrom(ctx, address, path, into)
+		if !errors.Is(err, ErrNoAnswer) {
+			return failedCall(err)
+		}
+		failed = append(failed, err)
+	}
+	return failedCall(errors.Join(failed...))
+}
+
+// getFrom reads from one daemon.
+func (c *client) getFrom(ctx context.Context, address, path string, into any) error {
+	return c.call(ctx, http.MethodGet, address, path, nil, into)
+}
+
+// call makes one call; the body is sent as JSON unless nil. It never repeats a
+// write: net/http repeats only requests that it may.
+func (c *client) call(ctx context.Context, method, address, path string, body, into any) error {
+	var reader io.Reader
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return fmt.Errorf("encode request: %w", err)
+		}
+		reader = bytes.NewReader(encoded)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, reader)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNoAnswer, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return readReply(resp, into)
+}
+
+func readReply(resp *http.Response, into any) error {
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNoAnswer, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		refused := &statusError{status: resp.StatusCode}
+		if json.Unmarshal(b, &refused.body) != nil {
+			refused.body.Message = resp.Status
+		}
+		return refused
+	}
+	if err := json.Unmarshal(b, into); err != nil {
+		return fmt.Errorf("%w: reply not understood: %w", ErrNoAnswer, err)
+	}
+	return nil
+}
+
+// failedCall turns a call's error into a Failure that tells what to do.
+func failedCall(err error) error {
+	var refused *statusError
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, ErrNoAnswer):
+		return &Failure{
+			Code: ExitFailed, Problem: "no daemon answered", Cause: err,
+			Remedy: "check --admin against [listen] admin of a running daemon",
+		}
+	case errors.As(err, &refused):
+		return &Failure{Code: ExitFailed, Problem: "the daemon refused", Cause: err, Remedy: remedyOf(refused.status)}
+	}
+	return &Failure{Code: ExitFailed, Problem: "call failed", Cause: err, Remedy: "check --admin"}
+}
+
+func remedyOf(status int) string {
+	switch status {
+	case http.StatusNotFound:
+		return "check the name with jackdawctl targets; a new fleet needs jackdawctl apply first"
+	case http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusServiceUnavailable:
+		return "the store or the coordinator cannot be reached from the daemon; try again, or name another one with --admin"
+	}
+	return "correct the request as the message says"
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,95 @@
+// Package ctl holds the commands of jackdawctl. Each command has a file of its
+// own; they reach daemons through the administrative interface only.
+package ctl
+
+import (
+	"context"
+	"io"
+
+	"github.com/urfave/cli/v3"
+)
+
+// DefaultAdmin is the administrative address that is asked if none is given.
+const DefaultAdmin = "127.0.0.1:8082"
+
+// Names of the flags that every command has.
+const (
+	flagAdmin = "admin"
+	flagJSON  = "json"
+)
+
+const description = `Reads and changes the configuration of a fleet of jackdawloomd, and shows what
+it does. Every command takes --json for scripts.
+
+Exit codes:
+   0  done
+   1  failed; nothing was changed unless the message says so
+   2  wrong usage
+   3  the manifest has findings
+   4  conflict: the configuration was changed by somebody else
+   5  unknown: the change may or may not have been stored
+   6  stored, but not in force on every member within --wait
+
+Shell completion: jackdawctl completion bash|zsh|fish|pwsh`
+
+// Run runs the command line and returns the exit code.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := newRoot(stdout, stderr)
+	shortUsageErrors(root)
+	err := root.Run(ctx, args)
+	return report(stderr, err)
+}
+
+func newRoot(stdout, stderr io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:                  "jackdawctl",
+		Usage:                 "operate a fleet of jackdawloomd",
+		Description:           description,
+		EnableShellCompletion: true,
+		ConfigureShellCompletionCommand: func(c *cli.Command) {
+			c.Hidden = false
+		},
+		Suggest:        true,
+		Writer:         stdout,
+		ErrWriter:      stderr,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // report does it
+		Action: noCommand,
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name: flagAdmin, Value: DefaultAdmin, Sources: cli.EnvVars("JACKDAWCTL_ADMIN"),
+				Usage: "ask the daemons at `ADDR[,ADDR]`, in this order until one answers",
+			},
+			&cli.BoolFlag{Name: flagJSON, Usage: "write JSON"},
+		},
+		Commands: []*cli.Command{
+			validateCommand(), diffCommand(), applyCommand(), configCommand(),
+			instancesCommand(), targetsCommand(), ownerCommand(),
+		},
+	}
+}
+
+// shortUsageErrors makes wrong usage print the error and not the whole help. A
+// command does not inherit this from its parent.
+func shortUsageErrors(cmd *cli.Command) {
+	cmd.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return usage(err.Error())
+	}
+	for _, sub := range cmd.Commands {
+		shortUsageErrors(sub)
+	}
+}
+
+func noCommand(_ context.Context, cmd *cli.Command) error {
+	if name := cmd.Args().First(); name != "" {
+		return usage("no command " + name)
+	}
+	return cli.ShowRootCommandHelp(cmd)
+}
+
+// arguments returns exactly n positional arguments.
+func arguments(cmd *cli.Command, n int) ([]string, error) {
+	if cmd.Args().Len() != n {
+		return nil, usage("expected " + cmd.ArgsUsage)
+	}
+	return cmd.Args().Slice(), nil
+}
--- /dev/null
+++ b/internal/ctl/store.go
@@ -0,0 +1,117 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/protocol/adminapi"
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+)
+
+// pollInterval is the pause between two looks at the configuration or at the
+// members.
+const pollInterval = 200 * time.Millisecond
+
+// store sends the change to the first daemon that can be reached. It sends it
+// only once: if the answer is lost, the configuration is read back.
+func (c *client) store(ctx context.Context, w write) (manifest.Accepted, error) {
+	encoded, err := w.encoded()
+	if err != nil {
+		return manifest.Accepted{}, fmt.Errorf("encode manifest: %w", err)
+	}
+	message := adminapi.Apply{BasedOn: w.basedOn, Operation: w.operation, Author: w.author, Manifest: encoded}
+	var stored manifest.Accepted
+	err = c.call(ctx, http.MethodPut, c.addresses[0], adminapi.PathConfig, message, &stored)
+	if err == nil {
+		return stored, nil
+	}
+	if refused := definite(err, w); refused != nil {
+		return manifest.Accepted{}, refused
+	}
+	return c.readBack(ctx, w, err)
+}
+
+// definite returns the failure of a change that was certainly not stored, or
+// nil if that is not certain.
+func definite(err error, w write) error {
+	var refused *statusError
+	if !errors.As(err, &refused) {
+		return nil
+	}
+	switch refused.status {
+	case http.StatusConflict:
+		return conflict(w, refused.body.CurrentRevision, err)
+	case http.StatusUnprocessableEntity, http.StatusBadRequest:
+		if len(refused.body.Findings) > 0 {
+			return invalid(err)
+		}
+		return failedCall(err)
+	case http.StatusBadGateway:
+		return &Failure{
+			Code: ExitFailed, Problem: "the store is unavailable and nothing was stored", Cause: err,
+			Remedy: "requests are still served; apply again when the store is back",
+		}
+	}
+	return nil
+}
+
+func conflict(w write, current uint64, cause error) error {
+	return &Failure{
+		Code:    ExitConflict,
+		Problem: fmt.Sprintf("nothing was stored: revision %d is current, and the change was based on %d", current, w.basedOn),
+		Cause:   cause,
+		Remedy: fmt.Sprintf("run jackdawctl diff to see what the other change did, merge it, and apply with --based-on %d",
+			current),
+	}
+}
+
+// readBack tells by the operation id whether a change without an answer was
+// stored. It goes on until ctx ends while the base revision is still current,
+// since the write may yet take effect.
+func (c *client) readBack(ctx context.Context, w write, cause error) (manifest.Accepted, error) {
+	for ctx.Err() == nil {
+		current, err := c.config(ctx)
+		switch {
+		case err != nil || current.Revision <= w.basedOn:
+		case current.Operation == w.operation:
+			return current, nil
+		case current.Revision == w.basedOn+1:
+			return manifest.Accepted{}, conflict(w, current.Revision, cause)
+		default:
+			// The change may have been stored as basedOn+1 and replaced since.
+			return manifest.Accepted{}, superseded(w, current.Revision, cause)
+		}
+		sleep(ctx, pollInterval)
+	}
+	return manifest.Accepted{}, unknownResult(w, cause)
+}
+
+func superseded(w write, current uint64, cause error) error {
+	return &Failure{
+		Code:    ExitUnknown,
+		Problem: fmt.Sprintf("unknown whether operation %s was stored: revision %d of another operation is current", w.operation, current),
+		Cause:   cause,
+		Remedy:  "run jackdawctl diff to see whether the change is still wanted",
+	}
+}
+
+func unknownResult(w write, cause error) error {
+	return &Failure{
+		Code: ExitUnknown, Problem: "unknown whether operation " + w.operation + " was stored", Cause: cause,
+		Remedy: fmt.Sprintf("run the same command again with --%s %s --%s %d; it is stored at most once",
+			flagOperation, w.operation, flagBasedOn, w.basedOn),
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/ctl/validate.go
@@ -0,0 +1,87 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jackdawloom/jackdawloom/internal/state/finding"
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+)
+
+func validateCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "validate",
+		Usage:     "check a manifest without a daemon and report every finding",
+		ArgsUsage: "FILE",
+		Description: `Exit code 0 means no findings, 3 means findings.
+
+Example:
+   jackdawctl validate examples/muscat.json`,
+		Action: validate,
+	}
+}
+
+// validation is the result of validate for scripts.
+type validation struct {
+	Valid    bool              `json:"valid"`
+	Findings []finding.Finding `json:"findings"`
+}
+
+func validate(_ context.Context, cmd *cli.Command) error {
+	args, err := arguments(cmd, 1)
+	if err != nil {
+		return err
+	}
+	m, err := readManifest(args[0])
+	var found *finding.Error
+	if err != nil && !errors.As(err, &found) {
+		return err
+	}
+	if cmd.Bool(flagJSON) {
+		result := validation{Valid: found == nil, Findings: []finding.Finding{}}
+		if found != nil {
+			result.Findings = found.Findings
+		}
+		if err := emit(cmd, result, nil); err != nil {
+			return err
+		}
+	}
+	if err != nil || cmd.Bool(flagJSON) {
+		return err
+	}
+	_, err = fmt.Fprintf(output(cmd), "%s is valid: %s\n", args[0], sizes(m))
+	return err
+}
+
+func sizes(m *manifest.Manifest) string {
+	targets := 0
+	for _, s := range m.Services {
+		targets += len(s.Targets)
+	}
+	return fmt.Sprintf("%d services, %d targets", len(m.Services), targets)
+}
+
+// readManifest reads and checks a manifest file; - stands for standard input.
+func readManifest(name string) (*manifest.Manifest, error) {
+	b, err := readFile(name)
+	if err != nil {
+		return nil, unreadable(err)
+	}
+	m, err := manifest.Parse(name, b)
+	if err != nil {
+		return nil, invalid(err)
+	}
+	return m, nil
+}
+
+func readFile(name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(io.LimitReader(os.Stdin, manifest.MaxBytes+1))
+	}
+	return os.ReadFile(name)
+}
