Add drain, undrain, burn and certs to jackdawctl

The burn report had no source: the daemon kept only totals since its start.

drain waits until the target owns no shard, since that is when it may be stopped.

--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -100,7 +100,14 @@
 	if basedOn == nil {
 		basedOn = &current.Revision
 	}
-	return c.change(ctx, cmd, current, *basedOn, m)
+	result, err := c.change(ctx, cmd, current, *basedOn, m)
+	if err != nil {
+		return err
+	}
+	if err := emit(cmd, result, result.print); err != nil {
+		return err
+	}
+	return result.failure()
 }
 
 // parseBasedOn returns nil for the current revision.
@@ -116,14 +123,11 @@
 }
 
 // change shows the difference, stores the manifest and waits for the members.
-func (c *client) change(ctx context.Context, cmd *cli.Command, current manifest.Accepted, basedOn uint64, m *manifest.Manifest) error {
+func (c *client) change(ctx context.Context, cmd *cli.Command, current manifest.Accepted, basedOn uint64, m *manifest.Manifest) (applied, error) {
 	d := differenceFrom(current, m)
-	progress := cmd.Root().ErrWriter
-	if !cmd.Bool(flagJSON) {
-		progress = output(cmd)
-		if err := d.print(progress); err != nil {
-			return err
-		}
+	progress := progressOf(cmd)
+	if err := d.print(progress); err != nil {
+		return applied{}, err
 	}
 	w := write{basedOn: basedOn, operation: cmd.String(flagOperation), author: cmd.String(flagAuthor), manifest: m}
 	w.fill()
@@ -132,16 +136,13 @@
 	defer cancel()
 	stored, err := c.store(ctx, w)
 	if err != nil {
-		return err
+		return applied{}, err
 	}
 	_, _ = fmt.Fprintf(progress, "stored as revision %d\n", stored.Revision)
 	result := applied{Revision: stored.Revision, Operation: w.operation, Changes: d.Changes}
 	result.Behind = c.awaitInForce(ctx, stored.Revision)
 	result.InForce = len(result.Behind) == 0
-	if err := emit(cmd, result, result.print); err != nil {
-		return err
-	}
-	return result.failure()
+	return result, nil
 }
 
 func (a applied) print(w io.Writer) error {
@@ -161,7 +162,7 @@
 	if a.InForce {
 		return nil
 	}
-	return &Failure{
+	return &CommandError{
 		Code:    ExitNotInForce,
 		Problem: fmt.Sprintf("revision %d is stored, but %d members do not have it in force yet", a.Revision, len(a.Behind)),
 		Remedy:  "look at the listed members with jackdawctl instances; do not apply again, they will catch up",
--- /dev/null
+++ b/internal/ctl/certs.go
@@ -0,0 +1,98 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jackdawloom/jackdawloom/internal/pki"
+)
+
+const flagDir = "dir"
+
+func certsCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "certs",
+		Usage:     "make a certificate authority and daemon certificates for a trial",
+		ArgsUsage: "--dir DIR ID...",
+		Description: `Writes ca.pem, and ID.pem with ID.key for each daemon. The authority's key is not
+kept, so further daemons need a new set. Use your own authority in production;
+every daemon's certificate must carry the DNS name ` + pki.ServerName + `.
+
+Example:
+   jackdawctl certs --dir tls loom-1 loom-2 loom-3`,
+		Flags:  []cli.Flag{&cli.StringFlag{Name: flagDir, Required: true, Usage: "write the files to `DIR`"}},
+		Action: makeCerts,
+	}
+}
+
+// errCertsExist reports a directory that already holds certificates.
+var errCertsExist = errors.New("file exists")
+
+func makeCerts(_ context.Context, cmd *cli.Command) error {
+	ids := cmd.Args().Slice()
+	if len(ids) == 0 {
+		return usage("expected at least one daemon id")
+	}
+	for _, id := range ids {
+		if id == "" || id == "ca" || filepath.Base(id) != id || id == "." || id == ".." {
+			return usage(fmt.Sprintf("%q is not a usable daemon id", id))
+		}
+	}
+	dir := cmd.String(flagDir)
+	if err := refuseOld(filepath.Join(dir, "ca.pem")); err != nil {
+		return err
+	}
+	authority, err := pki.NewAuthority()
+	if err == nil {
+		err = authority.WriteFiles(dir, ids...)
+	}
+	if err != nil {
+		return unwritable(err)
+	}
+	return emit(cmd, certFiles(dir, ids), func(w io.Writer) error {
+		_, err := fmt.Fprintf(w, "wrote %s and certificates for %d daemons\n", filepath.Join(dir, "ca.pem"), len(ids))
+		return err
+	})
+}
+
+// refuseOld keeps an authority in use from being replaced: its daemons would
+// not recognize the new ones.
+func refuseOld(ca string) error {
+	_, err := os.Stat(ca)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err == nil {
+		err = errCertsExist
+	}
+	return &CommandError{Code: ExitFailed, Problem: ca, Cause: err, Remedy: "name another --dir, or remove the old files first"}
+}
+
+// certFileSet names the written files for scripts.
+type certFileSet struct {
+	CA      string     `json:"ca"`
+	Daemons []certPair `json:"daemons"`
+}
+
+type certPair struct {
+	ID          string `json:"id"`
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+}
+
+func certFiles(dir string, ids []string) certFileSet {
+	out := certFileSet{CA: filepath.Join(dir, "ca.pem")}
+	for _, id := range ids {
+		out.Daemons = append(out.Daemons, certPair{
+			ID: id, Certificate: filepath.Join(dir, id+".pem"), Key: filepath.Join(dir, id+".key"),
+		})
+	}
+	return out
+}
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -127,21 +127,21 @@
 	return nil
 }
 
-// failedCall turns a call's error into a Failure that tells what to do.
+// failedCall turns a call's error into a CommandError that tells what to do.
 func failedCall(err error) error {
 	var refused *statusError
 	switch {
 	case err == nil:
 		return nil
 	case errors.Is(err, ErrNoAnswer):
-		return &Failure{
+		return &CommandError{
 			Code: ExitFailed, Problem: "no daemon answered", Cause: err,
 			Remedy: "check --admin against [listen] admin of a running daemon",
 		}
 	case errors.As(err, &refused):
-		return &Failure{Code: ExitFailed, Problem: "the daemon refused", Cause: err, Remedy: remedyOf(refused.status)}
+		return &CommandError{Code: ExitFailed, Problem: "the daemon refused", Cause: err, Remedy: remedyOf(refused.status)}
 	}
-	return &Failure{Code: ExitFailed, Problem: "call failed", Cause: err, Remedy: "check --admin"}
+	return &CommandError{Code: ExitFailed, Problem: "call failed", Cause: err, Remedy: "check --admin"}
 }
 
 func remedyOf(status int) string {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -53,7 +53,7 @@
 		Writer:         stdout,
 		ErrWriter:      stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // report does it
-		Action: noCommand,
+		Action:         noCommand,
 		Flags: []cli.Flag{
 			&cli.StringFlag{
 				Name: flagAdmin, Value: DefaultAdmin, Sources: cli.EnvVars("JACKDAWCTL_ADMIN"),
@@ -63,7 +63,8 @@
 		},
 		Commands: []*cli.Command{
 			validateCommand(), diffCommand(), applyCommand(), configCommand(),
-			instancesCommand(), targetsCommand(), ownerCommand(),
+			instancesCommand(), targetsCommand(), ownerCommand(), drainCommand(), undrainCommand(),
+			burnCommand(), certsCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/ctl/drain.go
@@ -0,0 +1,166 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jackdawloom/jackdawloom/internal/protocol/adminapi"
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+)
+
+func drainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "drain",
+		Usage:     "move everything away from a target and wait until it is empty",
+		ArgsUsage: "SERVICE TARGET",
+		Description: `Sets the target's drain flag in the configuration. New requests go elsewhere
+within seconds; running ones are finished. The flag stays until undrain.
+
+Example:
+   jackdawctl drain display display-03`,
+		Flags:  writeFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error { return setDrain(ctx, cmd, true) },
+	}
+}
+
+func undrainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "undrain",
+		Usage:     "let a drained target own keys again",
+		ArgsUsage: "SERVICE TARGET",
+		Description: `Example:
+   jackdawctl undrain display display-03`,
+		Flags:  writeFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error { return setDrain(ctx, cmd, false) },
+	}
+}
+
+// drained is the result of drain and undrain for scripts.
+type drained struct {
+	applied
+	// Shards is the number of shards that the target owns at the end.
+	Shards int `json:"shards"`
+}
+
+func setDrain(ctx context.Context, cmd *cli.Command, drain bool) error {
+	args, err := arguments(cmd, 2)
+	if err != nil {
+		return err
+	}
+	c, err := newClient(cmd)
+	if err != nil {
+		return err
+	}
+	current, err := c.config(ctx)
+	if err != nil {
+		return err
+	}
+	updated, err := withDrain(current.Manifest, args[0], args[1], drain)
+	if err != nil {
+		return err
+	}
+	// A repeated call is not sent again if nothing is left to change.
+	result := drained{applied: applied{Revision: current.Revision, InForce: true, Changes: []manifest.Change{}, Behind: []behind{}}}
+	if len(manifest.Diff(&current.Manifest, updated)) > 0 {
+		if result.applied, err = c.change(ctx, cmd, current, current.Revision, updated); err != nil {
+			return err
+		}
+	}
+	if drain {
+		result.Shards, err = c.awaitEmpty(ctx, cmd, args[0], args[1])
+	} else {
+		result.Shards, err = c.shardsOf(ctx, args[0], args[1])
+	}
+	if err != nil {
+		return err
+	}
+	return result.finish(cmd, args[1], drain)
+}
+
+// withDrain returns the manifest with the target's drain flag set.
+func withDrain(m manifest.Manifest, service, target string, drain bool) (*manifest.Manifest, error) {
+	s := m.ServiceNamed(service)
+	if s == nil || s.TargetNamed(target) == nil {
+		return nil, &CommandError{
+			Code: ExitFailed, Problem: fmt.Sprintf("no target %s of service %s in the configuration", target, service),
+			Remedy: "list the names with jackdawctl targets",
+		}
+	}
+	out := m
+	out.Services = append([]manifest.Service(nil), m.Services...)
+	changed := out.ServiceNamed(service)
+	changed.Targets = append([]manifest.Target(nil), s.Targets...)
+	changed.TargetNamed(target).Drain = drain
+	found := out.Validate("configuration")
+	if err := found.Err(); err != nil {
+		return nil, invalid(err)
+	}
+	return &out, nil
+}
+
+// awaitEmpty waits until the target owns nothing and returns what it still owns
+// when the time has run out.
+func (c *client) awaitEmpty(ctx context.Context, cmd *cli.Command, service, target string) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration(flagWait))
+	defer cancel()
+	last, seen := 0, false
+	for {
+		n, err := c.shardsOf(ctx, service, target)
+		switch {
+		case err == nil && n == 0:
+			return 0, nil
+		case err == nil:
+			last, seen = n, true
+		case ctx.Err() != nil && !seen:
+			return 0, err
+		}
+		if ctx.Err() != nil {
+			return last, nil
+		}
+		sleep(ctx, pollInterval)
+	}
+}
+
+func (c *client) shardsOf(ctx context.Context, service, target string) (int, error) {
+	var t adminapi.Table
+	if err := c.get(ctx, adminapi.PathTable, &t); err != nil {
+		return 0, err
+	}
+	for _, s := range t.Services {
+		if s.Name != service {
+			continue
+		}
+		for _, row := range s.Targets {
+			if row.Name == target {
+				return row.Shards, nil
+			}
+		}
+	}
+	return 0, nil
+}
+
+func (d drained) finish(cmd *cli.Command, target string, drain bool) error {
+	human := func(w io.Writer) error {
+		if err := d.print(w); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintf(w, "%s owns %d shards\n", target, d.Shards)
+		return err
+	}
+	if err := emit(cmd, d, human); err != nil {
+		return err
+	}
+	if err := d.failure(); err != nil {
+		return err
+	}
+	if drain && d.Shards > 0 {
+		return &CommandError{
+			Code: ExitNotInForce, Problem: fmt.Sprintf("%s is draining and still owns %d shards", target, d.Shards),
+			Remedy: "watch it with jackdawctl targets; do not stop the target before it owns none",
+		}
+	}
+	return nil
+}
--- a/internal/ctl/failure.go
+++ b/internal/ctl/failure.go
@@ -19,9 +19,9 @@
 	ExitNotInForce = 6
 )
 
-// Failure is a command's failure: what happened, and what the operator is to do
+// CommandError is a command's failure: what happened, and what the operator is to do
 // about it.
-type Failure struct {
+type CommandError struct {
 	Code    int
 	Problem string
 	Remedy  string
@@ -29,7 +29,7 @@
 }
 
 // Error describes the failure on one line or more.
-func (f *Failure) Error() string {
+func (f *CommandError) Error() string {
 	s := f.Problem
 	if f.Cause != nil {
 		s += ": " + f.Cause.Error()
@@ -38,20 +38,20 @@
 }
 
 // Unwrap returns the cause.
-func (f *Failure) Unwrap() error { return f.Cause }
+func (f *CommandError) Unwrap() error { return f.Cause }
 
-func usage(problem string) *Failure {
-	return &Failure{Code: ExitUsage, Problem: problem, Remedy: "see jackdawctl help, or jackdawctl COMMAND --help"}
+func usage(problem string) *CommandError {
+	return &CommandError{Code: ExitUsage, Problem: problem, Remedy: "see jackdawctl help, or jackdawctl COMMAND --help"}
 }
 
 // unreadable reports a file that cannot be read.
-func unreadable(err error) *Failure {
-	return &Failure{Code: ExitFailed, Problem: "cannot read the file", Cause: err, Remedy: "check the name and its permissions"}
+func unreadable(err error) *CommandError {
+	return &CommandError{Code: ExitFailed, Problem: "cannot read the file", Cause: err, Remedy: "check the name and its permissions"}
 }
 
 // invalid reports the findings of a manifest.
-func invalid(err error) *Failure {
-	return &Failure{
+func invalid(err error) *CommandError {
+	return &CommandError{
 		Code: ExitFindings, Problem: "the manifest is not valid", Cause: err,
 		Remedy: "correct every finding and run jackdawctl validate",
 	}
@@ -62,7 +62,7 @@
 	if err == nil {
 		return ExitOK
 	}
-	var f *Failure
+	var f *CommandError
 	if !errors.As(err, &f) {
 		// All other errors come from the command-line library.
 		f = usage(err.Error())
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -12,6 +12,15 @@
 // output returns the writer of the command's results.
 func output(cmd *cli.Command) io.Writer { return cmd.Root().Writer }
 
+// progressOf returns the writer of progress. With --json the results stand alone
+// on the standard output.
+func progressOf(cmd *cli.Command) io.Writer {
+	if cmd.Bool(flagJSON) {
+		return cmd.Root().ErrWriter
+	}
+	return output(cmd)
+}
+
 // emit writes the value as JSON if asked for, else calls human.
 func emit(cmd *cli.Command, value any, human func(io.Writer) error) error {
 	w := output(cmd)
--- a/internal/ctl/store.go
+++ b/internal/ctl/store.go
@@ -50,7 +50,7 @@
 		}
 		return failedCall(err)
 	case http.StatusBadGateway:
-		return &Failure{
+		return &CommandError{
 			Code: ExitFailed, Problem: "the store is unavailable and nothing was stored", Cause: err,
 			Remedy: "requests are still served; apply again when the store is back",
 		}
@@ -59,7 +59,7 @@
 }
 
 func conflict(w write, current uint64, cause error) error {
-	return &Failure{
+	return &CommandError{
 		Code:    ExitConflict,
 		Problem: fmt.Sprintf("nothing was stored: revision %d is current, and the change was based on %d", current, w.basedOn),
 		Cause:   cause,
@@ -90,7 +90,7 @@
 }
 
 func superseded(w write, current uint64, cause error) error {
-	return &Failure{
+	return &CommandError{
 		Code:    ExitUnknown,
 		Problem: fmt.Sprintf("unknown whether operation %s was stored: revision %d of another operation is current", w.operation, current),
 		Cause:   cause,
@@ -99,7 +99,7 @@
 }
 
 func unknownResult(w write, cause error) error {
-	return &Failure{
+	return &CommandError{
 		Code: ExitUnknown, Problem: "unknown whether operation " + w.operation + " was stored", Cause: cause,
 		Remedy: fmt.Sprintf("run the same command again with --%s %s --%s %d; it is stored at most once",
 			flagOperation, w.operation, flagBasedOn, w.basedOn),
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -44,6 +44,7 @@
 	mux.Handle("PUT "+adminapi.PathConfig, d.kit(d.applyEndpoint, decodeApply))
 	mux.Handle("GET "+adminapi.PathOwner, d.kit(d.ownerEndpoint, decodeOwner))
 	mux.Handle("GET "+adminapi.PathServiceLevels, d.kit(d.serviceLevelsEndpoint, decodeNothing))
+	mux.Handle("GET "+adminapi.PathBurn, d.kit(d.burnEndpoint, decodeNothing))
 	return mux
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,6 +61,7 @@
 	entry   *entry
 	office  *office
 	metrics *metrics
+	burn    *burnLog
 
 	voterMu sync.Mutex
 	voter   *lease.Voter
@@ -118,6 +119,7 @@
 		suspects:     ring.New[table.Member](suspectRing),
 		pulls:        ring.New[string](pullRing),
 	}
+	d.burn = newBurnLog(d.started)
 	d.life, d.end = context.WithCancel(context.Background())
 	d.duties = &errgroup.Group{}
 	d.run = table.MemberID(o.Settings.Daemon.ID + "." + strconv.FormatInt(d.started.UnixNano(), 36))
@@ -169,6 +171,7 @@
 	for _, duty := range []func(context.Context) error{
 		d.runDocuments, d.runPulls, d.runHeartbeats, d.runPresence, d.runReports,
 		d.runFencing, d.runElection, d.runCoordinator, d.runConfig, d.runInstances,
+		d.runBurn,
 	} {
 		d.duties.Go(func() error { return duty(d.life) })
 	}
--- a/internal/protocol/adminapi/adminapi.go
+++ b/internal/protocol/adminapi/adminapi.go
@@ -19,6 +19,8 @@
 	PathConfig        = "/v1/config"
 	PathOwner         = "/v1/owner"
 	PathServiceLevels = "/v1/service-levels"
+	// PathBurn returns a burn.Snapshot.
+	PathBurn = "/v1/burn"
 )
 
 // Revisions are document revisions; 0 stands for none.
