Add jackdawctl move and its way to the coordinator

Operators could empty a target but not place a single shard. The request goes from any daemon to the coordinator by /peer/move; the coordinator keeps a bounded list in memory and starts an ordinary move, so the handover rules are unchanged. Storing requests in the table was ruled out: it would make every request a store write and every daemon carry it.

The planner would undo a move that leaves the tolerated band, so a requested shard stays for 10 minutes against the balance; drains and losses still move it. A requested move does not start in the table that ends another move of the same shard, since it would inherit the older move's mark.

--- a/internal/coordination/coordinator/coordinator.go
+++ b/internal/coordination/coordinator/coordinator.go
@@ -54,6 +54,7 @@
 	// was first seen. A release counts once front and standby hold it.
 	marks    map[mark]uint64
 	lastPlan map[string]time.Time
+	requests []moveRequest // at most MaxRequests
 }
 
 // markKind is the kind of a pending change.
--- a/internal/coordination/coordinator/shards.go
+++ b/internal/coordination/coordinator/shards.go
@@ -189,6 +189,7 @@
 }
 
 func (b *build) placeService(s *table.Service) {
+	b.applyRequests(s)
 	in := b.placementInput(s)
 	if len(in.Candidates) == 0 {
 		b.retire(s)
@@ -199,11 +200,12 @@
 	for _, c := range plan.Orphans {
 		b.placeOrphan(s, c)
 	}
-	if paced || len(plan.Moves) == 0 {
+	moves := b.unpinned(s.Name, plan.Moves)
+	if paced || len(moves) == 0 {
 		return
 	}
 	b.lastPlan[s.Name] = b.now
-	for _, c := range plan.Moves {
+	for _, c := range moves {
 		b.startMove(s, c.Shard, c.To)
 	}
 }
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -120,7 +120,7 @@
 		if ctx.Err() != nil {
 			return last, nil
 		}
-		sleep(ctx, pollInterval)
+		pause(ctx)
 	}
 }
 
--- /dev/null
+++ b/internal/ctl/move.go
@@ -0,0 +1,120 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jackdawloom/jackdawloom/internal/protocol/adminapi"
+)
+
+// defaultMoveWait covers the longest deadline that a manifest allows to most
+// classes; a move waits for the shard's running requests.
+const defaultMoveWait = 15 * time.Second
+
+func moveCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "move",
+		Usage:     "move a shard to a target and wait until it owns it",
+		ArgsUsage: "SERVICE SHARD TARGET",
+		Description: `SHARD is a number from 0, also as printed by owner (s17). Requests of the shard
+are held while it moves, so callers see a delay only. For 10 minutes the shard is
+kept at the target against the planner's balance; a drain or the loss of the
+target still moves it. The request is kept by the coordinator in memory: if the
+coordinator changes before the move has begun, run the command again.
+
+Example:
+   jackdawctl move display s1001 display-04`,
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: flagWait, Value: defaultMoveWait, Usage: "how long to wait for the move"},
+		},
+		Action: moveShard,
+	}
+}
+
+func moveShard(ctx context.Context, cmd *cli.Command) error {
+	m, err := moveOf(cmd)
+	if err != nil {
+		return err
+	}
+	c, err := newClient(cmd)
+	if err != nil {
+		return err
+	}
+	before, err := c.requestMove(ctx, m)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(progressOf(cmd), "accepted: shard %d of %s, owned by %s\n", m.Shard, m.Service, orNone(before.Target))
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration(flagWait))
+	defer cancel()
+	now, moved := c.awaitMoved(ctx, m, before)
+	err = emit(cmd, now, func(w io.Writer) error {
+		_, err := fmt.Fprintf(w, "shard %d of %s is owned by %s (table revision %d)\n", m.Shard, m.Service, orNone(now.Target), now.Revision)
+		return err
+	})
+	if err != nil || moved {
+		return err
+	}
+	return &CommandError{
+		Code: ExitNotInForce, Problem: fmt.Sprintf("%s does not own the shard yet", m.Target),
+		Remedy: "the move may wait for running requests; look again with the same command, which may be repeated",
+	}
+}
+
+func moveOf(cmd *cli.Command) (adminapi.Move, error) {
+	args, err := arguments(cmd, 3)
+	if err != nil {
+		return adminapi.Move{}, err
+	}
+	n, err := strconv.ParseUint(strings.TrimPrefix(args[1], "s"), 10, 32)
+	if err != nil {
+		return adminapi.Move{}, usage(fmt.Sprintf("%q is not a shard; expected a number or sNUMBER", args[1]))
+	}
+	return adminapi.Move{Service: args[0], Shard: uint32(n), Target: args[2]}, nil
+}
+
+// requestMove asks the first daemon that answers. A request without an answer
+// may be sent to the next one, since it may be repeated.
+func (c *client) requestMove(ctx context.Context, m adminapi.Move) (adminapi.Owner, error) {
+	var failed []error
+	for _, address := range c.addresses {
+		var o adminapi.Owner
+		err := c.call(ctx, http.MethodPost, address, adminapi.PathMoves, m, &o)
+		if err == nil {
+			return o, nil
+		}
+		if !errors.Is(err, ErrNoAnswer) {
+			return adminapi.Owner{}, failedCall(err)
+		}
+		failed = append(failed, err)
+	}
+	return adminapi.Owner{}, failedCall(errors.Join(failed...))
+}
+
+// awaitMoved waits until the target owns the shard and returns the last known
+// owner.
+func (c *client) awaitMoved(ctx context.Context, m adminapi.Move, last adminapi.Owner) (adminapi.Owner, bool) {
+	query := url.Values{"service": {m.Service}, "shard": {strconv.FormatUint(uint64(m.Shard), 10)}}
+	for {
+		if last.Target == m.Target && last.MovingTo == "" {
+			return last, true
+		}
+		pause(ctx)
+		var now adminapi.Owner
+		if err := c.get(ctx, adminapi.PathOwner+"?"+query.Encode(), &now); err == nil {
+			last = now
+		}
+		if ctx.Err() != nil {
+			return last, false
+		}
+	}
+}
--- a/internal/ctl/store.go
+++ b/internal/ctl/store.go
@@ -84,7 +84,7 @@
 			// The change may have been stored as basedOn+1 and replaced since.
 			return manifest.Accepted{}, superseded(w, current.Revision, cause)
 		}
-		sleep(ctx, pollInterval)
+		pause(ctx)
 	}
 	return manifest.Accepted{}, unknownResult(w, cause)
 }
@@ -106,9 +106,9 @@
 	}
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
+// pause waits until the next look or until ctx ends.
+func pause(ctx context.Context) {
+	timer := time.NewTimer(pollInterval)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -26,7 +26,7 @@
 			return last // the calls of this pass were cut off
 		}
 		last = missing
-		sleep(ctx, pollInterval)
+		pause(ctx)
 	}
 }
 
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -8,11 +8,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
 
+	"github.com/jackdawloom/jackdawloom/internal/coordination/coordinator"
 	"github.com/jackdawloom/jackdawloom/internal/protocol/adminapi"
 	"github.com/jackdawloom/jackdawloom/internal/state/finding"
 	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
@@ -43,6 +45,7 @@
 	mux.Handle("GET "+adminapi.PathConfig, d.kit(d.configEndpoint, decodeNothing))
 	mux.Handle("PUT "+adminapi.PathConfig, d.kit(d.applyEndpoint, decodeApply))
 	mux.Handle("GET "+adminapi.PathOwner, d.kit(d.ownerEndpoint, decodeOwner))
+	mux.Handle("POST "+adminapi.PathMoves, d.kit(d.moveEndpoint, decodeMove))
 	mux.Handle("GET "+adminapi.PathServiceLevels, d.kit(d.serviceLevelsEndpoint, decodeNothing))
 	mux.Handle("GET "+adminapi.PathBurn, d.kit(d.burnEndpoint, decodeNothing))
 	return mux
@@ -178,8 +181,16 @@
 func decodeOwner(_ context.Context, r *http.Request) (any, error) {
 	q := r.URL.Query()
 	request := adminapi.OwnerRequest{Service: q.Get("service"), Key: q.Get("key")}
-	if request.Service == "" || request.Key == "" {
-		return nil, &badRequestError{errors.New("service and key are required")}
+	if text := q.Get("shard"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			return nil, &badRequestError{fmt.Errorf("shard: %w", err)}
+		}
+		shard := uint32(n)
+		request.Shard = &shard
+	}
+	if request.Service == "" || (request.Key == "" && request.Shard == nil) {
+		return nil, &badRequestError{errors.New("service, and key or shard, are required")}
 	}
 	return request, nil
 }
@@ -194,8 +205,13 @@
 	if svc == nil {
 		return nil, manifest.ErrUnknownService
 	}
-	p := svc.Place(table.KeyHash(q.Key))
-	return adminapi.OwnerOf(t, svc, p), nil
+	if q.Shard == nil {
+		return adminapi.OwnerOf(t, svc, svc.Place(table.KeyHash(q.Key))), nil
+	}
+	if int(*q.Shard) >= len(svc.Owners) {
+		return nil, &badRequestError{fmt.Errorf("shard %d of %d; they count from 0", *q.Shard, len(svc.Owners))}
+	}
+	return adminapi.OwnerOf(t, svc, svc.PlaceShard(*q.Shard)), nil
 }
 
 func (d *Daemon) serviceLevelsEndpoint(context.Context, any) (any, error) {
@@ -241,6 +257,10 @@
 		return http.StatusBadRequest
 	case errors.As(err, &found), errors.Is(err, manifest.ErrOperation):
 		return http.StatusUnprocessableEntity
+	case errors.Is(err, coordinator.ErrMoveInvalid):
+		return http.StatusUnprocessableEntity
+	case errors.Is(err, errMoveUnavailable), errors.Is(err, coordinator.ErrTooManyMoves):
+		return http.StatusServiceUnavailable
 	case errors.Is(err, manifest.ErrConflict):
 		return http.StatusConflict
 	case errors.Is(err, manifest.ErrUnknownService), errors.Is(err, errNoTable), errors.Is(err, errNoConfig):
--- a/internal/daemon/peerhandler.go
+++ b/internal/daemon/peerhandler.go
@@ -62,6 +62,9 @@
 	mux.HandleFunc("POST "+peer.PathDocument, func(w http.ResponseWriter, r *http.Request) {
 		serveMessage(w, r, func(m peer.Documents) any { return d.exchangeDocuments(m) })
 	})
+	mux.HandleFunc("POST "+peer.PathMove, func(w http.ResponseWriter, r *http.Request) {
+		serveMessage(w, r, func(m peer.MoveRequest) any { return d.takeMove(m) })
+	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// The mux would redirect forwarded paths that it finds unclean.
 		if strings.HasPrefix(r.URL.Path, peer.PathForward+"/") {
--- a/internal/protocol/adminapi/adminapi.go
+++ b/internal/protocol/adminapi/adminapi.go
@@ -19,6 +19,7 @@
 	PathConfig        = "/v1/config"
 	PathOwner         = "/v1/owner"
 	PathServiceLevels = "/v1/service-levels"
+	PathMoves         = "/v1/moves"
 	// PathBurn returns a burn.Snapshot.
 	PathBurn = "/v1/burn"
 )
@@ -81,9 +82,18 @@
 	Manifest  json.RawMessage `json:"manifest"`
 }
 
-// OwnerRequest asks for the owner of a key.
+// OwnerRequest asks for the owner of a key, or of a shard if Shard is set.
 type OwnerRequest struct {
 	Service, Key string
+	Shard        *uint32
+}
+
+// Move asks the coordinator to move a shard to a target. The answer is the
+// shard's present Owner; the move follows. It may be repeated.
+type Move struct {
+	Service string `json:"service"`
+	Shard   uint32 `json:"shard"`
+	Target  string `json:"target"`
 }
 
 // Owner tells where a key belongs and why.
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -18,6 +18,7 @@
 	PathReport    = "/peer/report"
 	PathDocument  = "/peer/document"
 	PathForward   = "/peer/forward"
+	PathMove      = "/peer/move"
 )
 
 // MaxMessage is the largest control message in bytes. It holds a table of
@@ -142,6 +143,33 @@
 	Revisions   Revisions `cbor:"3,keyasint"`
 }
 
+// MoveRequest asks the coordinator to move a shard to a target. It may be
+// repeated.
+type MoveRequest struct {
+	Service string `cbor:"1,keyasint"`
+	Shard   uint32 `cbor:"2,keyasint"`
+	Target  string `cbor:"3,keyasint"`
+}
+
+// MoveVerdict is the coordinator's answer to a request for a move.
+type MoveVerdict uint8
+
+// Verdicts on a move.
+const (
+	// MoveUnavailable means that the receiver cannot decide now: it is not the
+	// coordinator or has no table yet.
+	MoveUnavailable MoveVerdict = iota
+	MoveAccepted
+	MoveInvalid
+	MoveTooMany
+)
+
+// MoveReply answers a MoveRequest.
+type MoveReply struct {
+	Verdict MoveVerdict `cbor:"1,keyasint"`
+	Problem string      `cbor:"2,keyasint,omitempty"`
+}
+
 // Documents carries encoded documents: in a reply, those whose revision is
 // higher than asked for; as a request, those that the sender announces.
 type Documents struct {
--- a/internal/state/table/table.go
+++ b/internal/state/table/table.go
@@ -190,7 +190,11 @@
 			return Placement{Unit: Unit{Hash: hash, Hot: true}, Owner: o.Owner, Epoch: o.Epoch, To: o.To}
 		}
 	}
-	shard := uint32(hash % uint64(len(s.Owners)))
+	return s.PlaceShard(uint32(hash % uint64(len(s.Owners))))
+}
+
+// PlaceShard returns the placement of a shard, which must exist.
+func (s *Service) PlaceShard(shard uint32) Placement {
 	return Placement{Unit: Unit{Shard: shard}, Owner: s.Owners[shard], Epoch: s.Epochs[shard], To: s.moveTo(shard)}
 }
 
