Test jackdawctl; give each daemon a metrics registry of its own

The tests found that a second daemon in one process panics: the metrics went to the registry of the whole process, which refuses equal names. Each daemon now has its own registry, with the Go and process metrics that the shared one had.

--- /dev/null
+++ b/internal/ctl/embedded_test.go
@@ -0,0 +1,171 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/daemon"
+	"github.com/jackdawloom/jackdawloom/internal/embedded"
+	"github.com/jackdawloom/jackdawloom/internal/loadgen"
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+	"github.com/jackdawloom/jackdawloom/internal/state/table"
+)
+
+// freeAddresses returns loopback addresses that were free a moment ago.
+func freeAddresses(t *testing.T, n int) []netip.AddrPort {
+	t.Helper()
+	var out []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		out = append(out, netip.MustParseAddrPort(l.Addr().String()))
+	}
+	return out
+}
+
+// startEmbedded runs a daemon with two targets and returns its manifest and its
+// addresses for callers and operators, once it serves.
+func startEmbedded(t *testing.T) (m manifest.Manifest, callers, admin string) {
+	t.Helper()
+	a := freeAddresses(t, 5)
+	m = testManifest(a[3].String(), a[4].String())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		log := slog.New(slog.NewTextHandler(io.Discard, nil))
+		ended <- embedded.Run(ctx, &m, embedded.Settings(a[0], a[1], a[2]), log, func(*daemon.Daemon) {})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Errorf("daemon: %v", err)
+		}
+	})
+	callers, admin = a[0].String(), a[2].String()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		resp, err := http.Get("http://" + callers + "/display/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return m, callers, admin
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatal("no table within 10 s")
+		}
+	}
+}
+
+// keyOfShard returns a key that falls into the shard.
+func keyOfShard(shard, shards uint64) string {
+	for i := 0; ; i++ {
+		if key := fmt.Sprint("k", i); table.KeyHash(key)%shards == shard {
+			return key
+		}
+	}
+}
+
+func decode[T any](t *testing.T, o outcome) T {
+	t.Helper()
+	o.want(t, ExitOK)
+	var v T
+	if err := json.Unmarshal([]byte(o.out), &v); err != nil {
+		t.Fatalf("%v in %s", err, o.out)
+	}
+	return v
+}
+
+// The commands and the daemon's interface must fit together; a fake would hide
+// a difference between them.
+func TestCommandsAgainstDaemon(t *testing.T) {
+	m, callers, admin := startEmbedded(t)
+	ctl := func(args ...string) outcome {
+		return command(append([]string{"--admin", "127.0.0.1:1," + admin}, args...)...)
+	}
+
+	members := decode[[]memberState](t, ctl("instances", "--json"))
+	if len(members) != 1 || !members[0].coordinator() || members[0].authority() == 0 {
+		t.Fatalf("instances: %+v", members)
+	}
+	rows := decode[[]targetRow](t, ctl("targets", "--json"))
+	if len(rows) != 2 || rows[0].Shards+rows[1].Shards != 32 || rows[0].Load == nil {
+		t.Fatalf("targets: %+v", rows)
+	}
+
+	result := decode[drained](t, command("--admin", admin, "drain", "display", "display-a", "--json"))
+	if result.Revision != 2 || result.Shards != 0 {
+		t.Fatalf("drain: %+v", result)
+	}
+	command("--admin", admin, "drain", "display", "display-b").want(t, ExitFindings, "drain")
+	command("--admin", admin, "undrain", "display", "display-a").want(t, ExitOK, "revision 3 is in force")
+
+	ctl("move", "display", "s5", "display-a").want(t, ExitOK, "owned by display-a")
+	owner := decode[ownership](t, ctl("owner", "display", keyOfShard(5, 32), "--json"))
+	if owner.Target != "display-a" || owner.Unit != "s5" {
+		t.Fatalf("owner after the move: %+v", owner)
+	}
+	ctl("move", "display", "32", "display-a").want(t, ExitFailed, "shard 32 of 32")
+
+	dir := t.TempDir()
+	plot, page := filepath.Join(dir, "plot.svg"), filepath.Join(dir, "burn.html")
+	run := decode[loadgen.Result](t, command("load", manifestFile(t, m), "--callers", callers, "--rate", "200",
+		"--duration", "500ms", "--plot", plot, "--json"))
+	if c := run.Classes[0]; c.Arrivals == 0 || c.Answered != c.Arrivals || c.Latency.P50Ms <= 0 {
+		t.Fatalf("load: %+v", run.Classes)
+	}
+	ctl("burn", "--html", page).want(t, ExitOK, "Daemons: 1")
+	for _, file := range []string{plot, page} {
+		if info, err := os.Stat(file); err != nil || info.Size() == 0 {
+			t.Errorf("%s: %v", file, err)
+		}
+	}
+}
+
+// Of operators who race, one must win, and each other must learn that it lost
+// and against which revision.
+func TestRacingOperators(t *testing.T) {
+	const operators = 8
+	m, _, admin := startEmbedded(t)
+	files := make([]string, operators)
+	for i := range files {
+		changed := m
+		changed.Name = fmt.Sprintf("operator-%d", i)
+		files[i] = manifestFile(t, changed)
+	}
+	outcomes := make([]outcome, operators)
+	var all sync.WaitGroup
+	for i := range outcomes {
+		all.Go(func() { outcomes[i] = command("--admin", admin, "apply", files[i], "--based-on", "1") })
+	}
+	all.Wait()
+	winner := -1
+	for i, o := range outcomes {
+		if o.code == ExitOK && winner < 0 {
+			winner = i
+			continue
+		}
+		o.want(t, ExitConflict, "revision 2 is current", "--based-on 2")
+	}
+	if winner < 0 {
+		t.Fatal("nobody won")
+	}
+	command("--admin", admin, "config", "show").want(t, ExitOK, fmt.Sprintf("operator-%d", winner))
+	if got := command("--admin", admin, "config", "show", "--revision-only"); strings.TrimSpace(got.out) != "2" {
+		t.Errorf("revision after the race: %q", got.out)
+	}
+}
--- /dev/null
+++ b/internal/ctl/fake_test.go
@@ -0,0 +1,155 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/jackdawloom/jackdawloom/internal/protocol/adminapi"
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+)
+
+// outcome is what a command line printed and returned.
+type outcome struct {
+	code        int
+	out, errOut string
+}
+
+func command(args ...string) outcome {
+	var out, errOut bytes.Buffer
+	code := Run(context.Background(), append([]string{"jackdawctl"}, args...), &out, &errOut)
+	return outcome{code: code, out: out.String(), errOut: errOut.String()}
+}
+
+// want checks the exit code and that the output mentions the texts.
+func (o outcome) want(t *testing.T, code int, texts ...string) {
+	t.Helper()
+	if o.code != code {
+		t.Errorf("exit code %d, expected %d", o.code, code)
+	}
+	for _, text := range texts {
+		if !strings.Contains(o.out+o.errOut, text) {
+			t.Errorf("output does not mention %q", text)
+		}
+	}
+	if code != ExitOK && !strings.Contains(o.errOut, "what to do: ") {
+		t.Error("the failure does not say what to do")
+	}
+	if t.Failed() {
+		t.Fatalf("output:\n%s\nerrors:\n%s", o.out, o.errOut)
+	}
+}
+
+func testManifest(targets ...string) manifest.Manifest {
+	s := manifest.Service{
+		Name: "display", PathPrefix: "/display", Shards: 32, Key: manifest.KeySource{From: manifest.KeyFromPath},
+		Classes: []manifest.Class{{
+			Name: "read", Repeat: manifest.RepeatIdempotent, DeadlineMs: 1000,
+			Objective: manifest.Objective{LatencyMs: 100, Ratio: 0.99},
+		}},
+	}
+	for i, address := range targets {
+		s.Targets = append(s.Targets, manifest.Target{
+			Name: "display-" + string(rune('a'+i)), Address: address, Domain: "x", Slots: 3, Connections: 8, ChecksGrants: true,
+		})
+	}
+	return manifest.Manifest{Schema: manifest.Schema, Name: "test", Services: []manifest.Service{s}}
+}
+
+func manifestFile(t *testing.T, m manifest.Manifest) string {
+	t.Helper()
+	b, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	name := filepath.Join(t.TempDir(), "manifest.json")
+	if err := os.WriteFile(name, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return name
+}
+
+// fakeDaemon is an administrative interface whose writes go wrong in a chosen
+// way.
+type fakeDaemon struct {
+	*httptest.Server
+	mu      sync.Mutex
+	config  manifest.Accepted
+	writes  int
+	reads   int
+	inForce uint64 // 0 follows the configuration
+	onWrite func(w http.ResponseWriter, a adminapi.Apply)
+	onRead  func()
+}
+
+func newFakeDaemon(t *testing.T) *fakeDaemon {
+	f := &fakeDaemon{config: manifest.Accepted{Revision: 7, Operation: "earlier", Manifest: testManifest("127.0.0.1:9001")}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+adminapi.PathConfig, f.locked(f.read))
+	mux.HandleFunc("PUT "+adminapi.PathConfig, f.locked(f.write))
+	mux.HandleFunc("GET "+adminapi.PathTable, f.locked(f.table))
+	mux.HandleFunc("GET "+adminapi.PathState, f.locked(f.state))
+	f.Server = httptest.NewServer(mux)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func (f *fakeDaemon) admin() string { return f.Listener.Addr().String() }
+
+func (f *fakeDaemon) locked(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		next(w, r)
+	}
+}
+
+func (f *fakeDaemon) read(w http.ResponseWriter, _ *http.Request) {
+	f.reads++
+	if f.onRead != nil {
+		f.onRead()
+	}
+	_ = json.NewEncoder(w).Encode(f.config)
+}
+
+func (f *fakeDaemon) write(w http.ResponseWriter, r *http.Request) {
+	var a adminapi.Apply
+	_ = json.NewDecoder(r.Body).Decode(&a)
+	f.writes++
+	f.onWrite(w, a)
+}
+
+// store makes the change the next revision.
+func (f *fakeDaemon) store(a adminapi.Apply) {
+	f.config.Revision++
+	f.config.Operation = a.Operation
+	_ = json.Unmarshal(a.Manifest, &f.config.Manifest)
+}
+
+func (f *fakeDaemon) table(w http.ResponseWriter, _ *http.Request) {
+	member := adminapi.Member{ID: "run/1", Daemon: "loom-1", Admin: f.admin()}
+	_ = json.NewEncoder(w).Encode(adminapi.Table{Revision: 1, Members: []adminapi.Member{member}})
+}
+
+func (f *fakeDaemon) state(w http.ResponseWriter, _ *http.Request) {
+	s := adminapi.State{Run: "run", InForce: adminapi.Revisions{Config: f.config.Revision}}
+	if f.inForce != 0 {
+		s.InForce.Config = f.inForce
+	}
+	_ = json.NewEncoder(w).Encode(s)
+}
+
+// cutOff breaks the connection without an answer.
+func cutOff(http.ResponseWriter) { panic(http.ErrAbortHandler) }
+
+func gatewayTimeout(w http.ResponseWriter) {
+	w.WriteHeader(http.StatusGatewayTimeout)
+	_ = json.NewEncoder(w).Encode(adminapi.Error{Message: "store write result unknown"})
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -40,7 +42,7 @@
 }
 
 func newMetrics() *metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: newRegistry()})
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "jackdawloom", Separator: prometheus.DefaultSeparator, CachedReporter: reporter,
 	}, metricsInterval)
@@ -63,6 +65,14 @@
 	}
 }
 
+// newRegistry returns a registry with the metrics of the process. The registry
+// of the whole process would refuse those of a second daemon in it.
+func newRegistry() *client.Registry {
+	r := client.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
 // handler serves the metrics in the Prometheus text format.
 func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
 
