Move hot keys: measured at the fronts, decided by the coordinator

Cause: the detector and planner of hot keys were not wired; a hot key stayed with its shard's target. Ruled out: balancing shards by load; a hot key outweighs its shard, and count and load would pull shards in opposite directions. Before: no override was ever written. After: a key gets an override at its owner first and moves once requests counted as its shard's have ended; fronts regroup running requests when overrides come and go. Conclusion: splitting and moving are separate tables, so the key is served while its shard's older requests end.

--- a/internal/coordination/coordinator/coordinator.go
+++ b/internal/coordination/coordinator/coordinator.go
@@ -55,6 +55,7 @@
 	marks    map[mark]uint64
 	lastPlan map[string]time.Time
 	requests []moveRequest // at most MaxRequests
+	hot      map[string]*hotState
 }
 
 // markKind is the kind of a pending change.
@@ -85,6 +86,7 @@
 		leaving:  make(map[string]bool),
 		marks:    make(map[mark]uint64),
 		lastPlan: make(map[string]time.Time),
+		hot:      make(map[string]*hotState),
 	}
 }
 
--- a/internal/coordination/coordinator/shards.go
+++ b/internal/coordination/coordinator/shards.go
@@ -185,6 +185,7 @@
 func (b *build) placeShards() {
 	for i := range b.next.Services {
 		b.placeService(&b.next.Services[i])
+		b.placeHot(&b.next.Services[i])
 	}
 }
 
--- a/internal/coordination/front/dispatch.go
+++ b/internal/coordination/front/dispatch.go
@@ -81,6 +81,37 @@
 	}
 }
 
+// merge counts the requests of one unit as another's.
+func (r *runs) merge(from, to table.Unit) {
+	for t, open := range r.open {
+		if open.unit == from {
+			open.unit = to
+			r.open[t] = open
+		}
+	}
+	r.count[to] += r.count[from]
+	if r.count[to] == 0 {
+		delete(r.count, to)
+	}
+	delete(r.count, from)
+	r.extend(to, r.quiet[from])
+	delete(r.quiet, from)
+}
+
+// inherit makes a new unit wait for the requests that may run as its parent's.
+func (r *runs) inherit(u, parent table.Unit, longest time.Duration, now time.Time) {
+	r.extend(u, r.quiet[parent])
+	if r.count[parent] > 0 {
+		r.extend(u, now.Add(longest))
+	}
+}
+
+func (r *runs) extend(u table.Unit, until time.Time) {
+	if until.After(r.quiet[u]) {
+		r.quiet[u] = until
+	}
+}
+
 // CanDispatch reports why a request of the unit must not be sent now, or nil.
 // AuthorityUntil is the present end of the daemon's serving lease. The caller
 // sends at once; use Begin if another call may come between.
--- a/internal/coordination/front/front.go
+++ b/internal/coordination/front/front.go
@@ -68,6 +68,9 @@
 	ChecksGrants bool
 	// LongestDeadline is the longest deadline of the service's classes.
 	LongestDeadline time.Duration
+	// Shards is the number of shards of the service, which tells the shard of a
+	// hot key. Zero stands for unknown: then hot keys must not come and go.
+	Shards int
 }
 
 // Assignment is what a table says of the target, as seen by this daemon.
@@ -176,6 +179,7 @@
 		m.become(a, now)
 	}
 	m.release.set(a.Release || m.released, now)
+	m.regroup(a.Units, now)
 	m.setUnits(a.Units)
 	m.setLeaving(a.Leaving, now)
 	m.setLost(a.Lost, now)
@@ -225,6 +229,29 @@
 	}
 }
 
+// regroup keeps the count of running requests right when hot keys get or lose a
+// unit of their own: the requests of a lost one run as its shard's, and among
+// those of the shard may be some of a new one's.
+func (m *Machine) regroup(units map[table.Unit]uint32, now time.Time) {
+	if m.cfg.Shards == 0 {
+		return
+	}
+	for u := range m.units {
+		if _, kept := units[u]; u.Hot && !kept {
+			m.runs.merge(u, m.shardOf(u))
+		}
+	}
+	for u := range units {
+		if u.Hot && m.units[u] == nil {
+			m.runs.inherit(u, m.shardOf(u), m.longest(), now)
+		}
+	}
+}
+
+func (m *Machine) shardOf(u table.Unit) table.Unit {
+	return table.Unit{Shard: uint32(u.Hash % uint64(m.cfg.Shards))}
+}
+
 func (m *Machine) setLeaving(units []table.Unit, now time.Time) {
 	leaving := make(map[table.Unit]*unit, len(units))
 	for _, u := range units {
--- a/internal/coordination/front/front_test.go
+++ b/internal/coordination/front/front_test.go
@@ -77,7 +77,7 @@
 	w := &world{t: t, marked: map[table.Unit]int{}, offered: map[unitEpoch]bool{}, given: map[unitEpoch]bool{}, away: map[table.Unit]uint32{}}
 	w.cfg = Config{
 		Service: "s", Target: "t", ChecksGrants: rapid.Bool().Draw(t, "checks"),
-		LongestDeadline: rapid.SampledFrom([]time.Duration{300, 1500}).Draw(t, "deadline") * time.Millisecond,
+		LongestDeadline: time.Duration(rapid.SampledFrom([]int{300, 1500}).Draw(t, "deadline")) * time.Millisecond,
 	}
 	w.target = &target{w: w, clock: proptest.DrawClock(t, "target")}
 	w.doc = document{rev: 1, units: map[table.Unit]uint32{{Shard: 1}: 1, {Shard: 2}: 1, {Hot: true, Hash: 3}: 1}}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -220,6 +220,7 @@
 		class:       j.match.Class.Name,
 		neverRepeat: j.match.Class.NeverRepeat(),
 		unit:        unit,
+		hash:        j.hash,
 		caller:      j.caller,
 		requestID:   j.id,
 		deadline:    j.deadline,
--- a/internal/daemon/peerhandler.go
+++ b/internal/daemon/peerhandler.go
@@ -113,7 +113,7 @@
 		(&refusal{status: http.StatusServiceUnavailable, outcome: notRun, reason: reasonNotFront}).write(w)
 		return
 	}
-	c.unit = unit
+	c.unit, c.hash = unit, hash
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	info := &informational{w: w}
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -24,6 +24,7 @@
 	class       string
 	neverRepeat bool
 	unit        table.Unit
+	hash        uint64
 	caller      string
 	requestID   string
 	deadline    time.Time
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -100,22 +100,18 @@
 	ReleasedHot []uint64 `cbor:"6,keyasint,omitempty"`
 	// ReleasedFront says that the front has stopped fronting the target.
 	ReleasedFront bool `cbor:"7,keyasint,omitempty"`
-	// Load is the number of requests dispatched per shard since the last
-	// report, for the busiest shards only.
-	Load []ShardLoad `cbor:"8,keyasint,omitempty"`
+	// BusyMilli is the mean number of slots in use lately, in thousandths.
+	BusyMilli uint32 `cbor:"8,keyasint,omitempty"`
+	// HotKeys are the keys with the highest load, the hottest first.
+	HotKeys []HotKeyLoad `cbor:"9,keyasint,omitempty"`
 }
 
-// ShardLoad is the number of requests of one shard.
-type ShardLoad struct {
-	Shard    uint32 `cbor:"1,keyasint"`
-	Requests uint32 `cbor:"2,keyasint"`
-}
-
-// HotKeyLoad is the estimated request rate of one key.
+// HotKeyLoad is the estimated load of one key in thousandths of a slot.
 type HotKeyLoad struct {
-	Service  string `cbor:"1,keyasint"`
-	Hash     uint64 `cbor:"2,keyasint"`
-	Requests uint32 `cbor:"3,keyasint"`
+	Hash  uint64 `cbor:"1,keyasint"`
+	Milli uint32 `cbor:"2,keyasint"`
+	// NeverMilli is the part of Milli by never-repeat requests.
+	NeverMilli uint32 `cbor:"3,keyasint,omitempty"`
 }
 
 // Report is a daemon's periodic message to the coordinator. A daemon that is
@@ -131,9 +127,8 @@
 	// Leaving says that the daemon is shutting down and wants to be drained.
 	Leaving bool           `cbor:"8,keyasint,omitempty"`
 	Targets []TargetReport `cbor:"9,keyasint,omitempty"`
-	HotKeys []HotKeyLoad   `cbor:"10,keyasint,omitempty"`
 	// Fenced lists members that a majority of their voters agreed to fence.
-	Fenced []table.MemberID `cbor:"11,keyasint,omitempty"`
+	Fenced []table.MemberID `cbor:"10,keyasint,omitempty"`
 }
 
 // ReportReply answers a report.
--- a/internal/state/table/table.go
+++ b/internal/state/table/table.go
@@ -216,6 +216,11 @@
 	return Placement{Unit: Unit{Shard: shard}, Owner: s.Owners[shard], Epoch: s.Epochs[shard], To: s.moveTo(shard)}
 }
 
+// Moving reports whether the shard is moving.
+func (s *Service) Moving(shard uint32) bool {
+	return slices.ContainsFunc(s.Moves, func(m Move) bool { return m.Shard == shard })
+}
+
 func (s *Service) moveTo(shard uint32) uint16 {
 	for _, m := range s.Moves {
 		if m.Shard == shard {
