--- a/internal/coordination/front/report.go
+++ b/internal/coordination/front/report.go
@@ -13,9 +13,10 @@
 // their present epochs, or the front under its present epoch.
 //
 // The coordinator must act on a release or an end only if the report was made
-// under its present table, and only once the target's standby has confirmed a
-// table that marks the units as moving or the target as lost: a standby that
-// succeeds by an older table would use them again.
+// under its present table and front epoch, and only once the target's standby
+// has confirmed, without having succeeded, a table that marks the units as
+// moving or the target as lost: a standby that succeeds by an older table would
+// use them again.
 func (m *Machine) Report(now time.Time) peer.TargetReport {
 	r := peer.TargetReport{Service: m.cfg.Service, Target: m.cfg.Target, Epoch: m.epoch}
 	if !m.front || m.superseded {
