State the contract of Watch; test batches and stalled watches

Cause: it was left open what a watch with revision 0 sees, and what happens with a revision that has been compacted. Ruled out: an error for compaction; the caller reads again either way, and after opening with 0 it cannot get into a loop of compacted revisions. Before: both were implementation details. After: topo.Store states them, and tests show that a batch does not cut a transaction in two and that a new watch does not use a stalled connection. The store command prints its control address. Conclusion: callers open a watch first and read afterwards.

--- a/cmd/jackdawstandin/store.go
+++ b/cmd/jackdawstandin/store.go
@@ -34,6 +34,9 @@
 	}
 	defer listener.Close()
 	fmt.Println("store listening on", listener.Addr())
+	if control != "" {
+		fmt.Println("controls listening on", listener.ControlAddr())
+	}
 	<-ctx.Done()
 	return nil
 }
--- a/internal/topo/etcdgw/send_test.go
+++ b/internal/topo/etcdgw/send_test.go
@@ -185,21 +185,21 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
 	defer cancel()
 	put := topo.Txn{Puts: []topo.Put{{Key: "k"}}}
-	if _, err := client.Commit(ctx, put); err != nil {
-		t.Fatal(err)
-	}
 	const idle = 2
 	openIdle(t, srv, client, idle)
 	before, err := client.Watch(ctx, "k", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
+	if _, err := client.Commit(ctx, topo.Txn{Puts: []topo.Put{{Key: "other"}}}); err != nil {
+		t.Fatal(err)
+	}
 	if err := srv.SetFaults(memstore.Faults{StallOpen: true}); err != nil {
 		t.Fatal(err)
 	}
 	after, err := client.Watch(ctx, "k", 0)
 	if err != nil {
-		t.Errorf("watch: %v", err)
+		t.Fatalf("watch: %v", err)
 	}
 	if _, err := client.Commit(ctx, put); err != nil {
 		t.Errorf("write: %v", err)
--- a/internal/topo/memstore/state_test.go
+++ b/internal/topo/memstore/state_test.go
@@ -358,3 +358,33 @@
 		m.t.Fatalf("event %+v at %d, want %+v", e, rev, want)
 	}
 }
+
+// Guards against a batch of events that cuts a transaction in two, which a
+// reader would take for two states of the store, and against unbounded batches.
+func TestEventBatches(t *testing.T) {
+	const txns, ops = 8, 100 // the bound of a batch is no multiple of ops
+	s := memstore.NewState(time.Unix(0, 0), memstore.HistoryLimits{})
+	for range txns {
+		var txn memstore.Txn
+		for i := range ops {
+			put := memstore.Put{Key: fmt.Sprint(i), Value: []byte("x")}
+			txn.Success = append(txn.Success, memstore.Op{Put: &put})
+		}
+		if _, err := s.Commit(txn); err != nil {
+			t.Fatal(err)
+		}
+	}
+	batches, total := 0, 0
+	for next := int64(1); next <= s.Rev() && batches < txns; batches++ {
+		var events []memstore.Event
+		var err error
+		events, next, err = s.EventsFrom(keyrange.Prefix(""), next)
+		if err != nil || len(events)%ops != 0 || len(events) == 0 {
+			t.Fatalf("batch of %d events, %v", len(events), err)
+		}
+		total += len(events)
+	}
+	if batches < 2 || total != txns*ops {
+		t.Fatalf("%d events in %d batches", total, batches)
+	}
+}
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -102,8 +102,12 @@
 	KeepAlive(ctx context.Context, id LeaseID) error
 	// RevokeLease ends the lease and deletes its keys.
 	RevokeLease(ctx context.Context, id LeaseID) error
-	// Watch sends changes of keys with the prefix until ctx ends or the
-	// connection fails; then the channel is closed.
+	// Watch sends changes of keys with the prefix until ctx ends, the connection
+	// fails or the store cancels the watch; then the channel is closed. The
+	// first change sent is one at fromRev or later, or one made after Watch
+	// returned if fromRev is 0. A fromRev that the store no longer has closes
+	// the channel at once, so a caller that wants no gap opens the watch with
+	// 0 and reads afterwards. A store that has fallen silent is not noticed.
 	Watch(ctx context.Context, prefix string, fromRev int64) (<-chan Event, error)
 }
 
