Close gaps in the admission and hot key tests

Cause: a trial on a scratch copy that changed one line at a time showed five faults that no test noticed: shedding of more harmful requests, a class that is never probed again, a key that moves without a rest, one that moves away from a target with spare capacity, and one that returns while it is warm. Conclusion: no fault was found in the code itself.

--- a/internal/coordination/admission/schedule_test.go
+++ b/internal/coordination/admission/schedule_test.go
@@ -120,19 +120,27 @@
 	if d := offer(t, c, 13, 0, "heavy", now); d.Reason != ReasonFairShare {
 		t.Errorf("request above the fair share: %+v", d)
 	}
+	c, now = learned(t, 1)
+	for id := uint64(100); c.queued < c.bound; id++ {
+		offer(t, c, id, 2, "heavy", now)
+	}
+	if d := offer(t, c, 10, 0, "a", now); d.Reason != ReasonQueueFull || len(d.Removed) != 0 {
+		t.Errorf("idempotent request at a queue full of never-repeat ones: %+v", d)
+	}
 }
 
 // Guards against requests that wait although they cannot be answered in time,
 // and against a class that is refused forever on an outdated estimate.
 func TestHopelessRequestsAreRefusedEarly(t *testing.T) {
 	c, now := learned(t, 1)
+	const offers = 64
 	refused := 0
-	for id := uint64(10); id < 10+probeEvery; id++ {
-		if c.Offer(Request{ID: id, Class: 1, Deadline: now.Add(100 * time.Millisecond)}, now).Reason == ReasonDeadline {
+	for id := range uint64(offers) {
+		if c.Offer(Request{ID: 10 + id, Class: 1, Deadline: now.Add(100 * time.Millisecond)}, now).Reason == ReasonDeadline {
 			refused++
 		}
 	}
-	if refused != probeEvery-1 {
-		t.Errorf("%d of %d hopeless requests refused, expected all but one", refused, probeEvery)
+	if refused < offers*3/4 || refused == offers {
+		t.Errorf("%d of %d hopeless requests refused, expected most but not all", refused, offers)
 	}
 }
--- a/internal/coordination/hotkey/hotkey_test.go
+++ b/internal/coordination/hotkey/hotkey_test.go
@@ -177,7 +177,8 @@
 	})
 }
 
-// Guards against overrides that outlive their cause and fill the table.
+// Guards against overrides that end while their key is still warm, and against
+// ones that outlive their cause and fill the table.
 func TestOverridesReturn(t *testing.T) {
 	proptest.Check(t, 23, 20, func(t *rapid.T) {
 		c := newCluster(rapid.Uint64().Draw(t, "seed"), 5, 100, 0, 5)
@@ -191,6 +192,16 @@
 		if len(c.overrides) == 0 {
 			t.Fatal("no key was moved away from an overloaded target")
 		}
+		moved := c.total()
+		for i := range hot {
+			c.loads[i*c.targets] = c.capacity * (DefaultEnterShare + DefaultLeaveShare) / 2
+		}
+		for range 60 {
+			c.interval(t)
+		}
+		if c.total() != moved {
+			t.Fatalf("%d moves of keys between the thresholds", c.total()-moved)
+		}
 		for i := range c.loads {
 			c.loads[i] = 0
 		}
@@ -233,12 +244,13 @@
 // moving, and past the bound of the table.
 func TestPlannerRefusals(t *testing.T) {
 	hot := []Key{{KeyLoad: KeyLoad{Hash: 9, Load: 2}, Home: 0}}
+	warm := []Key{{KeyLoad: KeyLoad{Hash: 9, Load: 1}, Home: 0}}
 	idle := Target{Load: 0, Capacity: 3, Usable: true}
 	full := Target{Load: 3, Capacity: 3, Usable: true}
 	for name, in := range map[string]Input{
 		"unusable":   {Targets: []Target{full, {Capacity: 3}}, Keys: hot},
 		"no gain":    {Targets: []Target{full, full}, Keys: hot},
-		"no need":    {Targets: []Target{{Load: 2, Capacity: 3, Usable: true}, idle}, Keys: hot},
+		"no need":    {Targets: []Target{{Load: 2, Capacity: 3, Usable: true}, idle}, Keys: warm},
 		"moving":     {Targets: []Target{full, idle}, Keys: hot, Overrides: []Override{{Hash: 9, Moving: true}}},
 		"many":       {Targets: []Target{full, idle}, Keys: hot, Overrides: make([]Override, DefaultMaxOverrides)},
 		"bad owner":  {Targets: []Target{full, idle}, Keys: []Key{{KeyLoad: KeyLoad{Hash: 9, Load: 2}, Home: 7}}},
@@ -252,3 +264,30 @@
 		}
 	}
 }
+
+// Guards against a key that follows every change of the targets' load: its
+// requests are held during each move.
+func TestKeyRestsBetweenMoves(t *testing.T) {
+	p := NewPlanner(Config{})
+	idle, full := Target{Capacity: 3, Usable: true}, Target{Load: 3, Capacity: 3, Usable: true}
+	owner, moves := uint16(0), []int{}
+	for second := range 3 * int(DefaultMinGap/time.Second) {
+		in := Input{Targets: []Target{idle, idle}, Keys: []Key{{KeyLoad: KeyLoad{Hash: 9, Load: 1}, Home: 0}}}
+		in.Targets[owner] = full
+		if owner != 0 {
+			in.Overrides = []Override{{Hash: 9, Owner: owner, Home: 0}}
+		}
+		for _, m := range p.Plan(in, epoch.Add(time.Duration(second)*time.Second)) {
+			owner = m.To
+			moves = append(moves, second)
+		}
+	}
+	if len(moves) < 2 {
+		t.Fatalf("moves at %v s, expected several", moves)
+	}
+	for i := 1; i < len(moves); i++ {
+		if gap := moves[i] - moves[i-1]; gap < int(DefaultMinGap/time.Second) {
+			t.Errorf("moves at %v s", moves)
+		}
+	}
+}
