Allow a controller to be reconfigured

Cause: an accepted configuration must take effect everywhere within seconds; only the slots could be changed, so a change of classes needed a new controller, which knows neither the running requests nor the learned costs. Before: SetSlots only, duplicate class names and classes without a deadline were accepted.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -37,7 +37,8 @@
 	NeverRepeat bool
 	// Deadline bounds a request that carries no deadline of its own.
 	Deadline time.Duration
-	// Objective is the latency within which a response counts as good.
+	// Objective is the latency within which a response counts as good; zero means
+	// the deadline.
 	Objective time.Duration
 	// Harm orders the classes for shedding: the lowest is shed first.
 	Harm int
@@ -85,9 +86,27 @@
 	if len(c.Classes) == 0 || len(c.Classes) > MaxClasses {
 		return ErrConfig.New("between 1 and %d classes are needed, not %d", MaxClasses, len(c.Classes))
 	}
+	names := make(map[string]bool, len(c.Classes))
+	for _, class := range c.Classes {
+		if names[class.Name] {
+			return ErrConfig.New("class %q is given twice", class.Name)
+		}
+		names[class.Name] = true
+		if class.Deadline <= 0 || class.Objective < 0 {
+			return ErrConfig.New("class %q needs a positive deadline and no negative objective", class.Name)
+		}
+	}
 	return nil
 }
 
+// state returns the initial state of the class.
+func (c Class) state() classState {
+	if c.Objective == 0 {
+		c.Objective = c.Deadline
+	}
+	return classState{Class: c, classQueue: newClassQueue()}
+}
+
 func (c Config) queueBound() int {
 	if c.QueuePerSlot == 0 {
 		return c.Slots * DefaultQueuePerSlot
@@ -133,7 +152,8 @@
 	ReasonShed Reason = "shed"
 	// ReasonInvalid: the id is in use or the class does not exist.
 	ReasonInvalid Reason = "invalid"
-	// ReasonDraining is for Abort when the front leaves its target.
+	// ReasonDraining is for Abort when the front leaves its target, and for
+	// requests whose class no longer exists.
 	ReasonDraining Reason = "draining"
 )
 
--- a/internal/coordination/admission/admission_test.go
+++ b/internal/coordination/admission/admission_test.go
@@ -31,6 +31,7 @@
 	queued  map[uint64]Request
 	running map[uint64]time.Time
 	held    bool
+	classes []Class
 }
 
 func newModel(t *rapid.T) *model {
@@ -42,7 +43,7 @@
 	}
 	return &model{
 		t: t, c: c, now: epoch, slots: slots, bound: slots * perSlot,
-		queued: map[uint64]Request{}, running: map[uint64]time.Time{},
+		classes: testClasses(), queued: map[uint64]Request{}, running: map[uint64]time.Time{},
 	}
 }
 
@@ -55,6 +56,9 @@
 		if !m.now.Before(r.Deadline) {
 			m.t.Fatalf("%d started after its deadline", s.ID)
 		}
+		if s.Class != r.Class {
+			m.t.Fatalf("%d started in class %d, expected %d", s.ID, s.Class, r.Class)
+		}
 		delete(m.queued, s.ID)
 		m.running[s.ID] = m.now
 	}
@@ -68,7 +72,7 @@
 
 func (m *model) offer(t *rapid.T) {
 	m.nextID++
-	class := rapid.IntRange(0, 2).Draw(t, "class")
+	class := rapid.IntRange(0, len(m.classes)-1).Draw(t, "class")
 	left := time.Duration(rapid.IntRange(-5, 400).Draw(t, "left")) * time.Millisecond
 	r := Request{
 		ID: m.nextID, Class: class, Deadline: m.now.Add(left),
@@ -147,6 +151,27 @@
 	m.apply(m.c.SetSlots(m.slots, m.now))
 }
 
+// reconfigure moves the classes to other indexes or removes one.
+func (m *model) reconfigure(t *rapid.T) {
+	old := m.classes
+	m.classes = rapid.Permutation(testClasses()).Draw(t, "classes")[:rapid.IntRange(1, 3).Draw(t, "count")]
+	ch, err := m.c.Reconfigure(Config{Slots: m.slots, QueuePerSlot: m.bound / m.slots, Classes: m.classes}, m.now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for id, r := range m.queued {
+		name := old[r.Class].Name
+		r.Class = slices.IndexFunc(m.classes, func(c Class) bool { return c.Name == name })
+		m.queued[id] = r
+	}
+	m.apply(ch)
+	for id, r := range m.queued {
+		if r.Class < 0 {
+			t.Fatalf("%d is still queued in a class that no longer exists", id)
+		}
+	}
+}
+
 func (m *model) abort(*rapid.T) {
 	m.apply(Changes{Removed: m.c.Abort(ReasonDraining)})
 	if len(m.queued) > 0 {
@@ -183,7 +208,7 @@
 		actions := []func(*rapid.T){
 			m.offer, m.offer, m.offer, m.offer, m.done, m.done, m.done, m.cancel, m.tick, m.tick,
 		}
-		rare := []func(*rapid.T){m.hold, m.hold, m.setSlots, m.abort}
+		rare := []func(*rapid.T){m.hold, m.hold, m.setSlots, m.reconfigure, m.abort}
 		for range rapid.IntRange(20, 300).Draw(t, "steps") {
 			m.now = m.now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "gap")) * time.Microsecond)
 			before := len(m.running)
--- a/internal/coordination/admission/controller.go
+++ b/internal/coordination/admission/controller.go
@@ -58,7 +58,7 @@
 	}
 	t.limit.ignoreSlowdown = !t.has(PartGradient)
 	for i, class := range c.Classes {
-		t.classes[i] = classState{Class: class, classQueue: newClassQueue()}
+		t.classes[i] = class.state()
 	}
 	return t, nil
 }
@@ -101,12 +101,14 @@
 	if it == nil || !it.running {
 		return ch
 	}
-	class := &t.classes[it.class]
-	class.running--
 	t.running--
 	t.counts.Done[result]++
+	if it.class >= 0 {
+		class := &t.classes[it.class]
+		class.running--
+		t.learn(class, result, ran, now)
+	}
 	t.release(it)
-	t.learn(class, result, ran, now)
 	t.dispatch(now, &ch)
 	return ch
 }
@@ -157,14 +159,18 @@
 func (t *Controller) Abort(reason Reason) []Removed {
 	var ch Changes
 	for i := range t.classes {
-		t.classes[i].each(func(it *item) {
-			t.counts.Aborted++
-			t.drop(it, reason, &ch)
-		})
+		t.abort(&t.classes[i], reason, &ch)
 	}
 	return ch.Removed
 }
 
+func (t *Controller) abort(class *classState, reason Reason, ch *Changes) {
+	class.each(func(it *item) {
+		t.counts.Aborted++
+		t.drop(it, reason, ch)
+	})
+}
+
 // SetSlots changes the number of slots. Running requests above a lower number
 // finish; none is started until they have.
 func (t *Controller) SetSlots(slots int, now time.Time) Changes {
--- a/internal/coordination/admission/list.go
+++ b/internal/coordination/admission/list.go
@@ -3,7 +3,6 @@
 // link places a value in at most one list without an allocation.
 type link[T any] struct {
 	prev, next *link[T]
-	in         *list[T]
 	value      *T
 }
 
@@ -28,7 +27,7 @@
 }
 
 func (l *list[T]) pushBack(n *link[T]) {
-	n.in, n.prev, n.next = l, l.tail, nil
+	n.prev, n.next = l.tail, nil
 	if l.tail == nil {
 		l.head = n
 	} else {
@@ -49,6 +48,6 @@
 	} else {
 		n.next.prev = n.prev
 	}
-	n.in, n.prev, n.next = nil, nil, nil
+	n.prev, n.next = nil, nil
 	l.len--
 }
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -4,7 +4,8 @@
 
 // item is one queued or running request.
 type item struct {
-	id       uint64
+	id uint64
+	// class is -1 for a running request whose class no longer exists.
 	class    int
 	caller   string
 	arrived  time.Time
