Say why late requests of harmful classes do not go first

Tried and reverted: late requests of a more harmful class go before requests of less harmful ones that can still meet their objective. Conclusion: not kept; refused requests are certainly not run, and the quality at the peak and the other callers weigh more.

--- a/internal/coordination/admission/schedule.go
+++ b/internal/coordination/admission/schedule.go
@@ -30,7 +30,9 @@
 
 // choose returns the startable request that goes first, or nil. Requests that
 // can still meet their objective go before those that cannot: at overload the
-// queue would otherwise consist of requests that are all served too late.
+// queue would otherwise consist of requests that are all served too late. This
+// holds across classes: late requests of a harmful class that went first would
+// make the others late too.
 func (t *Controller) choose(now time.Time) *item {
 	var best *item
 	var first precedence
