--- a/internal/coordination/admission/bench_test.go
+++ b/internal/coordination/admission/bench_test.go
@@ -1,60 +1,51 @@
 package admission
 
 import (
-	"fmt"
+	"strconv"
 	"testing"
 	"time"
 )
 
-// BenchmarkOfferDone measures one Offer and, for what runs, one Done, in a
-// target with free slots, with a queue, and with a full queue of many callers.
+// BenchmarkOfferDone measures one Offer and one Done per operation with free
+// slots and with a queue, and three Offers per Done with a full queue.
 func BenchmarkOfferDone(b *testing.B) {
-	for _, load := range []struct {
-		name  string
-		every int
-	}{{"free", 1}, {"queued", 1}, {"full", 3}} {
-		b.Run(load.name, func(b *testing.B) { benchmarkOfferDone(b, load.name, load.every) })
-	}
+	b.Run("free", func(b *testing.B) { benchmarkOfferDone(b, 0, 1) })
+	b.Run("queued", func(b *testing.B) { benchmarkOfferDone(b, 100, 1) })
+	b.Run("full", func(b *testing.B) { benchmarkOfferDone(b, 400, 3) })
 }
 
-// benchmarkOfferDone ends one run per every offers.
-func benchmarkOfferDone(b *testing.B, name string, every int) {
-	c, err := New(Config{Slots: 6, Classes: testClasses()})
-	if err != nil {
-		b.Fatal(err)
-	}
+func benchmarkOfferDone(b *testing.B, waiting, offers int) {
+	c, _ := New(Config{Slots: 6, Classes: testClasses()})
 	callers := make([]string, 400)
 	for i := range callers {
-		callers[i] = fmt.Sprintf("caller-%d", i)
+		callers[i] = strconv.Itoa(i)
 	}
-	now := epoch
-	running := make([]uint64, 0, 8)
-	start := func(d Changes) {
-		for _, s := range d.Starts {
+	now, next, running := epoch, 0, make([]uint64, 0, 64)
+	started := func(ch Changes) {
+		for _, s := range ch.Starts {
 			running = append(running, s.ID)
 		}
 	}
-	offer := func(i int) {
+	offer := func() {
+		next++
 		now = now.Add(time.Millisecond)
-		d := c.Offer(Request{ID: uint64(i), Class: i % 3, Caller: callers[i%len(callers)], Deadline: now.Add(time.Hour)}, now)
-		start(d.Changes)
+		r := Request{ID: uint64(next), Class: next % 3, Caller: callers[next%len(callers)], Deadline: now.Add(time.Hour)}
+		d := c.Offer(r, now)
+		started(d.Changes)
 		if d.Verdict == Run {
-			running = append(running, uint64(i))
+			running = append(running, r.ID)
 		}
 	}
-	next := 1
-	for name == "queued" && next < 100 {
-		offer(next)
-		next++
+	for range waiting {
+		offer()
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		offer(next)
-		next++
-		if next%every == 0 && len(running) > 0 {
-			id := running[0]
-			running = append(running[:0], running[1:]...)
-			start(c.Done(id, OK, 5*time.Millisecond, now))
+		for range offers {
+			offer()
 		}
+		id := running[0]
+		running = append(running[:0], running[1:]...)
+		started(c.Done(id, OK, 5*time.Millisecond, now))
 	}
 }
--- a/internal/coordination/admission/limit_test.go
+++ b/internal/coordination/admission/limit_test.go
@@ -13,19 +13,19 @@
 	now, id := from, uint64(from.UnixNano())
 	ends := map[uint64]time.Time{}
 	took := map[uint64]time.Duration{}
-	begin := func(id uint64) {
-		took[id] = ran(c.running)
-		ends[id] = now.Add(took[id])
+	begin := func(starts ...Start) {
+		for _, s := range starts {
+			took[s.ID] = ran(c.running)
+			ends[s.ID] = now.Add(took[s.ID])
+		}
 	}
 	for now.Before(from.Add(length)) {
 		for c.queued < 4 {
 			id++
 			d := c.Offer(Request{ID: id, Class: 1, Deadline: now.Add(time.Hour)}, now)
-			for _, s := range d.Starts {
-				begin(s.ID)
-			}
+			begin(d.Starts...)
 			if d.Verdict == Run {
-				begin(id)
+				begin(Start{ID: id})
 			}
 		}
 		var first uint64
@@ -36,9 +36,7 @@
 		}
 		now = ends[first]
 		delete(ends, first)
-		for _, s := range c.Done(first, OK, took[first], now).Starts {
-			begin(s.ID)
-		}
+		begin(c.Done(first, OK, took[first], now).Starts...)
 	}
 	c.Abort(ReasonDraining)
 	for id := range ends {
@@ -82,7 +80,7 @@
 	c := newController(t, 6)
 	now := drive(t, c, epoch, 10*time.Second, steady)
 	for i := range uint64(6) {
-		if d := c.Offer(Request{ID: i + 1, Class: 1, Deadline: now.Add(time.Hour)}, now); d.Verdict != Run {
+		if d := offer(c, i+1, 1, "a", now); d.Verdict != Run {
 			t.Fatalf("request %d: %+v", i, d)
 		}
 	}
@@ -95,7 +93,7 @@
 	}
 	for i := range uint64(5) {
 		now = now.Add(time.Millisecond)
-		c.Offer(Request{ID: 100 + i, Class: 1, Deadline: now.Add(time.Hour)}, now)
+		offer(c, 100+i, 1, "a", now)
 		now = now.Add(time.Millisecond)
 		c.Done(100+i, Shed, time.Millisecond, now)
 	}
--- a/internal/coordination/admission/schedule_test.go
+++ b/internal/coordination/admission/schedule_test.go
@@ -1,21 +1,21 @@
 package admission
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
 
+// runs are the run times by class.
+var runs = []time.Duration{5 * time.Millisecond, 400 * time.Millisecond, 5 * time.Millisecond}
+
 // sequence ends running requests one by one and returns the ids in the order in
 // which they were started. Each run takes as long as its class says.
 func sequence(c *Controller, running uint64, now time.Time) []uint64 {
 	order := []uint64{running}
 	for i := 0; i < len(order); i++ {
-		id := order[i]
-		ran := 5 * time.Millisecond
-		if it := c.items[id]; it != nil && it.class == 1 {
-			ran = 400 * time.Millisecond
-		}
-		for _, s := range c.Done(id, OK, ran, now).Starts {
+		ran := runs[c.items[order[i]].class]
+		for _, s := range c.Done(order[i], OK, ran, now).Starts {
 			order = append(order, s.ID)
 		}
 	}
@@ -27,7 +27,6 @@
 	t.Helper()
 	c := newController(t, slots)
 	now := epoch
-	runs := []time.Duration{5 * time.Millisecond, 400 * time.Millisecond, 5 * time.Millisecond}
 	for i := range uint64(40) {
 		class := int(i % 3)
 		c.Offer(Request{ID: 1000 + i, Class: class, Deadline: now.Add(time.Hour)}, now)
@@ -38,28 +37,18 @@
 	return c, now
 }
 
-func offer(t *testing.T, c *Controller, id uint64, class int, caller string, now time.Time) Decision {
-	t.Helper()
+func offer(c *Controller, id uint64, class int, caller string, now time.Time) Decision {
 	return c.Offer(Request{ID: id, Class: class, Caller: caller, Deadline: now.Add(time.Hour)}, now)
 }
 
-func position(order []uint64, id uint64) int {
-	for i, x := range order {
-		if x == id {
-			return i
-		}
-	}
-	return -1
-}
-
 // Guards against one caller's burst that delays all others.
 func TestCallersTakeTurns(t *testing.T) {
 	c, now := learned(t, 1)
 	for id := uint64(10); id < 30; id++ {
-		offer(t, c, id, 0, "heavy", now)
+		offer(c, id, 0, "heavy", now)
 	}
-	offer(t, c, 50, 0, "light", now)
-	if at := position(sequence(c, 1, now), 50); at != 2 {
+	offer(c, 50, 0, "light", now)
+	if at := slices.Index(sequence(c, 1, now), 50); at != 2 {
 		t.Errorf("the light caller's request was started at position %d, expected 2", at)
 	}
 }
@@ -68,17 +57,17 @@
 // ones that never start because of short ones.
 func TestShortBeforeLongWithAging(t *testing.T) {
 	c, now := learned(t, 1)
-	offer(t, c, 10, 1, "a", now)
-	offer(t, c, 11, 0, "a", now.Add(time.Millisecond))
-	if order := sequence(c, 1, now.Add(time.Millisecond)); position(order, 11) > position(order, 10) {
+	offer(c, 10, 1, "a", now)
+	offer(c, 11, 0, "a", now.Add(time.Millisecond))
+	if order := sequence(c, 1, now.Add(time.Millisecond)); slices.Index(order, 11) > slices.Index(order, 10) {
 		t.Errorf("long before short: %v", order)
 	}
 	c, now = learned(t, 1)
-	offer(t, c, 10, 1, "a", now)
+	offer(c, 10, 1, "a", now)
 	late := now.Add(agingRatio * 400 * time.Millisecond)
-	offer(t, c, 11, 0, "a", late)
+	offer(c, 11, 0, "a", late)
 	c.classes[1].Objective = time.Hour
-	if order := sequence(c, 1, late); position(order, 11) < position(order, 10) {
+	if order := sequence(c, 1, late); slices.Index(order, 11) < slices.Index(order, 10) {
 		t.Errorf("long overtaken after its time: %v", order)
 	}
 }
@@ -89,7 +78,7 @@
 	c, now := learned(t, 3)
 	c.Done(1, OK, 5*time.Millisecond, now)
 	for id := uint64(10); id < 15; id++ {
-		offer(t, c, id, 1, "a", now)
+		offer(c, id, 1, "a", now)
 	}
 	if got := c.classes[1].running; got != 2 {
 		t.Errorf("%d stragglers run beside expected short requests, expected 2", got)
@@ -105,26 +94,26 @@
 func TestFullQueueShedsLeastHarmful(t *testing.T) {
 	c, now := learned(t, 1)
 	for id := uint64(100); c.queued < c.bound; id++ {
-		offer(t, c, id, 0, "heavy", now)
+		offer(c, id, 0, "heavy", now)
 	}
-	d := offer(t, c, 10, 2, "a", now)
+	d := offer(c, 10, 2, "a", now)
 	if d.Verdict != Queued || len(d.Removed) != 1 || d.Removed[0].Class != 0 {
 		t.Errorf("never-repeat request at a full queue: %+v", d)
 	}
-	if d := offer(t, c, 11, 0, "heavy", now); d.Verdict != Refused {
+	if d := offer(c, 11, 0, "heavy", now); d.Verdict != Refused {
 		t.Errorf("request of the caller with the most: %+v", d)
 	}
-	if d := offer(t, c, 12, 0, "light", now); d.Verdict != Queued || len(d.Removed) != 1 {
+	if d := offer(c, 12, 0, "light", now); d.Verdict != Queued || len(d.Removed) != 1 {
 		t.Errorf("request of a light caller: %+v", d)
 	}
-	if d := offer(t, c, 13, 0, "heavy", now); d.Reason != ReasonFairShare {
+	if d := offer(c, 13, 0, "heavy", now); d.Reason != ReasonFairShare {
 		t.Errorf("request above the fair share: %+v", d)
 	}
 	c, now = learned(t, 1)
 	for id := uint64(100); c.queued < c.bound; id++ {
-		offer(t, c, id, 2, "heavy", now)
+		offer(c, id, 2, "heavy", now)
 	}
-	if d := offer(t, c, 10, 0, "a", now); d.Reason != ReasonQueueFull || len(d.Removed) != 0 {
+	if d := offer(c, 10, 0, "a", now); d.Reason != ReasonQueueFull || len(d.Removed) != 0 {
 		t.Errorf("idempotent request at a queue full of never-repeat ones: %+v", d)
 	}
 }
--- a/internal/coordination/hotkey/hotkey_test.go
+++ b/internal/coordination/hotkey/hotkey_test.go
@@ -293,18 +293,12 @@
 }
 
 // BenchmarkAdd measures the cost per request of a Zipf load on more keys than
-// are tracked.
+// are tracked, drawing the key included.
 func BenchmarkAdd(b *testing.B) {
 	d := NewDetector(0)
 	zipf := rand.NewZipf(rand.New(rand.NewPCG(1, 1)), 1.1, 1, 1<<20)
-	keys := make([]uint64, 1<<14)
-	for i := range keys {
-		keys[i] = zipf.Uint64()
-	}
 	b.ReportAllocs()
-	i := 0
 	for b.Loop() {
-		d.Add(keys[i%len(keys)], time.Millisecond, false)
-		i++
+		d.Add(zipf.Uint64(), time.Millisecond, false)
 	}
 }
