--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -27,6 +28,10 @@
 // taken effect.
 var ErrNoAnswer = errors.New("no answer")
 
+// ErrNotSent reports a call that never reached a daemon. It comes with
+// ErrNoAnswer.
+var ErrNotSent = errors.New("not connected")
+
 // statusError is an error answer of a daemon.
 type statusError struct {
 	status int
@@ -103,12 +108,21 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrNoAnswer, err)
+		return noAnswer(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	return readReply(resp, into)
 }
 
+// noAnswer tells a call that was not sent from one that may have arrived.
+func noAnswer(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w: %w", ErrNoAnswer, ErrNotSent, err)
+	}
+	return fmt.Errorf("%w: %w", ErrNoAnswer, err)
+}
+
 func readReply(resp *http.Response, into any) error {
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
 	if err != nil {
--- a/internal/ctl/embedded_test.go
+++ b/internal/ctl/embedded_test.go
@@ -107,12 +107,12 @@
 		t.Fatalf("targets: %+v", rows)
 	}
 
-	result := decode[drained](t, command("--admin", admin, "drain", "display", "display-a", "--json"))
+	result := decode[drained](t, ctl("drain", "display", "display-a", "--json"))
 	if result.Revision != 2 || result.Shards != 0 {
 		t.Fatalf("drain: %+v", result)
 	}
-	command("--admin", admin, "drain", "display", "display-b").want(t, ExitFindings, "drain")
-	command("--admin", admin, "undrain", "display", "display-a").want(t, ExitOK, "revision 3 is in force")
+	ctl("drain", "display", "display-b").want(t, ExitFindings, "drain")
+	ctl("undrain", "display", "display-a").want(t, ExitOK, "revision 3 is in force")
 
 	ctl("move", "display", "s5", "display-a").want(t, ExitOK, "owned by display-a")
 	owner := decode[ownership](t, ctl("owner", "display", keyOfShard(5, 32), "--json"))
--- a/internal/ctl/store.go
+++ b/internal/ctl/store.go
@@ -24,7 +24,12 @@
 	}
 	message := adminapi.Apply{BasedOn: w.basedOn, Operation: w.operation, Author: w.author, Manifest: encoded}
 	var stored manifest.Accepted
-	err = c.call(ctx, http.MethodPut, c.addresses[0], adminapi.PathConfig, message, &stored)
+	for _, address := range c.addresses {
+		err = c.call(ctx, http.MethodPut, address, adminapi.PathConfig, message, &stored)
+		if !errors.Is(err, ErrNotSent) {
+			break
+		}
+	}
 	if err == nil {
 		return stored, nil
 	}
@@ -37,6 +42,9 @@
 // definite returns the failure of a change that was certainly not stored, or
 // nil if that is not certain.
 func definite(err error, w write) error {
+	if errors.Is(err, ErrNotSent) {
+		return failedCall(err)
+	}
 	var refused *statusError
 	if !errors.As(err, &refused) {
 		return nil
