Use a new connection for each call of jackdawctl

TestRacingOperators failed in 2 of 12 runs: the daemon's stop ran into its drain timeout of 5 s. Clients that race for connections open some that they never use, and http.Server.Shutdown waits 5 s for those.

Open for the daemon's owners: any caller with a never-used connection delays a stop by up to 5 s.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -61,7 +61,10 @@
 }
 
 func newClient(cmd *cli.Command) (*client, error) {
-	c := &client{http: &http.Client{Timeout: callTimeout}}
+	// A connection that a daemon has closed could lose a write. One that stays
+	// open unused holds up the daemon's stop.
+	transport := &http.Transport{DisableKeepAlives: true}
+	c := &client{http: &http.Client{Transport: transport, Timeout: callTimeout}}
 	for _, a := range strings.Split(cmd.String(flagAdmin), ",") {
 		if a = strings.TrimSpace(a); a != "" {
 			c.addresses = append(c.addresses, a)
