--- a/internal/coordination/fleettest/fronts_test.go
+++ b/internal/coordination/fleettest/fronts_test.go
@@ -284,7 +284,7 @@
 			case !t.mayStart(frontEpoch, u, unitEpoch):
 				back(front.Rejected)
 			default:
-				t.start(u, min(length, left), func() { back(front.Success) })
+				t.start(u, unitEpoch, min(length, left), func() { back(front.Success) })
 			}
 		})
 		if !reached {
--- a/internal/coordination/fleettest/invariant_test.go
+++ b/internal/coordination/fleettest/invariant_test.go
@@ -23,7 +23,9 @@
 	fronts map[frontEpoch]table.MemberID
 	owners map[unitEpoch]string
 	fenced map[table.MemberID]bool
-	starts int // requests started by targets
+	// started holds the highest epoch of a start, by unit at epoch 0.
+	started map[unitEpoch]uint32
+	starts  int // requests started by targets
 	// undeclared is when a front last had to assume a declaration.
 	undeclared time.Duration
 	overlaps   int // starts beside a request at a target declared lost
@@ -33,7 +35,7 @@
 	return &history{
 		fronts: make(map[frontEpoch]table.MemberID),
 		owners: make(map[unitEpoch]string),
-		fenced: make(map[table.MemberID]bool), undeclared: -time.Hour,
+		fenced: make(map[table.MemberID]bool), started: make(map[unitEpoch]uint32), undeclared: -time.Hour,
 	}
 }
 
@@ -170,11 +172,17 @@
 	}
 }
 
-// checkStart checks that no other target runs a request of the unit. Two cases
+// checkStart checks that no request of the unit has started under a later epoch,
+// and that no other target runs a request of the unit. Two cases of the second
 // are left out: a request past its deadline at a frozen target, which design
 // 3.9 names; and one at a target declared lost, whose requests nobody can end.
-func (w *world) checkStart(t *target, u table.Unit) {
+func (w *world) checkStart(t *target, u table.Unit, epoch uint32) {
 	w.past.starts++
+	k := unitEpoch{service: t.key.service, unit: u}
+	if latest := w.past.started[k]; epoch < latest {
+		w.t.Fatalf("at %v %v starts a request of %v under epoch %d after one under %d", w.now, t.key, u, epoch, latest)
+	}
+	w.past.started[k] = epoch
 	for key, other := range w.targets {
 		if key.service != t.key.service || other == t {
 			continue
--- a/internal/coordination/fleettest/target_test.go
+++ b/internal/coordination/fleettest/target_test.go
@@ -114,8 +114,8 @@
 }
 
 // start runs a request for at most the duration, and finish at its end.
-func (t *target) start(u table.Unit, length time.Duration, finish func()) {
-	t.w.checkStart(t, u)
+func (t *target) start(u table.Unit, epoch uint32, length time.Duration, finish func()) {
+	t.w.checkStart(t, u, epoch)
 	t.w.runs++
 	id, boots := t.w.runs, t.boots
 	t.running[id] = &work{unit: u, begun: t.w.now, ends: t.w.now + length}
