Tell how long the run at an ended voter's address has been up

Cause: the wait for an ended voter's promises began at the first proof of its end, so a fence that needed it took 1 s longer: 2.117 s without service in a run of the test with killed daemons (limit 2 s).

--- a/internal/coordination/coordinator/coordinator_test.go
+++ b/internal/coordination/coordinator/coordinator_test.go
@@ -50,9 +50,9 @@
 	b.now = b.now.Add(2 * coordinator.JoinGrace)
 }
 
-func (b *bench) report(id table.MemberID, leaving bool) {
+func (b *bench) report(id table.MemberID) {
 	b.seq++
-	r := peer.Report{From: id, Daemon: string(id.Run()), Domain: b.domains[id.Run()], Sequence: b.seq, Leaving: leaving}
+	r := peer.Report{From: id, Daemon: string(id.Run()), Domain: b.domains[id.Run()], Sequence: b.seq}
 	if t := b.machine.Stored(); t != nil {
 		r.Revisions.Table = t.Revision
 	}
@@ -83,7 +83,7 @@
 		for i := range n {
 			run := table.MemberID(fmt.Sprintf("d%d", i))
 			b.domains[run] = rapid.SampledFrom([]string{"z0", "z1", "z2"}).Draw(t, "domain")
-			b.report(table.NewMemberID(run, 1), false)
+			b.report(table.NewMemberID(run, 1))
 		}
 		first := b.store(t)
 		for _, m := range first.Members {
@@ -175,7 +175,7 @@
 func (b *bench) rejoin(t *rapid.T, old []table.MemberID) *table.Table {
 	for _, id := range old {
 		b.op++
-		b.report(table.NewMemberID(id.Run(), 1000+b.op), false)
+		b.report(table.NewMemberID(id.Run(), 1000+b.op))
 	}
 	b.store(t)
 	for _, id := range old {
@@ -191,7 +191,7 @@
 	for i := range 4 {
 		run := table.MemberID(fmt.Sprintf("d%d", i))
 		b.domains[run] = fmt.Sprintf("z%d", i%3)
-		b.report(table.NewMemberID(run, 1), false)
+		b.report(table.NewMemberID(run, 1))
 	}
 	target := b.store(t).Services[0].Targets[0]
 	used := target.Epoch + 1
@@ -215,18 +215,18 @@
 func TestRemovedMembersStayOut(t *testing.T) {
 	b := newBench(1)
 	for i := range 4 {
-		b.report(table.NewMemberID(table.MemberID(fmt.Sprintf("d%d", i)), 1), false)
+		b.report(table.NewMemberID(table.MemberID(fmt.Sprintf("d%d", i)), 1))
 	}
 	b.store(t)
 	fenced := table.NewMemberID("d1", 1)
 	b.machine.Fenced(fenced)
 	b.store(t)
 	b.restart(2)
-	b.report(fenced, false)
+	b.report(fenced)
 	if held := b.store(t); len(held.Members) != 3 || held.Term != 1 {
 		t.Fatalf("members after the report of a fenced incarnation: %+v, term %d", held.Members, held.Term)
 	}
-	b.report(table.NewMemberID("d1", 2), false)
+	b.report(table.NewMemberID("d1", 2))
 	if held := b.store(t); len(held.Members) != 4 {
 		t.Fatalf("a new incarnation is not admitted: %+v", held.Members)
 	}
--- a/internal/coordination/fleettest/fence_test.go
+++ b/internal/coordination/fleettest/fence_test.go
@@ -132,17 +132,22 @@
 
 // askSuccessor asks the run that listens at the address of an ended one, if any.
 func (f *fences) askSuccessor(fencer *lease.Fencer, ended *node, id table.MemberID) {
-	proved := func(_ any, err error) {
+	w := f.n.w
+	proved := func(up any, err error) {
 		if err == nil {
-			fencer.Ended(ended.run, f.n.clock())
+			now := f.n.clock()
+			fencer.Ended(ended.run, now.Add(-up.(time.Duration)), now)
 			f.finish(fencer, id)
 		}
 	}
-	for _, n := range f.n.w.live() {
-		if n.name == ended.name && n == f.n {
-			proved(nil, nil)
-		} else if n.name == ended.name {
-			f.n.w.call(f.n, n.address, peerTimeout, func() (any, bool) { return nil, true }, proved)
+	for _, n := range w.live() {
+		up := func() (any, bool) { return w.now - n.startedAt, true }
+		switch {
+		case n.name != ended.name:
+		case n == f.n:
+			proved(w.now-n.startedAt, nil)
+		default:
+			w.call(f.n, n.address, peerTimeout, up, proved)
 		}
 	}
 }
--- a/internal/coordination/fleettest/node_test.go
+++ b/internal/coordination/fleettest/node_test.go
@@ -42,17 +42,18 @@
 
 // node is one run of a daemon.
 type node struct {
-	w        *world
-	name     string
-	domain   string
-	address  string
-	run      table.MemberID
-	ppm      int64
-	dead     bool
-	paused   bool
-	stopping bool
-	deaf     bool // takes no documents
-	inbox    []func()
+	w         *world
+	name      string
+	domain    string
+	address   string
+	run       table.MemberID
+	ppm       int64
+	startedAt time.Duration
+	dead      bool
+	paused    bool
+	stopping  bool
+	deaf      bool // takes no documents
+	inbox     []func()
 
 	config   *manifest.Accepted
 	table    *table.Table
@@ -77,7 +78,7 @@
 	run := table.MemberID(fmt.Sprintf("%s-r%d", name, w.runs))
 	n := &node{
 		w: w, name: name, domain: domain, address: string(run), run: run,
-		ppm: w.rng.Int63n(9800) - 4900, voter: lease.NewVoter(run),
+		ppm: w.rng.Int63n(9800) - 4900, startedAt: w.now, voter: lease.NewVoter(run),
 	}
 	n.office.n = n
 	n.fences = newFences(n)
--- a/internal/coordination/lease/fencer.go
+++ b/internal/coordination/lease/fencer.go
@@ -16,7 +16,7 @@
 	member table.MemberID
 	voters []table.MemberID
 	agreed map[table.MemberID]bool
-	// ended are the runs that have certainly ended, by when that was known.
+	// ended are the runs that have certainly ended, and by when.
 	ended map[table.MemberID]time.Time
 }
 
@@ -34,22 +34,24 @@
 	}
 }
 
-// Ended records that a run has certainly ended, as known at now: another run
-// answers at its address. A voter that has ended renews nobody, so it counts as
-// agreed once its promises are over. A member whose own run has ended has no
-// authority. Without this, nobody could fence the members of a fleet that lost
-// a majority of a voter set and was started again.
-func (f *Fencer) Ended(run table.MemberID, now time.Time) {
-	first, known := f.ended[run]
-	if !known {
-		f.ended[run] = now
-		return
+// Ended records that a run has certainly ended by the time since: another run
+// answers at its address and has been up since then. A voter that has ended
+// renews nobody, so it counts as agreed once its promises are over. A member
+// whose own run has ended has no authority. Without this, nobody could fence
+// the members of a fleet that lost a majority of a voter set and started again.
+func (f *Fencer) Ended(run table.MemberID, since, now time.Time) {
+	if first, known := f.ended[run]; !known || since.Before(first) {
+		f.ended[run] = since
 	}
-	if now.Sub(first) >= table.VoteLife {
+	if now.Sub(f.ended[run]) >= endedWait {
 		f.Agreed(run)
 	}
 }
 
+// endedWait is the vote life on a clock that drifts against the voter's and
+// the one that measured how long its successor has been up.
+const endedWait = table.VoteLife * (100 + 2*table.DriftPercent) / 100
+
 // Done reports whether a majority has agreed or the member's run has ended: the
 // member has no authority now and never will again.
 func (f *Fencer) Done() bool {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,6 +53,7 @@
 	log       *slog.Logger
 	run       table.MemberID
 	started   time.Time
+	bound     time.Time // when the peer address was bound
 
 	net     *peernet.Net
 	docs    *documents
@@ -137,6 +138,7 @@
 	client := pki.ClientConfig(o.Certificate, o.Authorities)
 	var err error
 	d.net, err = peernet.Listen(d.set.Listen.Peer.String(), server, client, d.log)
+	d.bound = time.Now()
 	return err
 }
 
--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -164,7 +164,7 @@
 		case a.agreed:
 			fencer.Agreed(a.voter)
 		case a.ended:
-			fencer.Ended(a.voter, time.Now())
+			fencer.Ended(a.voter, a.since, time.Now())
 		}
 		if fencer.Done() {
 			return
@@ -179,6 +179,7 @@
 	voter  table.MemberID
 	agreed bool
 	ended  bool
+	since  time.Time // when it had ended at the latest
 }
 
 func (d *Daemon) askVoter(ctx context.Context, voter, member table.MemberID) fenceAnswer {
@@ -191,12 +192,13 @@
 	case voter == d.run:
 		a.agreed = d.agree(request).Agreed
 	case address == d.net.Addr():
-		a.ended = true
+		a.ended, a.since = true, d.bound
 	case address != "":
 		var reply peer.FenceReply
 		err := d.call(ctx, address, peer.PathFence, request, &reply)
 		a.agreed = err == nil && reply.Agreed && reply.From == voter && reply.Member == member
 		a.ended = err == nil && reply.From != voter && reply.From != ""
+		a.since = time.Now().Add(-time.Duration(reply.UpMs) * time.Millisecond)
 	}
 	return a
 }
@@ -206,7 +208,7 @@
 	d.voterMu.Lock()
 	defer d.voterMu.Unlock()
 	agreed, remaining := d.voter.Fence(r.Member, r.To, time.Now())
-	return peer.FenceReply{From: d.run, Member: r.Member, Agreed: agreed, RemainingMs: remaining.Milliseconds()}
+	return peer.FenceReply{From: d.run, Member: r.Member, Agreed: agreed, RemainingMs: remaining.Milliseconds(), UpMs: time.Since(d.bound).Milliseconds()}
 }
 
 // fencedMembers returns the members that this daemon knows to have no authority
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -65,12 +65,15 @@
 }
 
 // FenceReply answers a fence request. If Agreed is false, RemainingMs tells how
-// long the voter's promise still binds it.
+// long the voter's promise still binds it. From is the run that answers.
 type FenceReply struct {
 	From        table.MemberID `cbor:"1,keyasint"`
 	Member      table.MemberID `cbor:"2,keyasint"`
 	Agreed      bool           `cbor:"3,keyasint"`
 	RemainingMs int64          `cbor:"4,keyasint"`
+	// UpMs is how long the answering run has been up. If it is not the run that
+	// was asked, that one ended before.
+	UpMs int64 `cbor:"5,keyasint"`
 }
 
 // TargetHealth is a front's verdict on a target.
