--- a/internal/coordination/coordinator/members.go
+++ b/internal/coordination/coordinator/members.go
@@ -123,8 +123,8 @@
 // NeedsRejoin reports whether a member should take up a new membership with
 // another voter set. Voter sets are fixed, so this is the only way to replace
 // voters. It is due at once if no further voter may be lost although the fleet
-// offers a better set. Otherwise a better set is taken up by one member at a
-// time, and while nothing else changes in the membership. Voters in refused
+// offers a better set. A small set is replaced by a large one by one member at
+// a time, and while nothing else changes in the membership. Voters in refused
 // never vote for the member again, since they agreed to a fence of it that may
 // have failed.
 func NeedsRejoin(t *table.Table, id table.MemberID, refused []table.MemberID) bool {
@@ -132,17 +132,17 @@
 	if !ok || member.Draining {
 		return false
 	}
-	spare, better := spareVotes(t, member, refused)
-	if spare >= better {
-		return false
+	offered := chooseVoters(member, t.Members)
+	spare := liveVoters(t, member, refused) - majority(len(member.Voters))
+	if spare < 1 {
+		return len(offered)-majority(len(offered)) > spare
 	}
-	return spare < 1 || isNextToRejoin(t, id)
+	return len(member.Voters) < len(offered) && isNextToRejoin(t, id)
 }
 
-// spareVotes returns how many of the member's voters may be lost, with its
-// present voter set and with the best one that the members offer. Refused ones
-// count as lost.
-func spareVotes(t *table.Table, member table.Member, refused []table.MemberID) (present, best int) {
+// liveVoters counts the member's voters that are in the table and may still
+// vote for it.
+func liveVoters(t *table.Table, member table.Member, refused []table.MemberID) int {
 	runs := map[table.MemberID]bool{table.StoreVoter: true}
 	for _, m := range t.Members {
 		runs[m.ID.Run()] = true
@@ -153,18 +153,15 @@
 			live++
 		}
 	}
-	offered := chooseVoters(member, t.Members)
-	return live - majority(len(member.Voters)), len(offered) - majority(len(offered))
+	return live
 }
 
+// isNextToRejoin reports whether the member is the first with a small voter set
+// and no member is leaving.
 func isNextToRejoin(t *table.Table, id table.MemberID) bool {
 	for _, m := range t.Members {
-		if m.Draining {
-			return false
-		}
-	}
-	for _, m := range t.Members {
-		if spare, better := spareVotes(t, m, nil); spare < better && m.ID < id {
+		small := len(m.Voters) < len(chooseVoters(m, t.Members))
+		if m.Draining || small && m.ID < id {
 			return false
 		}
 	}
