Move hot keys once and let cold targets grow under longer work

Cause: a target whose requests became longer stayed at one slot: slowness blocked recovery, and trials below two slots compared one request at once with one request at once. The planner moved a second key away because loads lag the arrival of the first. Ruled out: missing load reports; the planner's input was printed in a trial and showed the load of the moved key at its former owner for one interval. Conclusion: decisions wait until the loads show the last one.

--- a/internal/coordination/admission/gradient.go
+++ b/internal/coordination/admission/gradient.go
@@ -17,6 +17,12 @@
 	// help; it doubles up to maxHoldoff.
 	firstHoldoff = 5 * time.Second
 	maxHoldoff   = 80 * time.Second
+	// minTrialLimit is the least limit at which a trial changes the concurrency;
+	// below it, both sides of the comparison would run one request at once.
+	minTrialLimit = 2
+	// keepFor is how long a lower limit that a trial has confirmed stays before
+	// it may rise again.
+	keepFor = 10 * time.Second
 )
 
 // gradient decides whether a slow target gets fewer requests at once. By
@@ -37,6 +43,7 @@
 	restore    float64
 	holdoff    time.Duration
 	quiet      time.Time
+	kept       time.Time
 }
 
 // observe records a response that ran under the limit and returns the new limit
@@ -59,7 +66,7 @@
 	if g.trial {
 		return g.judge(limit, now)
 	}
-	if !wasSlow || !g.isSlow || limit <= 1 || now.Before(g.quiet) {
+	if !wasSlow || !g.isSlow || limit < minTrialLimit || now.Before(g.quiet) {
 		return limit, false
 	}
 	return g.begin(limit), true
@@ -83,6 +90,7 @@
 	g.trial = false
 	if g.throughput >= trialGain*g.before {
 		g.holdoff = 0
+		g.kept = now.Add(keepFor)
 		return limit, false
 	}
 	g.holdoff = min(max(2*g.holdoff, firstHoldoff), maxHoldoff)
--- a/internal/coordination/admission/limit.go
+++ b/internal/coordination/admission/limit.go
@@ -47,7 +47,7 @@
 }
 
 func (l *limit) recover(now time.Time) {
-	if !l.lastSuccess.IsZero() && !l.slow() {
+	if !l.lastSuccess.IsZero() && !l.slow(now) {
 		gap := min(now.Sub(l.lastSuccess), maxRecoveryGap)
 		l.value = min(l.value+gap.Seconds()*recoveryPerSecond, float64(l.slots))
 	}
@@ -55,9 +55,11 @@
 }
 
 // slow reports whether the present limit is the result of slowness or on trial
-// for it.
-func (l *limit) slow() bool {
-	return l.gradient.trial || (l.gradient.isSlow && l.gradient.holdoff == 0)
+// for it. A limit that no trial has set may rise although responses are slow:
+// only at a higher one can a trial tell whether fewer requests at once help.
+func (l *limit) slow(now time.Time) bool {
+	g := &l.gradient
+	return g.trial || (g.isSlow && g.holdoff == 0 && now.Before(g.kept))
 }
 
 // halve reacts to a refusal by the target.
--- a/internal/coordination/admission/limit_test.go
+++ b/internal/coordination/admission/limit_test.go
@@ -129,3 +129,48 @@
 		})
 	}
 }
+
+// Guards against a target that stays at one slot because its requests have
+// become longer: at one slot no trial can tell whether concurrency is the cause.
+func TestLimitRisesUnderLongerWork(t *testing.T) {
+	const slots, short, long = 6, time.Millisecond, 20 * time.Millisecond
+	c, err := New(Config{Slots: slots, Classes: []Class{{Name: "r", Deadline: 5 * time.Second}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1000, 0)
+	running := make(map[uint64]time.Time)
+	id := uint64(0)
+	offer := func() {
+		id++
+		if d := c.Offer(Request{ID: id}, now); d.Verdict == Run {
+			running[id] = now
+		}
+	}
+	serve := func(work time.Duration) {
+		now = now.Add(time.Millisecond)
+		for i, at := range running {
+			if now.Sub(at) < work {
+				continue
+			}
+			delete(running, i)
+			for _, s := range c.Done(i, OK, now.Sub(at), now).Starts {
+				running[s.ID] = now
+			}
+			offer()
+		}
+	}
+	offer()
+	for range 50 {
+		serve(short)
+	}
+	for range slots - 1 {
+		offer()
+	}
+	for range 10_000 { // ms; one slot a second from one to six, and a trial
+		serve(long)
+	}
+	if got := c.Stats().Limit; got != slots {
+		t.Errorf("limit of a busy target is %.1f of %d slots after 10 s", got, slots)
+	}
+}
--- a/internal/coordination/coordinator/hot.go
+++ b/internal/coordination/coordinator/hot.go
@@ -12,6 +12,10 @@
 const (
 	// HotInterval is the interval of decisions on hot keys.
 	HotInterval = time.Second
+	// hotSettle is how long nothing is decided after a key has arrived: the
+	// loads that fronts report lag by up to two intervals and a report, and
+	// would still show the key at its former owner.
+	hotSettle = 3 * HotInterval
 	// loadLife is how long a reported load counts.
 	loadLife = 3 * time.Second
 	milli    = 1000
@@ -27,6 +31,8 @@
 	wanted map[uint64]string
 	// split holds when the front was known to hold the override.
 	split map[uint64]time.Time
+	// arrived is when a key last reached its next owner.
+	arrived time.Time
 }
 
 func (m *Machine) hotOf(service string) *hotState {
@@ -45,7 +51,7 @@
 // placeHot decides on hot keys and takes the next step of each override.
 func (b *build) placeHot(s *table.Service) {
 	h := b.hotOf(s.Name)
-	if b.now.Sub(h.planned) >= HotInterval {
+	if b.now.Sub(h.planned) >= HotInterval && b.now.Sub(h.arrived) >= hotSettle {
 		h.planned = b.now
 		for _, mv := range h.planner.Plan(b.hotInput(s), b.now) {
 			b.applyHot(s, h, mv)
@@ -83,8 +89,9 @@
 	unit := table.Unit{Hash: o.Hash, Hot: true}
 	switch {
 	case to == table.NoOwner || to == o.Owner || s.Targets[to].State != table.TargetActive:
-		if o.To == table.NoOwner {
+		if _, known := h.wanted[o.Hash]; known && o.To == table.NoOwner {
 			delete(h.wanted, o.Hash)
+			h.arrived = b.now
 		}
 	case o.To != table.NoOwner || o.Owner == table.NoOwner || !b.settledOverride(s.Name, *o):
 	case b.splitDone(s, h, unit, o.Owner):
@@ -157,15 +164,44 @@
 		}
 		in.Keys = append(in.Keys, hotKeys(s, r)...)
 	}
+	b.shiftPending(s, in)
 	for _, o := range s.Overrides {
 		in.Overrides = append(in.Overrides, hotkey.Override{
 			Hash: o.Hash, Owner: o.Owner, Home: s.Owners[o.Hash%uint64(len(s.Owners))],
-			Moving: o.To != table.NoOwner,
+			Moving: o.To != table.NoOwner || b.pending(s, o) != table.NoOwner,
 		})
 	}
 	return in
 }
 
+// pending returns the target that an override is to reach, or NoOwner if it is
+// there or has none.
+func (b *build) pending(s *table.Service, o table.Override) uint16 {
+	to := s.TargetIndex(b.hotOf(s.Name).wanted[o.Hash])
+	if to == o.Owner {
+		return table.NoOwner
+	}
+	return to
+}
+
+// shiftPending counts the load of keys on their way as their next owner's.
+// Otherwise the planner would move more keys away from a target for a load that
+// is about to leave.
+func (b *build) shiftPending(s *table.Service, in hotkey.Input) {
+	loads := make(map[uint64]float64, len(in.Keys))
+	for _, k := range in.Keys {
+		loads[k.Hash] = k.Load
+	}
+	for _, o := range s.Overrides {
+		to := b.pending(s, o)
+		if to == table.NoOwner || o.Owner == table.NoOwner {
+			continue
+		}
+		in.Targets[o.Owner].Load -= loads[o.Hash]
+		in.Targets[to].Load += loads[o.Hash]
+	}
+}
+
 func hotKeys(s *table.Service, r peer.TargetReport) []hotkey.Key {
 	var out []hotkey.Key
 	for _, k := range r.HotKeys {
