Count error responses apart from failed connections

Cause: three complete error responses in a row made a target lost, so one caller's bad requests could take a target's keys away for seconds. Ruled out: ignoring error responses; a target that fails everything while its health endpoint says good must be found by its requests. Before: lost after 3 error responses. After: after 20 without another response between them; broken or refused connections still count 3. Conclusion: reachable targets get the benefit of the doubt.

--- a/internal/coordination/front/dispatch.go
+++ b/internal/coordination/front/dispatch.go
@@ -32,9 +32,9 @@
 // mayRun reports whether the request may still run at the target.
 func (r Result) mayRun() bool { return r == Broken || r == Silent || r == Cancelled }
 
-// failed reports whether the result is evidence of a lost target.
+// failed reports whether the result shows that the target cannot be reached.
 func (r Result) failed() bool {
-	return r == Failure || r == Broken || r == Silent || r == Refused
+	return r == Broken || r == Silent || r == Refused
 }
 
 // Token names one dispatched request.
@@ -189,7 +189,9 @@
 	}
 	switch {
 	case result == Success:
-		m.health.failures = 0
+		m.health.succeeded()
+	case result == Failure:
+		m.health.failWithResponse(now)
 	case result.failed():
 		m.health.fail(now)
 	}
--- a/internal/coordination/front/front.go
+++ b/internal/coordination/front/front.go
@@ -38,6 +38,11 @@
 	// FailedInRow is the number of failures without a success between them
 	// that makes a target lost.
 	FailedInRow = 3
+	// ErrorsInRow is the number of complete error responses without another
+	// response between them that makes a target lost. It is higher, since a
+	// target that answers is there: a single caller's bad requests must not
+	// take its keys away, but a target that fails everything must go.
+	ErrorsInRow = 20
 	// RefusedDelay is the wait before the next exchange after a refused
 	// connection, so that a dead process is detected within the 500 ms.
 	RefusedDelay = 100 * time.Millisecond
--- a/internal/coordination/front/health.go
+++ b/internal/coordination/front/health.go
@@ -16,6 +16,7 @@
 	condition condition
 	at        time.Time // start of the condition
 	failures  int       // in a row
+	errors    int       // error responses in a row
 	waiting   time.Time // since when nothing was answered; zero if answered
 	nextTry   time.Time
 	delay     time.Duration
@@ -36,6 +37,18 @@
 	h.at = now
 }
 
+func (h *health) succeeded() { h.failures, h.errors = 0, 0 }
+
+// failWithResponse counts a complete error response: the target is reachable,
+// but may fail everything.
+func (h *health) failWithResponse(now time.Time) {
+	h.failures = 0
+	h.errors++
+	if h.errors >= ErrorsInRow {
+		h.lose(now)
+	}
+}
+
 // fail counts a failed request or a refused connection.
 func (h *health) fail(now time.Time) {
 	h.failures++
@@ -47,7 +60,7 @@
 // lose declares the target lost. The verdict stands until RecoveryTime after
 // the target answers again, which is longer than any grant.
 func (h *health) lose(now time.Time) {
-	h.failures = 0
+	h.succeeded()
 	h.waiting = time.Time{}
 	if !h.lost() {
 		h.lostAt = now
