Check deadlines before each send; wait for a table that a peer has already

Cause: a request that waited in a queue across a pause could be sent after its deadline, on which moves of keys count. A forward by a newer table was refused at once, and a shard's next move could inherit the mark of the one before. Before: no check between queue and send. Conclusion: nothing is sent after its deadline, whatever pause comes between.

--- a/internal/coordination/coordinator/shards.go
+++ b/internal/coordination/coordinator/shards.go
@@ -249,8 +249,9 @@
 }
 
 func (b *build) startMove(s *table.Service, shard uint32, to uint16) {
-	moving := slices.ContainsFunc(s.Moves, func(mv table.Move) bool { return mv.Shard == shard })
-	if moving || s.Owners[shard] == to {
+	// A move must not follow in the table that ends the last one: it would
+	// inherit that one's mark.
+	if s.Moving(shard) || s.Owners[shard] == to || b.storedMove(s.Name, shard) {
 		return
 	}
 	s.Moves = append(s.Moves, table.Move{Shard: shard, To: to})
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -104,6 +104,10 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := c.expired(now); err != nil {
+		f.apply(f.controller.Done(a.id, admission.Cancelled, 0, now))
+		return running{}, dispatchRefusal(err)
+	}
 	token, err := f.machine.Begin(c.unit, now, f.membership.authorityUntil())
 	if err != nil {
 		f.apply(f.controller.Done(a.id, admission.Cancelled, 0, now))
@@ -128,7 +132,7 @@
 	options := targetnet.Options{
 		NeverRepeat: c.neverRepeat,
 		SilentAfter: f.silentAfter(c.class),
-		BeforeSend:  func() error { return f.recheck(c.unit) },
+		BeforeSend:  func() error { return f.recheck(c) },
 	}
 	resp, err := f.pool.RoundTrip(ctx, req, options)
 	if err != nil {
@@ -150,10 +154,14 @@
 
 // recheck runs after a connection was obtained and right before the first byte
 // is written: dialling may have taken long.
-func (f *targetFront) recheck(u table.Unit) error {
+func (f *targetFront) recheck(c call) error {
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.dispatchable(u, time.Now())
+	if err := c.expired(now); err != nil {
+		return err
+	}
+	return f.dispatchable(c.unit, now)
 }
 
 func (f *targetFront) sendFailed(ctx context.Context, r running, err error) *refusal {
--- a/internal/daemon/fronts.go
+++ b/internal/daemon/fronts.go
@@ -235,6 +235,13 @@
 	}
 }
 
+// revision returns the revision of the table in force.
+func (f *fronts) revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.applied.revisions().Table
+}
+
 // locate returns the front that serves the key's hash under the applied table,
 // with the unit. The front is nil if another daemon fronts the owner.
 func (f *fronts) locate(service string, hash uint64) (*targetFront, table.Unit) {
--- a/internal/daemon/peerhandler.go
+++ b/internal/daemon/peerhandler.go
@@ -14,6 +14,7 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/protocol/header"
 	"github.com/jackdawloom/jackdawloom/internal/protocol/peer"
+	"github.com/jackdawloom/jackdawloom/internal/state/table"
 )
 
 // callTimeout bounds a control message between daemons. An answer that comes
@@ -108,7 +109,7 @@
 		(&refusal{status: http.StatusBadRequest, outcome: notRun, reason: reasonMalformed, cause: err}).write(w)
 		return
 	}
-	f, unit := d.fronts.locate(c.service, hash)
+	f, unit := d.locateForwarded(r, c.service, hash)
 	if f == nil {
 		(&refusal{status: http.StatusServiceUnavailable, outcome: notRun, reason: reasonNotFront}).write(w)
 		return
@@ -130,6 +131,27 @@
 	}
 }
 
+// Times of a wait for the table that a peer has already.
+const (
+	tableWait = 100 * time.Millisecond
+	tablePoll = 2 * time.Millisecond
+)
+
+// locateForwarded finds the front of a forwarded request. If the peer routed it
+// by a newer table, that one is waited for: it is on its way here too.
+func (d *Daemon) locateForwarded(r *http.Request, service string, hash uint64) (*targetFront, table.Unit) {
+	theirs, _ := strconv.ParseUint(r.Header.Get(header.TableRevision), 10, 64)
+	ctx, cancel := context.WithTimeout(r.Context(), tableWait)
+	defer cancel()
+	for {
+		f, unit := d.fronts.locate(service, hash)
+		if f != nil || ctx.Err() != nil || d.fronts.revision() >= theirs {
+			return f, unit
+		}
+		sleep(ctx, tablePoll)
+	}
+}
+
 // readForward reads the fields of a forwarded request.
 func (d *Daemon) readForward(r *http.Request) (call, uint64, error) {
 	h := r.Header
--- a/internal/daemon/refusal.go
+++ b/internal/daemon/refusal.go
@@ -152,7 +152,7 @@
 // dispatchErrors are the reasons for which a front does not dispatch.
 var dispatchErrors = []error{
 	front.ErrNoAuthority, front.ErrNotOwner, front.ErrMoving, front.ErrNotGranted,
-	front.ErrTargetLost, front.ErrReleased, front.ErrDraining,
+	front.ErrTargetLost, front.ErrReleased, front.ErrDraining, errExpired,
 }
 
 func isDispatchError(err error) bool {
@@ -165,6 +165,9 @@
 }
 
 func dispatchRefusal(err error) *refusal {
+	if errors.Is(err, errExpired) {
+		return &refusal{status: http.StatusGatewayTimeout, outcome: notRun, reason: reasonDeadline, cause: err}
+	}
 	return &refusal{status: http.StatusServiceUnavailable, outcome: notRun, reason: reasonDispatch, cause: err}
 }
 
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -31,6 +32,18 @@
 	request     *http.Request
 }
 
+// errExpired reports a request whose deadline has passed before it was sent.
+var errExpired = errors.New("deadline has passed")
+
+// expired is checked before each send: moves of keys count on no request being
+// sent after its deadline, also by a daemon that was paused.
+func (c call) expired(now time.Time) error {
+	if now.Before(c.deadline) {
+		return nil
+	}
+	return errExpired
+}
+
 // targetRequest returns the request as it is sent to the target.
 func (c call) targetRequest(r running) *http.Request {
 	out := c.request.Clone(c.request.Context())
--- a/internal/embedded/embedded.go
+++ b/internal/embedded/embedded.go
@@ -83,7 +83,7 @@
 // Settings returns the settings of an embedded daemon.
 func Settings(caller, peer, admin netip.AddrPort) *settings.Settings {
 	return &settings.Settings{
-		Daemon:    settings.Daemon{ID: "embedded", Domain: "a", DrainTimeout: 5 * time.Second},
+		Daemon:    settings.Daemon{ID: "embedded", Domain: "a", DrainTimeout: 10 * time.Second},
 		Listen:    settings.Listen{Caller: caller, Peer: peer, Admin: admin},
 		Store:     settings.Store{Embedded: true},
 		Instances: settings.Instances{Poll: time.Second},
