Publish the daemon's state as gauges

Cause: the metrics had counters only; a scraper could see neither the revision in force nor a target's queue and limit. Ruled out: reading them from the state endpoint, which scrapers do not read.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -171,7 +171,7 @@
 		slog.String("peers", d.net.Addr()), slog.String("admin", addrString(d.adminAddr)))
 	for _, duty := range []func(context.Context) error{
 		d.runDocuments, d.runPulls, d.runHeartbeats, d.runPresence, d.runReports,
-		d.runFencing, d.runElection, d.runCoordinator, d.runConfig, d.runInstances,
+		d.runFencing, d.runElection, d.runCoordinator, d.runConfig, d.runInstances, d.runGauges,
 		d.runBurn,
 	} {
 		d.duties.Go(func() error { return duty(d.life) })
