--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -116,6 +117,7 @@
 	storeURL string
 	control  string
 	manifest manifest.Manifest
+	declared []manifest.Target
 	targets  []*process
 	records  []string
 	daemons  []*daemonProcess
@@ -157,14 +159,21 @@
 	return out
 }
 
-// newFleet starts everything and waits until each daemon is ready.
+// newFleet starts a fleet with one service of the given number of targets.
 func newFleet(t *testing.T, targets, daemons int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir()}
+	return newFleetOf(t, testManifest(targets), daemons)
+}
+
+// newFleetOf starts the manifest's targets on free ports, a store and daemons,
+// and waits until each daemon is ready.
+func newFleetOf(t *testing.T, m manifest.Manifest, daemons int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir(), manifest: m}
 	storePorts := freePorts(t, "tcp", 2)
 	f.storeURL, f.control = "http://"+storePorts[0], "http://"+storePorts[1]
 	f.store = start(t, f.dir, "store", "jackdawstandin", "store", "--listen", storePorts[0], "--control", storePorts[1])
-	f.startTargets(targets)
+	f.startTargets()
 	f.writeSettings(daemons)
 	for i := range f.daemons {
 		f.startDaemon(i)
@@ -177,7 +186,7 @@
 	return f
 }
 
-func (f *fleet) startTargets(n int) {
+func testManifest(targets int) manifest.Manifest {
 	service := manifest.Service{
 		Name: "display", PathPrefix: "/display", Shards: 64,
 		Key: manifest.KeySource{From: manifest.KeyFromPath},
@@ -186,24 +195,38 @@
 			{Name: "book", Methods: []string{"POST"}, Repeat: manifest.RepeatNever, DeadlineMs: 5000, Objective: manifest.Objective{LatencyMs: 200, Ratio: 0.99}},
 		},
 	}
-	for i, address := range freePorts(f.t, "tcp", n) {
-		name := fmt.Sprintf("display-%02d", i+1)
+	for i := range targets {
 		service.Targets = append(service.Targets, manifest.Target{
-			Name: name, Address: address, Domain: string(rune('a' + i%3)), Slots: 6, Connections: 60, ChecksGrants: true,
+			Name: fmt.Sprintf("display-%02d", i+1), Domain: string(rune('a' + i%3)), Slots: 6, Connections: 60, ChecksGrants: true,
 		})
-		f.records = append(f.records, filepath.Join(f.dir, name+".runs"))
 	}
-	f.manifest = manifest.Manifest{Schema: manifest.Schema, Name: "e2e", Services: []manifest.Service{service}}
-	for i := range service.Targets {
-		f.targets = append(f.targets, nil)
-		f.startTarget(i)
+	return manifest.Manifest{Schema: manifest.Schema, Name: "e2e", Services: []manifest.Service{service}}
+}
+
+// startTargets starts a process for every target of the manifest. Those of the
+// first service come first.
+func (f *fleet) startTargets() {
+	for i := range f.manifest.Services {
+		s := &f.manifest.Services[i]
+		for j, address := range freePorts(f.t, "tcp", len(s.Targets)) {
+			target := &s.Targets[j]
+			target.Address = address
+			f.declared = append(f.declared, *target)
+			f.records = append(f.records, filepath.Join(f.dir, target.Name+".runs"))
+			f.targets = append(f.targets, nil)
+			f.startTarget(len(f.targets) - 1)
+		}
 	}
 }
 
 func (f *fleet) startTarget(i int) {
-	target := f.manifest.Services[0].Targets[i]
-	f.targets[i] = start(f.t, f.dir, target.Name, "jackdawstandin", "target", "--listen", target.Address,
-		"--name", target.Name, "--slots", "6", "--checks-grants", "--service-time", "1ms", "--record", f.records[i])
+	target := f.declared[i]
+	args := []string{"jackdawstandin", "target", "--listen", target.Address, "--name", target.Name,
+		"--slots", strconv.Itoa(target.Slots), "--service-time", "1ms", "--record", f.records[i]}
+	if target.ChecksGrants {
+		args = append(args, "--checks-grants")
+	}
+	f.targets[i] = start(f.t, f.dir, target.Name, args...)
 }
 
 func (f *fleet) writeSettings(n int) {
@@ -312,7 +335,7 @@
 		if !ok || state.InForce.Table == 0 || len(state.Memberships) == 0 || state.Memberships[0].AuthorityMs == 0 {
 			return false
 		}
-		resp, err := http.Get("http://" + d.callers + "/display/ready")
+		resp, err := http.Get("http://" + d.callers + f.manifest.Services[0].PathPrefix + "/ready")
 		if err != nil {
 			return false
 		}
