Wait for forwarded requests before a stop ends the duties; test leaving targets

Cause: a stop ended the front's duties, which close the connections to targets, once callers were served; requests that peers had forwarded were not counted. Before: forwarded requests were not in flight by the daemon's count. After: they are, and a stop waits for them.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -241,12 +241,21 @@
 	drained := d.awaitHandover(ctx)
 	sleep(ctx, time.Until(noticed))
 	err := d.callerServer.Shutdown(ctx)
+	// Requests that peers forwarded may still run; ending the duties closes the
+	// connections to the targets.
+	d.awaitIdle(ctx)
 	d.end()
 	err = errors.Join(err, d.net.Shutdown(ctx), d.adminServer.Shutdown(ctx), d.duties.Wait())
 	d.log.Info("stopped", slog.Bool("handed_over", drained), slog.Any("error", err))
 	return err
 }
 
+func (d *Daemon) awaitIdle(ctx context.Context) {
+	for d.inFlight.Load() > 0 && ctx.Err() == nil {
+		sleep(ctx, stopPoll)
+	}
+}
+
 // awaitHandover waits until other daemons front this daemon's targets. It gives
 // up where there is nobody to take over.
 func (d *Daemon) awaitHandover(ctx context.Context) bool {
--- a/internal/daemon/peerhandler.go
+++ b/internal/daemon/peerhandler.go
@@ -104,6 +104,8 @@
 // serveForward serves a request that another daemon forwards to the front of
 // its key's owner.
 func (d *Daemon) serveForward(w http.ResponseWriter, r *http.Request) {
+	d.inFlight.Add(1)
+	defer d.inFlight.Add(-1)
 	c, hash, err := d.readForward(r)
 	if err != nil {
 		(&refusal{status: http.StatusBadRequest, outcome: notRun, reason: reasonMalformed, cause: err}).write(w)
--- a/internal/e2e/planned_test.go
+++ b/internal/e2e/planned_test.go
@@ -1,12 +1,14 @@
 package e2e
 
 import (
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/protocol/adminapi"
+	"github.com/jackdawloom/jackdawloom/internal/standin/targetsrv"
 )
 
 // TestRollingRestart guards against planned stops that cut or refuse requests:
@@ -101,3 +103,51 @@
 		return true
 	})
 }
+
+// TestLeavingTarget guards against new work at a target 3 s after it announced
+// that it leaves, and against requests that are refused on the way.
+func TestLeavingTarget(t *testing.T) {
+	f := newFleet(t, 3, 3)
+	f.awaitSettled()
+	l := startLoad(f, "leaving", 6, nil)
+	time.Sleep(500 * time.Millisecond)
+	f.setTarget(0, targetsrv.Faults{Draining: true})
+	time.Sleep(5 * time.Second) // the limit of 3 s and as much again for late work
+	attempts := l.stop()
+	checkRuns(t, f, attempts)
+	checkAllAnswered(t, attempts)
+	var stats targetsrv.Stats
+	f.getJSON(f.declared[0].Address, targetsrv.StatsPath, &stats)
+	if stats.Late > 0 {
+		t.Errorf("%d requests arrived later than 3 s after the announcement", stats.Late)
+	}
+	if table := f.table(); table.Services[0].Targets[0].Shards > 0 {
+		t.Errorf("%d shards are left at the leaving target", table.Services[0].Targets[0].Shards)
+	}
+}
+
+// TestStopFinishesLongRequests guards against a graceful stop that cuts a
+// request that another daemon forwarded: it runs for longer than the handover.
+func TestStopFinishesLongRequests(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	f.awaitSettled()
+	front := f.frontIndex(0)
+	entry := f.daemons[(front+1)%3]
+	req, err := http.NewRequest(http.MethodPost, "http://"+entry.callers+"/display/long?work_ms=4000&tag=long", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	result := make(chan attempt, 1)
+	go func() {
+		a := attempt{tag: "long", never: true, at: time.Now()}
+		a.complete(&http.Client{Transport: &http.Transport{}}, req)
+		result <- a
+	}()
+	f.await("request at the target", 3*time.Second, func() bool { return f.runs()["long"] == 1 })
+	if err := f.daemons[front].stop(t); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	attempts := []attempt{<-result}
+	checkRuns(t, f, attempts)
+	checkAllAnswered(t, attempts)
+}
