Add jackdawctl experiment: five measures against baselines

Cause: imbalance, churn, crest and head-of-line blocking were measured by separate tests or not at all; no command reprinted them, and the placement had no baselines. Ruled out: a figure of unavailable time, since the experiment has no processes; the table names the tests that measure it and gives the computed wait without a standby. Before: the queue experiment only in its tests. After: one command prints a table per deployment; a ring with virtual nodes and modulo are the baselines.

--- /dev/null
+++ b/internal/ctl/experiment.go
@@ -0,0 +1,124 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jackdawloom/jackdawloom/internal/experiment"
+)
+
+// Names of the flags of experiment.
+const (
+	flagDeployment = "deployment"
+	flagSeeds      = "seeds"
+	flagMarkdown   = "markdown"
+	flagParts      = "parts"
+)
+
+const (
+	// minSeeds of a table: a median and a spread of fewer say little.
+	minSeeds       = 5
+	allDeployments = "all"
+)
+
+func experimentCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "experiment",
+		Usage: "measure the policies against baselines in a simulation",
+		Description: `Prints imbalance, churn, quality of service at the crest of a load and
+head-of-line blocking for the policy and for baselines. Nothing is sent to any
+daemon. Equal seeds give equal tables. Unavailable time needs processes: see the
+tests TestKilledDaemons, TestKilledTargets, TestFrozenProcesses and
+TestSilentConnections of internal/e2e.
+
+Example:
+   jackdawctl experiment --deployment muscat --seeds 5 --plot measures.svg`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagDeployment, Value: allDeployments, Usage: "muscat, perinka or all"},
+			&cli.IntFlag{Name: flagSeeds, Value: minSeeds, Usage: "number of seeds, at least 5"},
+			&cli.BoolFlag{Name: flagParts, Usage: "instead compare the admission policy with each of its parts switched off"},
+			&cli.BoolFlag{Name: flagMarkdown, Usage: "print the tables in Markdown"},
+			&cli.StringFlag{Name: flagSave, Usage: "write the result as JSON to `FILE`"},
+			&cli.StringFlag{Name: flagPlot, Usage: "draw the medians to the SVG `FILE`"},
+		},
+		Action: runExperiment,
+	}
+}
+
+func runExperiment(_ context.Context, cmd *cli.Command) error {
+	if _, err := arguments(cmd, 0); err != nil {
+		return err
+	}
+	chosen, err := chosenDeployments(cmd.String(flagDeployment))
+	if err != nil {
+		return err
+	}
+	seeds := cmd.Int(flagSeeds)
+	if seeds < minSeeds {
+		return usage(fmt.Sprintf("--%s must be at least %d", flagSeeds, minSeeds))
+	}
+	if cmd.Bool(flagParts) {
+		return runParts(cmd, chosen, seeds)
+	}
+	var reports []experiment.Report
+	for _, d := range chosen {
+		reports = append(reports, experiment.Measure(d, seeds))
+	}
+	if err := emit(cmd, reports, func(w io.Writer) error {
+		return printReports(w, reports, cmd.Bool(flagMarkdown))
+	}); err != nil {
+		return err
+	}
+	return saveReports(cmd, reports)
+}
+
+func runParts(cmd *cli.Command, chosen []experiment.Deployment, seeds int) error {
+	if cmd.String(flagSave) != "" || cmd.String(flagPlot) != "" {
+		return usage(fmt.Sprintf("--%s does not go with --%s and --%s", flagParts, flagSave, flagPlot))
+	}
+	parts := experiment.Parts(chosen, experiment.PartScenarios(), seeds)
+	return emit(cmd, parts, func(w io.Writer) error { return experiment.WriteText(w, parts) })
+}
+
+func chosenDeployments(name string) ([]experiment.Deployment, error) {
+	all := experiment.Deployments()
+	if name == allDeployments {
+		return all, nil
+	}
+	for _, d := range all {
+		if d.Name == name {
+			return []experiment.Deployment{d}, nil
+		}
+	}
+	return nil, usage(fmt.Sprintf("--%s %q is not muscat, perinka or all", flagDeployment, name))
+}
+
+func printReports(w io.Writer, reports []experiment.Report, markdown bool) error {
+	for _, r := range reports {
+		if err := experiment.WriteReport(w, r, markdown); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func saveReports(cmd *cli.Command, reports []experiment.Report) error {
+	if name := cmd.String(flagSave); name != "" {
+		err := writeFile(name, func(w io.Writer) error {
+			e := json.NewEncoder(w)
+			e.SetIndent("", "  ")
+			return e.Encode(reports)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	if name := cmd.String(flagPlot); name != "" {
+		return writeFile(name, func(w io.Writer) error { return experiment.PlotReports(w, reports) })
+	}
+	return nil
+}
--- a/internal/experiment/parts.go
+++ b/internal/experiment/parts.go
@@ -21,10 +21,15 @@
 	}
 }
 
+// PartScenarios returns the scenarios that the parts of the controller are for.
+func PartScenarios() []Scenario {
+	return []Scenario{Steady(1.5), Steady(3), Mix(0.8), Unfair(), Contended()}
+}
+
 // Parts runs the controller with each of its parts switched off.
-func Parts(scenarios []Scenario, seeds int) []Summary {
+func Parts(deployments []Deployment, scenarios []Scenario, seeds int) []Summary {
 	var all []Summary
-	for _, d := range Deployments() {
+	for _, d := range deployments {
 		for _, sc := range scenarios {
 			for _, v := range variants() {
 				c := Config{Deployment: d, Scenario: sc, Policy: Controller, Without: v.without}
--- /dev/null
+++ b/internal/experiment/ring.go
@@ -0,0 +1,94 @@
+package experiment
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jackdawloom/jackdawloom/internal/coordination/placement"
+)
+
+// pointsPerSlot is the number of virtual nodes on the ring per slot of a target:
+// 120 for a target with 3 slots.
+const pointsPerSlot = 40
+
+// assigner returns the owner of a key's hash.
+type assigner interface {
+	owner(hash uint64) string
+}
+
+// ring is plain consistent hashing with virtual nodes weighted by the slots.
+type ring []point
+
+type point struct {
+	hash uint64
+	name string
+}
+
+func newRing(targets []placement.Candidate) ring {
+	var r ring
+	for _, t := range targets {
+		for i := range t.Capacity * pointsPerSlot {
+			r = append(r, point{xxhash.Sum64String(t.Name + "/" + strconv.Itoa(i)), t.Name})
+		}
+	}
+	slices.SortFunc(r, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
+	return r
+}
+
+// owner returns the target of the first point at or after the hash. The hash is
+// hashed again, so that keys and points do not share a sequence of names.
+func (r ring) owner(hash uint64) string {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], hash)
+	at, _ := slices.BinarySearchFunc(r, xxhash.Sum64(b[:]), func(p point, h uint64) int {
+		return cmp.Compare(p.hash, h)
+	})
+	return r[at%len(r)].name
+}
+
+// modulo assigns the hash modulo the number of slots.
+type modulo []string
+
+func newModulo(targets []placement.Candidate) modulo {
+	var m modulo
+	for _, t := range targets {
+		for range t.Capacity {
+			m = append(m, t.Name)
+		}
+	}
+	return m
+}
+
+func (m modulo) owner(hash uint64) string { return m[hash%uint64(len(m))] }
+
+// shards is the shard table of the placement planner.
+type shards struct {
+	owners []uint16
+	names  map[uint16]string
+}
+
+// noOwner marks a shard that was never placed.
+const noOwner = ^uint16(0)
+
+// newShards plans from the owners before; nil means an empty table. Like the
+// coordinator, it gives all shards the same weight.
+func newShards(targets []placement.Candidate, before []uint16) shards {
+	if before == nil {
+		before = slices.Repeat([]uint16{noOwner}, shardCount)
+	}
+	s := shards{owners: slices.Clone(before), names: map[uint16]string{}}
+	for _, t := range targets {
+		s.names[t.Index] = t.Name
+	}
+	plan := placement.Make(placement.Input{Owners: before, Candidates: targets})
+	for _, c := range slices.Concat(plan.Orphans, plan.Moves) {
+		s.owners[c.Shard] = c.To
+	}
+	return s
+}
+
+func (s shards) owner(hash uint64) string { return s.names[s.owners[hash%shardCount]] }
