--- a/internal/experiment/placed.go
+++ b/internal/experiment/placed.go
@@ -24,11 +24,11 @@
 
 // Names of the assignments.
 const (
-	byPolicy  = ""
-	byRing    = "ring"
-	byModulo  = "modulo"
-	unmoved   = "hot keys unmoved"
-	ideal     = "ideal"
+	byPolicy = ""
+	byRing   = "ring"
+	byModulo = "modulo"
+	unmoved  = "hot keys unmoved"
+	ideal    = "ideal"
 )
 
 // samples collects the values of one row over the seeds by assignment.
