--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -3,6 +3,9 @@
 // does. The target is a set of slots with service times drawn per request, so
 // the results compare policies and say nothing about networks or a cluster.
 //
+// It also compares the placement of keys with other assignments, by the number
+// and the load of the keys alone.
+//
 // All policies of one configuration and seed see the same requests with the
 // same service times.
 package experiment
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -54,7 +54,7 @@
 	ttl := election.LeaseTTL.Seconds()
 	return Row{
 		Measure: "unavailable", Case: "daemon or target lost", Unit: "s",
-		Note: "measured by tests of internal/e2e",
+		Note: "see internal/e2e: TestKilledDaemons, TestKilledTargets, TestFrozenProcesses, TestSilentConnections",
 		Baselines: []Value{{
 			Policy: "no standby, lease + table (computed)",
 			Spread: Spread{Median: ttl, Min: ttl, Max: ttl},
