--- /dev/null
+++ b/internal/experiment/placed_test.go
@@ -0,0 +1,90 @@
+package experiment
+
+import (
+	"bytes"
+	"encoding/xml"
+	"errors"
+	"io"
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// Guards against a baseline that is weaker or stronger than consistent hashing:
+// only keys of the changed target move on the ring, and about its share of them.
+func TestRingMovesItsShare(t *testing.T) {
+	f := newFleet(15, 3, 1)
+	keys := zipfKeys("test", 1, zipfExponent)
+	for _, change := range fleetChanges()[:2] {
+		g := change.apply(f, 1)
+		before, after := newRing(f), newRing(g)
+		// The share of a target with 120 random points has a standard deviation of
+		// about 9%; half of the share is more than five of these.
+		want, got := evenChurn(f, g), churn(keys, before, after)
+		if math.Abs(got-want) > want/2 {
+			t.Errorf("%s: %.3f of the keys moved, its share is %.3f", change.name, got, want)
+		}
+		from, to := map[string]bool{}, map[string]bool{}
+		for _, k := range keys {
+			if a, b := before.owner(k.hash), after.owner(k.hash); a != b {
+				from[a], to[b] = true, true
+			}
+		}
+		changed := from
+		if len(g) > len(f) {
+			changed = to
+		}
+		if len(changed) != 1 {
+			t.Errorf("%s: keys moved from %d targets to %d", change.name, len(from), len(to))
+		}
+	}
+}
+
+// Guards against tables that cannot be reprinted, and against hot key moves that
+// raise the load of the most loaded target.
+func TestPlacementRowsRepeat(t *testing.T) {
+	s := service{name: "test", targets: 15}
+	a, b := placementRows(s, 3, 1), placementRows(s, 3, 1)
+	if !reflect.DeepEqual(a, b) {
+		t.Error("two runs with equal seeds differ")
+	}
+	for _, r := range a {
+		if r.Ideal != nil && r.Measure == "imbalance" && r.Policy.Min < r.Ideal.Min {
+			t.Errorf("%s: %s is below the ideal %s", r.Case, r.Policy, r.Ideal)
+		}
+		for _, v := range r.Baselines {
+			if r.Measure == "imbalance" && v.Policy == unmoved && r.Policy.Max > v.Max {
+				t.Errorf("%s: %s with moved hot keys, %s without", r.Case, r.Policy, v.Spread)
+			}
+		}
+	}
+}
+
+// Guards against renderings that drop a figure or invent one for the measure
+// that the experiment cannot show, and against a plot that is not valid XML.
+func TestReportRenderings(t *testing.T) {
+	one := Spread{Median: 1.5, Min: 1.25, Max: 1.75}
+	r := Report{Deployment: "<muscat>", Seeds: 5, Rows: []Row{
+		{Measure: "churn", Case: "leave", Policy: &one, Baselines: []Value{{"ring", one}}, Ideal: &one},
+		unavailableRow(),
+	}}
+	var text, plot bytes.Buffer
+	if err := errors.Join(WriteReport(&text, r, true), PlotReports(&plot, []Report{r})); err != nil {
+		t.Fatal(err)
+	}
+	if n := strings.Count(text.String(), one.String()); n != 2 {
+		t.Errorf("%d of 2 figures in the table:\n%s", n, text.String())
+	}
+	if r.Rows[1].Policy != nil || !strings.Contains(text.String(), "(computed) 2.000") {
+		t.Errorf("unavailable time is not marked as computed:\n%s", text.String())
+	}
+	d := xml.NewDecoder(&plot)
+	for {
+		if _, err := d.Token(); errors.Is(err, io.EOF) {
+			return
+		} else if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
