Count the traffic between daemons at the UDP socket

Cause: the control bytes per daemon could not be measured; the existing counter holds request bodies only. Ruled out: counting HTTP/3 bodies, which leaves out handshakes, acknowledgements and keep-alives. Conclusion: no behaviour changes; the tests of peernet pass.

--- a/internal/transport/peernet/peernet.go
+++ b/internal/transport/peernet/peernet.go
@@ -48,7 +48,8 @@
 	mu    sync.Mutex
 	peers map[string]*peerConn
 
-	dials atomic.Uint64
+	dials    atomic.Uint64
+	counters counters
 }
 
 // Listen opens the socket. Nothing is accepted before Serve.
@@ -62,11 +63,11 @@
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	n := &Net{
-		transport: &quic.Transport{Conn: socket},
-		client:    http3.ConfigureTLSConfig(client),
-		log:       log,
-		peers:     make(map[string]*peerConn),
+		client: http3.ConfigureTLSConfig(client),
+		log:    log,
+		peers:  make(map[string]*peerConn),
 	}
+	n.transport = &quic.Transport{Conn: newCountedConn(socket, &n.counters)}
 	n.listener, err = n.transport.ListenEarly(http3.ConfigureTLSConfig(server), quicConfig())
 	if err != nil {
 		_ = socket.Close()
@@ -134,6 +135,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	n.counters.requests.Add(1)
 	sent := &atomic.Bool{}
 	// WroteHeaderField is called while the header is encoded, before its first
 	// byte is written; WroteHeaders only follows a write that succeeded whole.
