Measure how control costs grow: jackdawctl slopes

Cause: docs had no measured cost per daemon, target, shard or member. One service of 64 shards for all targets, since a manifest must give each target a shard. Conclusion: one command runs fleets, peer exchanges and the coordinator's pure machine on this machine and fits lines to the medians.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -64,7 +64,7 @@
 		Commands: []*cli.Command{
 			validateCommand(), diffCommand(), applyCommand(), configCommand(),
 			instancesCommand(), targetsCommand(), ownerCommand(), drainCommand(), undrainCommand(),
-			burnCommand(), certsCommand(), loadCommand(), moveCommand(),
+			burnCommand(), certsCommand(), loadCommand(), moveCommand(), slopesCommand(),
 		},
 	}
 }
