--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -66,6 +66,7 @@
 			instancesCommand(), targetsCommand(), ownerCommand(), drainCommand(), undrainCommand(),
 			burnCommand(), certsCommand(), loadCommand(), moveCommand(),
 			experimentCommand(),
+			burnCommand(), certsCommand(), loadCommand(), moveCommand(), slopesCommand(),
 		},
 	}
 }
