Reach the store through every configured address; apply two settings

Cause: of several store.urls only the first was used, and store.timeout and limits.max_key were checked but had no effect. Ruled out: refusing more than one address; the platform's store has several. Before: one address. After: a call that certainly had no effect goes to the next address; a write of unknown result does not.

--- a/cmd/jackdawloomd/main.go
+++ b/cmd/jackdawloomd/main.go
@@ -18,7 +18,9 @@
 	"github.com/jackdawloom/jackdawloom/internal/pki"
 	"github.com/jackdawloom/jackdawloom/internal/settings"
 	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+	"github.com/jackdawloom/jackdawloom/internal/topo"
 	"github.com/jackdawloom/jackdawloom/internal/topo/etcdgw"
+	"github.com/jackdawloom/jackdawloom/internal/topo/failover"
 )
 
 func main() {
@@ -89,14 +91,13 @@
 	if err != nil {
 		return err
 	}
-	store, err := etcdgw.New(set.Store.URLs[0], etcdgw.Options{})
+	store, err := openStore(set.Store)
 	if err != nil {
 		return err
 	}
-	defer store.Close()
 	options := daemon.Options{Settings: set, Store: store, Certificate: cert, Authorities: pool, Log: logger(set)}
 	if set.Instances.URL != "" {
-		list, err := etcdgw.New(set.Instances.URL, etcdgw.Options{})
+		list, err := etcdgw.New(set.Instances.URL, etcdgw.Options{CallTimeout: set.Store.Timeout})
 		if err != nil {
 			return err
 		}
@@ -110,6 +111,19 @@
 	return d.Run(ctx)
 }
 
+// openStore returns a client that reaches the store through any of the URLs.
+func openStore(s settings.Store) (topo.Store, error) {
+	var clients []topo.Store
+	for _, u := range s.URLs {
+		client, err := etcdgw.New(u, etcdgw.Options{CallTimeout: s.Timeout})
+		if err != nil {
+			return nil, err
+		}
+		clients = append(clients, client)
+	}
+	return failover.New(clients...), nil
+}
+
 func logger(set *settings.Settings) *slog.Logger {
 	options := &slog.HandlerOptions{Level: set.Daemon.LogLevel}
 	if set.Daemon.LogFormat == settings.LogJSON {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -107,7 +107,7 @@
 		instances:    o.Instances,
 		log:          o.Log.With(slog.String("daemon", o.Settings.Daemon.ID)),
 		started:      time.Now(),
-		docs:         newDocuments(),
+		docs:         newDocuments(int(o.Settings.Limits.MaxKey)),
 		metrics:      newMetrics(),
 		addresses:    make(map[table.MemberID]string),
 		lastHeard:    make(map[table.MemberID]time.Time),
--- a/internal/daemon/documents.go
+++ b/internal/daemon/documents.go
@@ -56,13 +56,14 @@
 // revision replaces a held document, whatever source it comes from, so a store
 // or peer that answers from an old state changes nothing.
 type documents struct {
+	maxKey  int // bytes
 	mu      sync.Mutex
 	current atomic.Pointer[snapshot]
 	changed chan struct{}
 }
 
-func newDocuments() *documents {
-	d := &documents{changed: make(chan struct{})}
+func newDocuments(maxKey int) *documents {
+	d := &documents{maxKey: maxKey, changed: make(chan struct{})}
 	d.current.Store(&snapshot{})
 	return d
 }
@@ -84,7 +85,7 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	router := manifest.NewRouter(&accepted.Manifest)
+	router := manifest.NewRouter(&accepted.Manifest).WithMaxKey(d.maxKey)
 	return d.replace(func(next *snapshot) bool {
 		if next.config != nil && accepted.Revision <= next.config.Revision {
 			return false
--- /dev/null
+++ b/internal/topo/failover/failover.go
@@ -0,0 +1,76 @@
+// Package failover reaches one store through several addresses.
+package failover
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+)
+
+// Store passes each call to one of several clients of the same store. A call
+// that certainly had no effect, because its address was unavailable, is passed
+// to the next client; any other result is final.
+type Store struct {
+	clients []topo.Store
+	present atomic.Uint32
+}
+
+// New returns a store with at least one client.
+func New(clients ...topo.Store) *Store { return &Store{clients: clients} }
+
+// try makes the call with each client in turn, the last good one first.
+func try[T any](s *Store, call func(topo.Store) (T, error)) (T, error) {
+	first := s.present.Load()
+	var result T
+	var errs []error
+	for i := range s.clients {
+		n := (int(first) + i) % len(s.clients)
+		r, err := call(s.clients[n])
+		if !errors.Is(err, topo.ErrUnavailable) {
+			s.present.Store(uint32(n))
+			return r, err
+		}
+		errs = append(errs, err)
+	}
+	return result, errors.Join(errs...)
+}
+
+// Get implements topo.Store.
+func (s *Store) Get(ctx context.Context, key string) (topo.Entry, error) {
+	return try(s, func(c topo.Store) (topo.Entry, error) { return c.Get(ctx, key) })
+}
+
+// List implements topo.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]topo.Entry, error) {
+	return try(s, func(c topo.Store) ([]topo.Entry, error) { return c.List(ctx, prefix) })
+}
+
+// Commit implements topo.Store.
+func (s *Store) Commit(ctx context.Context, txn topo.Txn) (topo.TxnResult, error) {
+	return try(s, func(c topo.Store) (topo.TxnResult, error) { return c.Commit(ctx, txn) })
+}
+
+// GrantLease implements topo.Store.
+func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (topo.LeaseID, error) {
+	return try(s, func(c topo.Store) (topo.LeaseID, error) { return c.GrantLease(ctx, ttl) })
+}
+
+// KeepAlive implements topo.Store.
+func (s *Store) KeepAlive(ctx context.Context, id topo.LeaseID) error {
+	_, err := try(s, func(c topo.Store) (struct{}, error) { return struct{}{}, c.KeepAlive(ctx, id) })
+	return err
+}
+
+// RevokeLease implements topo.Store.
+func (s *Store) RevokeLease(ctx context.Context, id topo.LeaseID) error {
+	_, err := try(s, func(c topo.Store) (struct{}, error) { return struct{}{}, c.RevokeLease(ctx, id) })
+	return err
+}
+
+// Watch implements topo.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, fromRev int64) (<-chan topo.Event, error) {
+	return try(s, func(c topo.Store) (<-chan topo.Event, error) { return c.Watch(ctx, prefix, fromRev) })
+}
