--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/protocol/header"
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
 )
 
 // TestServesThroughEachDaemon guards against a path that works in one process
@@ -45,10 +47,12 @@
 func TestRefusesBadRequests(t *testing.T) {
 	f := newFleet(t, 1, 1)
 	base := "http://" + f.daemons[0].callers
+	tooLong := strings.Repeat("k", manifest.MaxKeyBytes+1)
 	for _, c := range []struct {
 		method, path, reason string
 		status               int
 	}{
+		{http.MethodGet, "/display/" + tooLong, "key-too-long", http.StatusBadRequest},
 		{http.MethodGet, "/nothing/k", "unknown-service", http.StatusNotFound},
 		{http.MethodGet, "/display", "missing-key", http.StatusBadRequest},
 		{http.MethodDelete, "/display/k", "no-class", http.StatusMethodNotAllowed},
@@ -64,4 +68,25 @@
 			t.Errorf("%s %s: %d %q %q", c.method, c.path, resp.StatusCode, resp.Header.Get(header.Reason), resp.Header.Get(header.Outcome))
 		}
 	}
+	const maxBody = 8 << 20 // the default of limits.max_body
+	resp, err := http.Post(base+"/display/k", "text/plain", strings.NewReader(strings.Repeat("x", maxBody+1)))
+	if err == nil {
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusRequestEntityTooLarge || resp.Header.Get(header.Outcome) != header.NotRun {
+			t.Errorf("body above the limit: %d %q", resp.StatusCode, resp.Header.Get(header.Outcome))
+		}
+	}
+	req, _ := http.NewRequest(http.MethodGet, base+"/display/k", nil)
+	req.Header.Set("X-Long", strings.Repeat("x", 64<<10))
+	resp, err = http.DefaultTransport.RoundTrip(req)
+	if err == nil {
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+			t.Errorf("header above the limit: %d", resp.StatusCode)
+		}
+	}
+	f.awaitReady(f.daemons[0])
+	if runs := f.runs(); len(runs) > 1 {
+		t.Errorf("refused requests ran: %v", runs)
+	}
 }
