--- a/internal/e2e/gray_test.go
+++ b/internal/e2e/gray_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -9,6 +10,8 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/protocol/header"
 	"github.com/jackdawloom/jackdawloom/internal/standin/targetsrv"
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/topo/etcdgw"
 	"github.com/jackdawloom/jackdawloom/internal/topo/memstore"
 )
 
@@ -86,6 +89,7 @@
 func TestStoreFaults(t *testing.T) {
 	f := newFleet(t, 3, 3)
 	f.awaitSettled()
+	first := f.storedConfig()
 	if f.apply(1, "second") != http.StatusOK {
 		t.Fatal("second configuration not accepted")
 	}
@@ -95,26 +99,54 @@
 		{Down: memstore.DownReset},
 		{DelayMs: 900},
 		{LoseWriteAnswers: memstore.All},
-		{RollbackTo: 3},
+		{RollbackTo: first.ModRev},
 		{Nonsense: memstore.NonsenseGarbage},
 		{ExpireLeases: true},
 		{SilentWatch: true},
 	} {
 		f.setStore(faults)
-		time.Sleep(2500 * time.Millisecond)
-		f.setStore(memstore.Faults{})
-		time.Sleep(500 * time.Millisecond)
-		for _, d := range f.daemons {
-			if s, ok := f.state(d); !ok || s.InForce.Config < 2 {
-				t.Errorf("%s has configuration %d in force after %+v", d.id, s.InForce.Config, faults)
-			}
+		during := 2500 * time.Millisecond
+		if faults.RollbackTo > 0 {
+			during = 4500 * time.Millisecond // two polls of the configuration
 		}
+		f.watchRevisions(during, 2, faults)
+		f.setStore(memstore.Faults{})
+		f.watchRevisions(500*time.Millisecond, 2, faults)
 	}
 	attempts := l.stop()
 	checkRuns(t, f, attempts)
 	checkAllAnswered(t, attempts)
 }
 
+// storedConfig returns the configuration's entry in the store.
+func (f *fleet) storedConfig() topo.Entry {
+	f.t.Helper()
+	client, err := etcdgw.New(f.storeURL, etcdgw.Options{})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer client.Close()
+	entry, err := client.Get(context.Background(), topo.KeyConfig)
+	if err != nil || !entry.Exists() {
+		f.t.Fatalf("stored configuration: %+v, %v", entry, err)
+	}
+	return entry
+}
+
+// watchRevisions looks at every daemon for a while, and fails if one holds an
+// older configuration. A look at the end would not do: peers repair a daemon
+// that fell back within a heartbeat.
+func (f *fleet) watchRevisions(d time.Duration, least uint64, faults memstore.Faults) {
+	f.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for _, daemon := range f.daemons {
+			if s, ok := f.state(daemon); !ok || s.Held.Config < least || s.InForce.Config < least {
+				f.t.Fatalf("%s holds configuration %d with %d in force under %+v", daemon.id, s.Held.Config, s.InForce.Config, faults)
+			}
+		}
+	}
+}
+
 // TestLostAnswerOfApply guards against telling an operator that a stored change
 // failed, or storing it twice.
 func TestLostAnswerOfApply(t *testing.T) {
