Count refusals by reason and outcome

Cause: the counter of a refusal was kept by its reason alone, so a reason with two outcomes, such as deadline, was counted under the one it had first. Ruled out: a fault of the reporter; the key lacked the outcome. Before: one counter a reason. Conclusion: found in a read of the whole change.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/jackdawloom/jackdawloom/internal/coordination/retry"
 	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
 )
 
@@ -21,6 +22,12 @@
 	service, class string
 }
 
+// refusalKey names a kind of refusal. A reason can have several outcomes.
+type refusalKey struct {
+	reason  reason
+	outcome retry.Outcome
+}
+
 // classCounts are the totals of one class for the service-level report.
 type classCounts struct {
 	total, good uint64
@@ -38,7 +45,7 @@
 	mu       sync.Mutex
 	classes  map[classKey]*classCounts
 	latency  map[classKey]tally.Histogram
-	refusals map[reason]tally.Counter
+	refusals map[refusalKey]tally.Counter
 }
 
 func newMetrics() *metrics {
@@ -61,7 +68,7 @@
 		controlBytes:     scope.Counter("control_bytes_sent"),
 		classes:          make(map[classKey]*classCounts),
 		latency:          make(map[classKey]tally.Histogram),
-		refusals:         make(map[reason]tally.Counter),
+		refusals:         make(map[refusalKey]tally.Counter),
 	}
 }
 
@@ -109,10 +116,11 @@
 
 func (m *metrics) refused(r *refusal) {
 	m.mu.Lock()
-	c := m.refusals[r.reason]
+	key := refusalKey{r.reason, r.outcome}
+	c := m.refusals[key]
 	if c == nil {
 		c = m.scope.Tagged(map[string]string{"reason": string(r.reason), "outcome": string(r.outcome)}).Counter("refusals")
-		m.refusals[r.reason] = c
+		m.refusals[key] = c
 	}
 	m.mu.Unlock()
 	c.Inc(1)
