Drop dead code and say twice-written checks once

Ruled out: removing the election's SetCandidate, which the limit of five candidates will need. After: Member.HasVoter serves all; behaviour is the same.

--- a/internal/coordination/coordinator/coordinator.go
+++ b/internal/coordination/coordinator/coordinator.go
@@ -332,15 +332,6 @@
 	return mark{kind: markMove, service: service, unit: unit}
 }
 
-// Applied returns the configuration revision that each member has in force.
-func (m *Machine) Applied() map[table.MemberID]uint64 {
-	out := make(map[table.MemberID]uint64, len(m.views))
-	for id, v := range m.views {
-		out[id] = v.report.Revisions.Config
-	}
-	return out
-}
-
 // Forget drops what is known of members that are neither in the stored table
 // nor asking to join. Fences of removed members are kept until then.
 func (m *Machine) Forget(now time.Time) {
--- a/internal/coordination/coordinator/fronts.go
+++ b/internal/coordination/coordinator/fronts.go
@@ -265,18 +265,9 @@
 		if m.Domain == front.Domain {
 			cost += costSameDomain
 		}
-		if !votes(front, m.ID.Run()) {
+		if !front.HasVoter(m.ID.Run()) {
 			cost += costNoVoter
 		}
 		return m.ID != t.Front && m.ID != t.Standby && m.ID.Run() != t.Front.Run(), cost
 	})
 }
-
-func votes(m table.Member, run table.MemberID) bool {
-	for _, v := range m.Voters {
-		if v == run {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/coordination/coordinator/shards.go
+++ b/internal/coordination/coordinator/shards.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/coordination/placement"
 	"github.com/jackdawloom/jackdawloom/internal/protocol/peer"
@@ -270,9 +269,3 @@
 		}
 	}
 }
-
-// NextEvent returns the time by which Propose should be asked again even if
-// nothing is reported.
-func (m *Machine) NextEvent(now time.Time) time.Time {
-	return now.Add(table.HeartbeatInterval)
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -264,7 +265,7 @@
 		if t == nil || d.leftTable(t) {
 			return true
 		}
-		if len(t.Members) <= len(d.memberships()) && d.alone(t) {
+		if d.alone(t) {
 			return false
 		}
 		sleep(ctx, stopPoll)
@@ -273,21 +274,11 @@
 }
 
 func (d *Daemon) leftTable(t *table.Table) bool {
-	for _, m := range t.Members {
-		if m.ID.Run() == d.run {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(t.Members, func(m table.Member) bool { return m.ID.Run() == d.run })
 }
 
 func (d *Daemon) alone(t *table.Table) bool {
-	for _, m := range t.Members {
-		if m.ID.Run() != d.run {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(t.Members, func(m table.Member) bool { return m.ID.Run() != d.run })
 }
 
 // addressOf returns the peer address of a run, as last named by a table.
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -104,11 +104,11 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err := c.expired(now); err != nil {
-		f.apply(f.controller.Done(a.id, admission.Cancelled, 0, now))
-		return running{}, dispatchRefusal(err)
+	err := c.expired(now)
+	var token front.Token
+	if err == nil {
+		token, err = f.machine.Begin(c.unit, now, f.membership.authorityUntil())
 	}
-	token, err := f.machine.Begin(c.unit, now, f.membership.authorityUntil())
 	if err != nil {
 		f.apply(f.controller.Done(a.id, admission.Cancelled, 0, now))
 		return running{}, dispatchRefusal(err)
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -101,12 +102,7 @@
 	if m.holder == nil {
 		return true
 	}
-	for _, v := range m.voters {
-		if v == table.StoreVoter {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(m.voters, table.StoreVoter)
 }
 
 func (m *membership) storeRenewed(sentAt time.Time) {
--- a/internal/daemon/refusal.go
+++ b/internal/daemon/refusal.go
@@ -45,7 +45,6 @@
 	reasonTargetShed     reason = "target-shed"
 	reasonTargetGrant    reason = "target-refused-grant"
 	reasonPeerUnknown    reason = "peer-connection-lost"
-	reasonStopping       reason = "stopping"
 	reasonMalformed      reason = "malformed-forward"
 )
 
--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -92,22 +92,13 @@
 			d.lastHeard[m.ID] = now
 			continue
 		}
-		if candidates[m.ID] && votesFor(m, d.run) && now.Sub(last) > suspectAfter {
+		if candidates[m.ID] && m.HasVoter(d.run) && now.Sub(last) > suspectAfter {
 			out = append(out, m)
 		}
 	}
 	return out
 }
 
-func votesFor(m table.Member, run table.MemberID) bool {
-	for _, v := range m.Voters {
-		if v == run {
-			return true
-		}
-	}
-	return false
-}
-
 func (d *Daemon) frontsStoodByFor(t *table.Table) map[table.MemberID]bool {
 	out := make(map[table.MemberID]bool)
 	for _, s := range t.Services {
--- a/internal/state/table/table.go
+++ b/internal/state/table/table.go
@@ -52,6 +52,9 @@
 	Draining bool `cbor:"7,keyasint,omitempty"`
 }
 
+// HasVoter reports whether the run, or the store, is among the member's voters.
+func (m Member) HasVoter(run MemberID) bool { return slices.Contains(m.Voters, run) }
+
 // TargetState tells whether a target may own shards.
 type TargetState uint8
 
--- a/internal/transport/peernet/peernet.go
+++ b/internal/transport/peernet/peernet.go
@@ -48,7 +48,6 @@
 	mu    sync.Mutex
 	peers map[string]*peerConn
 
-	dials    atomic.Uint64
 	counters counters
 }
 
@@ -99,9 +98,6 @@
 // Addr returns the address of the socket.
 func (n *Net) Addr() string { return n.transport.Conn.LocalAddr().String() }
 
-// Dials returns the number of connections opened so far.
-func (n *Net) Dials() uint64 { return n.dials.Load() }
-
 // Shutdown stops accepting requests and waits for running ones until ctx ends.
 func (n *Net) Shutdown(ctx context.Context) error {
 	err := n.server.Shutdown(ctx)
@@ -200,7 +196,6 @@
 	// the same connection.
 	dialCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), dialTimeout)
 	defer cancel()
-	p.net.dials.Add(1)
 	conn, err := p.net.transport.Dial(dialCtx, udpAddr, p.net.client, quicConfig())
 	if err != nil {
 		return fmt.Errorf("dial peer %s: %w", p.address, err)
