--- a/cmd/jackdawloomd/main.go
+++ b/cmd/jackdawloomd/main.go
@@ -37,6 +37,7 @@
 		Name:  "jackdawloomd",
 		Usage: "route requests to the targets that own their keys",
 		Commands: []*cli.Command{
+			platformCommand(),
 			{
 				Name:   "run",
 				Usage:  "run a daemon",
--- /dev/null
+++ b/cmd/jackdawloomd/platform.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jackdawloom/jackdawloom/internal/edge"
+	"github.com/jackdawloom/jackdawloom/platform"
+)
+
+// platformCommand runs a daemon on the users' platform.
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "edge",
+		Usage: "run a daemon on the platform whose settings file " + platform.SettingsVariable + " names",
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: "settings", Aliases: []string{"s"}, Required: true,
+			Sources: cli.EnvVars(platform.SettingsVariable), Usage: "read the platform's settings `FILE`",
+		}},
+		Action: runEdge,
+	}
+}
+
+func runEdge(ctx context.Context, cmd *cli.Command) error {
+	set, err := platform.LoadSettings(cmd.String("settings"))
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewJSONHandler(os.Stdout, nil))
+	store := platform.NewStore(set.StoreAddress, func(string, int) {})
+	defer store.Close()
+	d := edge.New(edge.Options{
+		Settings: set.Edge, Store: store, Documents: platform.Documents{}, Calls: platform.Keys{},
+		Names: &platform.HeaderNames, Log: log,
+	})
+	return d.Run(ctx)
+}
--- /dev/null
+++ b/internal/coordination/balance/balance.go
@@ -0,0 +1,122 @@
+// Package balance estimates how long a target takes for another request, and
+// picks among targets. It is pure.
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+// Parameters of the estimate.
+const (
+	// smoothing is the weight of a new measurement of the service time.
+	smoothing = 0.15
+	// coldFactor is how much longer a target takes that has just started.
+	coldFactor = 2
+	// domainPenalty is the share by which a target in another failure domain
+	// must be faster. Bytes between domains are charged for.
+	domainPenalty = 0.25
+	// suspectFirst and suspectMax bound how long a target is avoided after
+	// failures in a row; the time doubles with each.
+	suspectFirst = 400 * time.Millisecond
+	suspectMax   = 4 * time.Second
+	// suspectAfter is the number of failures in a row that make it suspect.
+	suspectAfter = 2
+)
+
+// Estimate is what is known of one target. It is not safe for concurrent use.
+type Estimate struct {
+	Slots int
+	// Local is another term for a target in the daemon's own failure domain.
+	Local bool
+	// Running counts this daemon's requests at the target, and Elsewhere those
+	// of other daemons when they last told.
+	Running, Elsewhere int
+	// ColdUntil is when a target that has just started is at full speed.
+	ColdUntil time.Duration
+
+	service  time.Duration // smoothed service time without queueing; 0 unknown
+	failures int
+	suspect  time.Duration // avoided until then
+}
+
+// Load returns the number of requests at the target.
+func (e *Estimate) Load() int { return e.Running + e.Elsewhere }
+
+// Service returns the service time, or usual if it is not known yet.
+func (e *Estimate) Service(usual time.Duration) time.Duration {
+	if e.service == 0 {
+		return usual
+	}
+	return e.service
+}
+
+// Answered records a complete answer. load is that of the target when the
+// request was sent.
+func (e *Estimate) Answered(took time.Duration, load int) {
+	e.failures, e.suspect = 0, 0
+	if load >= e.Slots && e.Slots > 0 {
+		took = took * time.Duration(e.Slots) / time.Duration(load+1)
+	}
+	if e.service == 0 {
+		e.service = took
+		return
+	}
+	e.service += time.Duration(smoothing * float64(took-e.service))
+}
+
+// Failed records a request without a usable answer, or one that the target
+// failed.
+func (e *Estimate) Failed(now time.Duration) {
+	e.failures++
+	if e.failures < suspectAfter {
+		return
+	}
+	pause := suspectFirst << min(e.failures-suspectAfter, 8)
+	e.suspect = now + min(pause, suspectMax)
+}
+
+// Refused records that the target was full.
+func (e *Estimate) Refused(now time.Duration) {
+	e.suspect = max(e.suspect, now+e.Service(suspectFirst)/time.Duration(max(e.Slots, 1)))
+}
+
+// Suspect reports whether the target is being avoided.
+func (e *Estimate) Suspect(now time.Duration) bool { return now < e.suspect }
+
+// Completion returns how long another request would take.
+func (e *Estimate) Completion(now time.Duration, usual time.Duration) time.Duration {
+	service := float64(e.Service(usual))
+	if now < e.ColdUntil {
+		service *= coldFactor
+	}
+	slots := max(e.Slots, 1)
+	if queued := e.Load() - slots + 1; queued > 0 {
+		service *= 1 + float64(queued)/float64(slots)
+	}
+	return time.Duration(service)
+}
+
+// Pick returns the index of the best target, or -1 if there is none. Suspect
+// targets are used only if there is no other.
+func Pick(targets []*Estimate, now, usual time.Duration) int {
+	best, least := -1, math.Inf(1)
+	for i, e := range targets {
+		if e == nil {
+			continue
+		}
+		cost := float64(e.Completion(now, usual))
+		if !e.Local {
+			cost *= 1 + domainPenalty
+		}
+		// Among equals, the one with fewer requests for its slots.
+		cost *= 1 + 0.1*float64(e.Load())/float64(max(e.Slots, 1))
+		if e.Suspect(now) {
+			cost += float64(time.Hour)
+		}
+		if cost < least {
+			best, least = i, cost
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/coordination/ownership/engine.go
@@ -0,0 +1,328 @@
+// Package ownership decides which target owns which keys, and keeps the owners'
+// grants alive.
+//
+// An Engine runs in the one daemon that holds the coordinator's lease. It is
+// pure: time, registrations and results of calls are arguments, and what it
+// wants done is returned as actions. Two rules keep a key from having two
+// owners. A span is given to a new owner only once the last one has confirmed
+// its release or every grant sent to it has run out. And a new owner is written
+// to the store, with a higher fence, before it gets its first grant.
+package ownership
+
+import (
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/state/ranges"
+	"github.com/jackdawloom/jackdawloom/internal/state/target"
+)
+
+// Times of grants.
+const (
+	// RenewEvery leaves two more attempts before a grant of HoldNormal runs out.
+	RenewEvery = 1000 * time.Millisecond
+	// HoldNormal is the duration of grants while the store can be reached. It
+	// bounds how long the keys of a target that fell silent have no owner, and
+	// outlasts the change of the coordinator.
+	HoldNormal = 3500 * time.Millisecond
+	// clockSlack is the share by which a target's clock may run slow.
+	clockSlack = 0.02
+	// arrivalSlack covers the time that a grant travels.
+	arrivalSlack = 250 * time.Millisecond
+	// retryEvery is the pause after a grant that failed.
+	retryEvery = 200 * time.Millisecond
+)
+
+// Target is a target that may own keys.
+type Target struct {
+	Life target.Life
+	// Capacity is the relative amount of work that the target takes.
+	Capacity float64
+	// Leaving targets give up their keys.
+	Leaving bool
+}
+
+// Grant asks for keys to be given to a target, or for that to be renewed.
+type Grant struct {
+	Span     ranges.Span
+	Hold     time.Duration
+	Handover string
+}
+
+// Release asks for keys to be taken back from their owner.
+type Release struct{ Span ranges.Span }
+
+// Actions are what an Engine wants done.
+type Actions struct {
+	Grants   []Grant
+	Releases []Release
+	// Table is to be written to the store if not nil. Until Written is called
+	// no other is returned.
+	Table *ranges.Table
+}
+
+// phase is what becomes of a span at present.
+type phase uint8
+
+const (
+	// holding: the owner is granted the span again and again.
+	holding phase = iota
+	// releasing: the owner was asked to give the span up.
+	releasing
+	// free: nobody holds the span.
+	free
+)
+
+// hold is the coordinator's knowledge of one span.
+type hold struct {
+	span  ranges.Span
+	phase phase
+	// until is when every grant sent for the span has run out.
+	until time.Duration
+	// unanswered is when the grants without an answer have run out. They can
+	// take effect after a release.
+	unanswered time.Duration
+	renewAt    time.Duration
+	calling    bool
+	sentAt     time.Duration
+	granted    bool // the owner has confirmed a grant of this coordinator
+	released   bool
+	handover   string
+	// next is the target that a planned move leads to; empty lets plan choose.
+	next string
+}
+
+// Engine decides for one service.
+type Engine struct {
+	config  Config
+	table   ranges.Table
+	holds   []*hold
+	targets map[string]Target
+	joined  map[string]time.Duration
+	load    []float32 // requests per second of each key
+	loadAt  time.Duration
+	pending *ranges.Table
+	claims  map[claim]string // handovers of keys about to be given
+	planAt  time.Duration
+	firstAt time.Duration // when the first target was seen
+	longest bool
+}
+
+// claim names a span that is being written for a new owner.
+type claim struct{ from, to uint16 }
+
+// Config holds the limits of an Engine.
+type Config struct {
+	// MaxHold is the longest grant that targets accept.
+	MaxHold time.Duration
+}
+
+// New returns an Engine that takes over a table at a time. Earlier coordinators
+// may have sent grants up to that time.
+func New(c Config, table ranges.Table, now time.Duration) *Engine {
+	e := &Engine{
+		config: c, targets: make(map[string]Target), joined: make(map[string]time.Duration),
+		load: make([]float32, ranges.Keys), loadAt: now, claims: make(map[claim]string),
+	}
+	e.adopt(table, now, c.MaxHold)
+	return e
+}
+
+// worst is the latest end of a grant sent now.
+func worst(now, d time.Duration) time.Duration {
+	return now + d + time.Duration(float64(d)*clockSlack) + arrivalSlack
+}
+
+// adopt rebuilds the knowledge of spans from a table.
+func (e *Engine) adopt(table ranges.Table, now, earlier time.Duration) {
+	e.table = table
+	e.holds = e.holds[:0]
+	for _, s := range table.Spans {
+		h := &hold{span: s, phase: free}
+		if s.Owned() {
+			h.phase, h.renewAt, h.until = holding, now, worst(now, earlier)
+			h.unanswered = h.until
+		}
+		e.holds = append(e.holds, h)
+	}
+}
+
+// Table returns the table as it was last written.
+func (e *Engine) Table() ranges.Table { return e.table }
+
+// SetTargets replaces the targets of the service.
+func (e *Engine) SetTargets(list []Target, now time.Duration) {
+	old := e.targets
+	e.targets = make(map[string]Target, len(list))
+	if len(list) > 0 && e.firstAt == 0 {
+		e.firstAt = now
+	}
+	for _, t := range list {
+		e.targets[t.Life.ID] = t
+		if before, known := old[t.Life.ID]; !known || before.Life != t.Life {
+			e.joined[t.Life.ID] = now
+		}
+	}
+}
+
+// ExtendHolds makes all grants as long as targets accept, for a time in which
+// the coordinator's lease may not be renewed.
+func (e *Engine) ExtendHolds(on bool, now time.Duration) {
+	if on && !e.longest {
+		for _, h := range e.holds {
+			h.renewAt = now
+		}
+	}
+	e.longest = on
+}
+
+// Tick returns what is to be done at a time.
+func (e *Engine) Tick(now time.Duration) Actions {
+	e.decay(now)
+	e.plan(now)
+	var a Actions
+	for _, h := range e.holds {
+		e.tickHold(h, now, &a)
+	}
+	if e.pending == nil {
+		a.Table = e.assign(now)
+		e.pending = a.Table
+	}
+	return a
+}
+
+// tickHold advances one span.
+func (e *Engine) tickHold(h *hold, now time.Duration, a *Actions) {
+	switch h.phase {
+	case holding:
+		if h.calling || now < h.renewAt {
+			return
+		}
+		g := Grant{Span: h.span, Hold: e.holdTime(), Handover: h.handover}
+		h.calling, h.sentAt = true, now
+		h.until = max(h.until, worst(now, g.Hold))
+		a.Grants = append(a.Grants, g)
+	case releasing:
+		if now >= h.until || h.released && now >= h.unanswered {
+			h.phase = free
+			return
+		}
+		if !h.calling && !h.released && now >= h.renewAt {
+			h.calling, h.sentAt = true, now
+			a.Releases = append(a.Releases, Release{h.span})
+		}
+	case free:
+	}
+}
+
+func (e *Engine) holdTime() time.Duration {
+	if e.longest {
+		return e.config.MaxHold
+	}
+	return min(HoldNormal, e.config.MaxHold)
+}
+
+// Result is the outcome of a call to a target.
+type Result uint8
+
+// Outcomes of calls.
+const (
+	// OK: the target answered that it did what was asked.
+	OK Result = iota
+	// Fenced: the target has seen a higher fence on one of the keys.
+	Fenced
+	// Failed: there was no answer, or one that says nothing about the keys.
+	Failed
+)
+
+// Granted reports the outcome of a Grant.
+func (e *Engine) Granted(g Grant, r Result, now time.Duration) {
+	h := e.find(g.Span)
+	if h == nil {
+		return
+	}
+	h.calling = false
+	switch r {
+	case OK:
+		h.granted = true
+		h.handover = ""
+		h.renewAt = h.sentAt + RenewEvery
+	case Fenced:
+		// Another coordinator used a higher fence. The span is free as far as
+		// this fence is concerned, and is given again under a new one.
+		h.renewAt = now
+		if h.phase == holding {
+			h.phase, h.next = releasing, h.span.Owner
+			h.renewAt = now
+		}
+	case Failed:
+		h.unanswered = max(h.unanswered, worst(h.sentAt, g.Hold))
+		h.renewAt = now + retryEvery
+	}
+}
+
+// Released reports the outcome of a Release, with the handover of the keys.
+func (e *Engine) Released(r Release, result Result, handover string, now time.Duration) {
+	h := e.find(r.Span)
+	if h == nil {
+		return
+	}
+	h.calling = false
+	if result == OK {
+		h.released, h.handover = true, handover
+		return
+	}
+	h.renewAt = now + retryEvery
+}
+
+// Written reports that the table returned last was written, or that it was not
+// and another one stands in the store.
+func (e *Engine) Written(ok bool, stored ranges.Table, now time.Duration) {
+	pending := e.pending
+	e.pending = nil
+	if !ok {
+		e.claims = make(map[claim]string)
+		if stored.Writer != e.table.Writer {
+			e.adopt(stored, now, e.config.MaxHold)
+		}
+		return
+	}
+	e.table = *pending
+	e.rebuild(now)
+}
+
+// rebuild takes over the written table. Spans whose owner and fence did not
+// change keep what is known of them, also where they are known in parts.
+func (e *Engine) rebuild(now time.Duration) {
+	holds := make([]*hold, 0, len(e.holds)+len(e.table.Spans))
+	next := 0
+	for _, s := range e.table.Spans {
+		var parts []*hold
+		for next < len(e.holds) && e.holds[next].span.To <= s.To {
+			if h := e.holds[next]; h.span.Fence == s.Fence && h.span.Life() == s.Life() {
+				parts = append(parts, h)
+			}
+			next++
+		}
+		if len(parts) > 0 {
+			holds = append(holds, parts...)
+			continue
+		}
+		h := &hold{span: s, phase: holding, renewAt: now, until: now, handover: e.claims[claim{s.From, s.To}]}
+		if !s.Owned() {
+			h.phase = free
+		}
+		holds = append(holds, h)
+	}
+	e.holds = holds
+	e.claims = make(map[claim]string)
+}
+
+// find returns the knowledge of exactly this span.
+func (e *Engine) find(s ranges.Span) *hold {
+	for _, h := range e.holds {
+		if h.span == s {
+			return h
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/ownership/plan.go
@@ -0,0 +1,406 @@
+package ownership
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/state/ranges"
+	"github.com/jackdawloom/jackdawloom/internal/state/target"
+)
+
+// Limits of planning.
+const (
+	// loadWindow is the time constant of the measured load. Three seconds of
+	// requests tell a hot key from chance and are short against its life.
+	loadWindow = 3 * time.Second
+	// planEvery is the pause between moves that even out load.
+	planEvery = 250 * time.Millisecond
+	// gatherTime is the wait for registrations before the first assignment.
+	gatherTime = 1200 * time.Millisecond
+	// firstPieces is the number of spans that each target gets at first. Busy
+	// keys lie close together, so several spans even them out.
+	firstPieces = 3
+	// leavePieces is the number of spans into which the keys of a leaving target
+	// are cut. A release waits for the running requests of its keys only.
+	leavePieces = 6
+	// uniformShare is the part of the weight that every key has alike, so that
+	// keys without requests count as well.
+	uniformShare = 0.3
+	// overloadRatio and overloadSigma say when a target has too much: above this
+	// multiple of its fair share, and beyond the scatter of the count.
+	overloadRatio = 1.35
+	overloadSigma = 2.5
+	// newcomerShare is the part of its fair share below which a target without
+	// keys is given some.
+	newcomerShare = 0.7
+	// movesAtOnce bounds the spans that are being moved to even out load.
+	movesAtOnce = 4
+	// minimumRate is the number of counted requests below which load is not
+	// evened out.
+	minimumRate = 20
+)
+
+// AddLoad counts requests for keys, each of the given weight.
+func (e *Engine) AddLoad(keys []uint16, weight float32) {
+	for _, k := range keys {
+		e.load[k] += weight
+	}
+}
+
+// decay ages the measured load.
+func (e *Engine) decay(now time.Duration) {
+	if now-e.loadAt < planEvery {
+		return
+	}
+	factor := float32(math.Exp(-float64(now-e.loadAt) / float64(loadWindow)))
+	e.loadAt = now
+	for i := range e.load {
+		e.load[i] *= factor
+	}
+}
+
+// weights is the load of keys, spans and targets.
+type weights struct {
+	uniform  float64
+	total    float64
+	byTarget map[string]float64
+	capacity float64
+}
+
+func (w *weights) fair(t Target) float64 {
+	if w.capacity == 0 {
+		return 0
+	}
+	return w.total * t.Capacity / w.capacity
+}
+
+func (e *Engine) spanWeight(w *weights, s ranges.Span) float64 {
+	sum := w.uniform * float64(s.Len())
+	for k := int(s.From); k <= int(s.To); k++ {
+		sum += float64(e.load[k])
+	}
+	return sum
+}
+
+func (e *Engine) weigh() *weights {
+	w := &weights{byTarget: make(map[string]float64)}
+	measured := 0.0
+	for _, l := range e.load {
+		measured += float64(l)
+	}
+	w.uniform = (measured*uniformShare + 1) / ranges.Keys
+	for _, h := range e.holds {
+		x := e.spanWeight(w, h.span)
+		w.total += x
+		switch {
+		case h.phase == holding:
+			w.byTarget[h.span.Owner] += x
+		case h.next != "":
+			w.byTarget[h.next] += x
+		}
+	}
+	for _, t := range e.targets {
+		if !t.Leaving {
+			w.capacity += t.Capacity
+		}
+	}
+	return w
+}
+
+// plan starts the moves that are due.
+func (e *Engine) plan(now time.Duration) {
+	e.takeBack(now)
+	if now-e.planAt < planEvery {
+		return
+	}
+	e.planAt = now
+	e.merge()
+	e.even(now)
+}
+
+// takeBack starts the release of spans whose owner leaves or is gone.
+func (e *Engine) takeBack(now time.Duration) {
+	if !e.anyEligible() {
+		return
+	}
+	var holds []*hold
+	for _, h := range e.holds {
+		t, known := e.targets[h.span.Owner]
+		switch {
+		case h.phase == free:
+			holds = append(holds, h)
+		case known && t.Life != h.span.Life():
+			// The life that held the span has ended.
+			h.phase, h.calling = free, false
+			h.handover = ""
+			holds = append(holds, h)
+		case h.phase == holding && known && t.Leaving:
+			holds = append(holds, e.cut(h, leavePieces, now)...)
+		case h.phase == holding && !known:
+			h.release(now)
+			holds = append(holds, h)
+		default:
+			holds = append(holds, h)
+		}
+	}
+	e.holds = holds
+}
+
+func (e *Engine) anyEligible() bool {
+	for _, t := range e.targets {
+		if !t.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// release starts taking the span back.
+func (h *hold) release(now time.Duration) {
+	if h.calling {
+		// The grant on its way may take effect after the release.
+		h.unanswered = max(h.unanswered, h.until)
+	}
+	h.phase, h.calling, h.released, h.renewAt = releasing, false, false, now
+}
+
+// part returns the knowledge of a part of the span.
+func (h *hold) part(from, to uint16) *hold {
+	p := *h
+	p.span.From, p.span.To = from, to
+	if h.calling {
+		p.calling = false
+		p.unanswered = max(p.unanswered, h.until)
+	}
+	return &p
+}
+
+// cut starts the release of a span in pieces of about the same load.
+func (e *Engine) cut(h *hold, pieces int, now time.Duration) []*hold {
+	w := e.weigh()
+	share := e.spanWeight(w, h.span) / float64(pieces)
+	var out []*hold
+	from, sum := h.span.From, 0.0
+	for k := int(h.span.From); k <= int(h.span.To); k++ {
+		sum += float64(e.load[k]) + w.uniform
+		if sum < share && k < int(h.span.To) {
+			continue
+		}
+		p := h.part(from, uint16(k))
+		p.release(now)
+		out = append(out, p)
+		from, sum = uint16(k)+1, 0
+	}
+	return out
+}
+
+// merge joins neighbouring parts of one grant, so that one call renews them.
+func (e *Engine) merge() {
+	var holds []*hold
+	for _, h := range e.holds {
+		if n := len(holds); n > 0 && mergeable(holds[n-1], h) {
+			last := holds[n-1]
+			last.span.To = h.span.To
+			last.until = max(last.until, h.until)
+			last.unanswered = max(last.unanswered, h.unanswered)
+			last.renewAt = min(last.renewAt, h.renewAt)
+			continue
+		}
+		holds = append(holds, h)
+	}
+	e.holds = holds
+}
+
+func mergeable(a, b *hold) bool {
+	same := a.span.Fence == b.span.Fence && a.span.Life() == b.span.Life() && a.span.Owned()
+	return same && a.phase == holding && b.phase == holding && !a.calling && !b.calling &&
+		a.handover == "" && b.handover == ""
+}
+
+// even moves load from targets that have too much to those with little.
+func (e *Engine) even(now time.Duration) {
+	moving := 0
+	for _, h := range e.holds {
+		if h.phase != holding || !h.granted {
+			moving++
+		}
+	}
+	for ; moving < movesAtOnce; moving++ {
+		w := e.weigh()
+		if !e.moveOne(w, now) {
+			return
+		}
+	}
+}
+
+// moveOne starts one move and reports whether there was one to make.
+func (e *Engine) moveOne(w *weights, now time.Duration) bool {
+	high, low, found := e.extremes(w)
+	if !found {
+		return false
+	}
+	newcomer := w.byTarget[low.Life.ID] < e.newcomerWeight(w, low)
+	if !newcomer && (w.total < minimumRate || !overloaded(w.byTarget[high.Life.ID], w.fair(high))) {
+		return false
+	}
+	room := w.fair(low) - w.byTarget[low.Life.ID]
+	want := min(room, w.byTarget[high.Life.ID]-w.fair(high))
+	if newcomer {
+		want = room / 2
+	}
+	h, from, to := e.densest(w, high.Life, want)
+	if h == nil {
+		return false
+	}
+	moved := e.spanWeight(w, ranges.Span{From: from, To: to})
+	if !newcomer && (w.byTarget[low.Life.ID]+moved)/low.Capacity >= w.byTarget[high.Life.ID]/high.Capacity {
+		return false
+	}
+	e.split(h, from, to, low.Life.ID, now)
+	return true
+}
+
+// newcomerWeight is the load below which a target is given keys although nobody
+// has too much.
+func (e *Engine) newcomerWeight(w *weights, t Target) float64 {
+	for _, h := range e.holds {
+		if h.span.Owner == t.Life.ID && h.phase == holding && h.span.Life() == t.Life {
+			return 0
+		}
+	}
+	return w.fair(t) * newcomerShare
+}
+
+func overloaded(weight, fair float64) bool {
+	return weight > overloadRatio*fair && weight > fair+overloadSigma*math.Sqrt(fair)
+}
+
+// extremes returns the targets with the most and the least load for their
+// capacity.
+func (e *Engine) extremes(w *weights) (high, low Target, found bool) {
+	most, least := -1.0, math.Inf(1)
+	for _, id := range e.ids() {
+		t := e.targets[id]
+		if t.Leaving || t.Capacity <= 0 {
+			continue
+		}
+		u := w.byTarget[id] / t.Capacity
+		if u > most {
+			most, high = u, t
+		}
+		if u < least {
+			least, low = u, t
+		}
+	}
+	return high, low, high.Life != low.Life
+}
+
+// ids returns the targets in a fixed order.
+func (e *Engine) ids() []string {
+	ids := make([]string, 0, len(e.targets))
+	for id := range e.targets {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// densest returns the fewest neighbouring keys of an owner that weigh about
+// want. Few keys are cheap to move.
+func (e *Engine) densest(w *weights, owner target.Life, want float64) (best *hold, from, to uint16) {
+	fewest := ranges.Keys + 1
+	for _, h := range e.holds {
+		if h.phase != holding || !h.granted || h.span.Life() != owner {
+			continue
+		}
+		sum, start := 0.0, int(h.span.From)
+		for k := int(h.span.From); k <= int(h.span.To); k++ {
+			sum += float64(e.load[k]) + w.uniform
+			for sum-float64(e.load[start])-w.uniform >= want && start < k {
+				sum -= float64(e.load[start]) + w.uniform
+				start++
+			}
+			if sum >= want && k-start+1 < fewest {
+				best, from, to, fewest = h, uint16(start), uint16(k), k-start+1
+			}
+		}
+	}
+	return best, from, to
+}
+
+// split starts the move of a part of a span.
+func (e *Engine) split(h *hold, from, to uint16, next string, now time.Duration) {
+	var parts []*hold
+	if h.span.From < from {
+		parts = append(parts, h.part(h.span.From, from-1))
+	}
+	moving := h.part(from, to)
+	moving.release(now)
+	moving.next = next
+	parts = append(parts, moving)
+	if to < h.span.To {
+		parts = append(parts, h.part(to+1, h.span.To))
+	}
+	i := slices.Index(e.holds, h)
+	e.holds = slices.Replace(e.holds, i, i+1, parts...)
+}
+
+// assign returns a table in which free spans have new owners, or nil if there is
+// nothing to give or nobody to give it to.
+func (e *Engine) assign(now time.Duration) *ranges.Table {
+	if !e.anyEligible() || now-e.firstAt < gatherTime && e.table.Fence == 0 {
+		return nil
+	}
+	var unowned []*hold
+	for _, h := range e.holds {
+		if h.phase == free {
+			unowned = append(unowned, h)
+		}
+	}
+	if len(unowned) == 0 {
+		return nil
+	}
+	w := e.weigh()
+	t := e.table.Clone()
+	for _, h := range unowned {
+		for _, s := range e.pieces(h.span) {
+			owner := e.choose(w, h.next)
+			w.byTarget[owner.ID] += e.spanWeight(w, s)
+			given := t.Assign(s.From, s.To, owner)
+			e.claims[claim{given.From, given.To}] = h.handover
+		}
+	}
+	return &t
+}
+
+// pieces cuts a span that nobody owned yet, so that every target gets several.
+func (e *Engine) pieces(s ranges.Span) []ranges.Span {
+	n := firstPieces * len(e.targets)
+	step := max(ranges.Keys/max(n, 1), 1)
+	if s.Fence != 0 || s.Len() <= step {
+		return []ranges.Span{s}
+	}
+	var out []ranges.Span
+	for from := int(s.From); from <= int(s.To); from += step {
+		out = append(out, ranges.Span{From: uint16(from), To: uint16(min(from+step-1, int(s.To)))})
+	}
+	return out
+}
+
+// choose returns the planned owner if it still takes keys, and otherwise the
+// target with the least load for its capacity.
+func (e *Engine) choose(w *weights, next string) target.Life {
+	if t, ok := e.targets[next]; ok && !t.Leaving {
+		return t.Life
+	}
+	var best Target
+	least := math.Inf(1)
+	for _, id := range e.ids() {
+		t := e.targets[id]
+		if u := w.byTarget[id] / max(t.Capacity, 0.01); !t.Leaving && u < least {
+			least, best = u, t
+		}
+	}
+	return best.Life
+}
--- /dev/null
+++ b/internal/edge/coordinator/coordinator.go
@@ -0,0 +1,418 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/ownership"
+	"github.com/jackdawloom/jackdawloom/internal/edge/view"
+	"github.com/jackdawloom/jackdawloom/internal/ring"
+	"github.com/jackdawloom/jackdawloom/internal/state/ranges"
+	"github.com/jackdawloom/jackdawloom/internal/state/target"
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/transport/upstream"
+)
+
+// Times of the duty.
+const (
+	// tickEvery is how often the coordinator looks at its spans.
+	tickEvery = 50 * time.Millisecond
+	// idleEvery is how often a candidate looks whether it is needed, besides
+	// after each change.
+	idleEvery = 500 * time.Millisecond
+	// grantTimeout is far above the time of a call without load.
+	grantTimeout = 600 * time.Millisecond
+	// releaseTimeout covers the running requests of the keys. Grants have run out
+	// by then.
+	releaseTimeout = 4 * time.Second
+	// addressTime is how long the address of a target that is gone is kept, to
+	// take its keys back.
+	addressTime = 15 * time.Second
+	// resultRing holds the outcomes of calls; there is at most one a span.
+	resultRing = 4096
+)
+
+// Calls makes the calls that give keys to targets.
+type Calls interface {
+	Grant(ownership.Grant) (*upstream.Request, error)
+	Release(ownership.Release) (*upstream.Request, error)
+	Result(*upstream.Answer) (ownership.Result, string)
+}
+
+// Targets sends calls to targets.
+type Targets interface {
+	Pool(target.Record) *upstream.Pool
+	Speeds() map[string]time.Duration
+}
+
+// Config holds what a Coordinator needs.
+type Config struct {
+	Store   topo.Store
+	Self    Identity
+	Views   *view.Keeper
+	Calls   Calls
+	Targets Targets
+	MaxHold time.Duration
+	Log     *slog.Logger
+}
+
+// Coordinator takes part in the election and, while it holds the lease, assigns
+// the keys of all keyed services.
+type Coordinator struct {
+	config   Config
+	election election
+	term     *term
+	engines  map[string]*engine
+	results  *ring.Ring[func()]
+	loads    *ring.Ring[Load]
+	known    map[target.Life]address
+	keepAt   time.Duration
+	keeping  bool
+	writes   int
+}
+
+// engine is the assignment of one service.
+type engine struct {
+	*ownership.Engine
+	rev int64 // revision of the table in the store
+}
+
+type address struct {
+	record target.Record
+	seen   time.Duration
+}
+
+// Load is a sample of requested keys.
+type Load struct {
+	Service string
+	Keys    []uint16
+	Weight  float32
+}
+
+// loadRing holds the samples of all daemons for some ticks.
+const loadRing = 1024
+
+// New returns a Coordinator that does not hold the lease.
+func New(c Config) *Coordinator {
+	return &Coordinator{
+		config:   c,
+		election: election{store: c.Store, self: c.Self, log: c.Log},
+		engines:  make(map[string]*engine),
+		results:  ring.New[func()](resultRing),
+		loads:    ring.New[Load](loadRing),
+		known:    make(map[target.Life]address),
+	}
+}
+
+// AddLoad passes on a sample; it is dropped if samples arrive faster than they
+// are used.
+func (c *Coordinator) AddLoad(l Load) { _ = c.loads.TryPut(l) }
+
+// Run takes part until ctx ends, then gives the lease back.
+func (c *Coordinator) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		changed := c.config.Views.Changed()
+		select {
+		case <-ctx.Done():
+			c.resign()
+			return
+		case f := <-c.results.Out():
+			f()
+			c.step(ctx)
+			continue
+		case l := <-c.loads.Out():
+			c.takeLoad(l)
+			continue
+		case <-changed:
+		case <-timer.C:
+		}
+		c.step(ctx)
+		timer.Reset(c.pause())
+	}
+}
+
+func (c *Coordinator) pause() time.Duration {
+	if c.term != nil {
+		return tickEvery
+	}
+	return idleEvery
+}
+
+func (c *Coordinator) takeLoad(l Load) {
+	if e := c.engines[l.Service]; e != nil {
+		e.AddLoad(l.Keys, l.Weight)
+	}
+}
+
+func (c *Coordinator) step(ctx context.Context) {
+	now := clock.Now()
+	v := c.config.Views.Current()
+	c.remember(v, now)
+	if c.term == nil {
+		c.stand(ctx, v)
+		return
+	}
+	if !c.term.valid(now) {
+		c.lost("lease ran out")
+		return
+	}
+	c.renew(ctx, now)
+	c.assign(ctx, v, now)
+}
+
+// remember keeps the addresses of targets, also of those that are gone.
+func (c *Coordinator) remember(v *view.View, now time.Duration) {
+	v.Targets.All(func(r target.Record) { c.known[r.Life()] = address{r, now} })
+	for life, a := range c.known {
+		if now-a.seen > addressTime {
+			delete(c.known, life)
+		}
+	}
+}
+
+// stand becomes the coordinator if there is none.
+func (c *Coordinator) stand(ctx context.Context, v *view.View) {
+	if !v.Read || !hasKeyed(v) {
+		return
+	}
+	rev, vacant := c.election.vacant(v)
+	if !vacant {
+		return
+	}
+	if rev == 0 && !c.waitRank(ctx) {
+		return
+	}
+	t, err := c.election.campaign(ctx, rev)
+	if err != nil {
+		c.config.Log.Warn("election not decided", "error", err)
+		return
+	}
+	if t == nil {
+		return
+	}
+	c.term, c.keepAt, c.keeping = t, clock.Now()+keepEvery, false
+	c.engines = make(map[string]*engine)
+	c.config.Log.Info("coordinator's lease won", "term", t.rev, "lease", int64(t.lease))
+}
+
+// waitRank waits for the candidates before this one. It reports whether there is
+// still no coordinator.
+func (c *Coordinator) waitRank(ctx context.Context) bool {
+	timer := time.NewTimer(c.election.rank(c.config.Views.Current().Coordinator.ModRev))
+	defer timer.Stop()
+	for {
+		changed := c.config.Views.Changed()
+		if c.config.Views.Current().Coordinator.Exists() {
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		case <-timer.C:
+			return true
+		}
+	}
+}
+
+func hasKeyed(v *view.View) bool {
+	if v.Config == nil {
+		return false
+	}
+	for _, s := range v.Config.Services {
+		if s.Keyed {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Coordinator) lost(why string) {
+	c.config.Log.Warn("coordinator's lease lost", "term", c.term.rev, "reason", why)
+	c.term = nil
+	c.engines = make(map[string]*engine)
+}
+
+func (c *Coordinator) resign() {
+	if c.term == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
+	defer cancel()
+	c.election.end(ctx, c.term.lease)
+	c.config.Log.Info("coordinator's lease given back", "term", c.term.rev)
+	c.term = nil
+}
+
+// renew keeps the lease without waiting for the store. Grants become as long as
+// possible while that fails, so that keys stay served through an outage.
+func (c *Coordinator) renew(ctx context.Context, now time.Duration) {
+	if c.keeping || now < c.keepAt {
+		return
+	}
+	c.keeping = true
+	t := c.term
+	go func() {
+		until, err := c.election.keep(ctx, t.lease)
+		c.put(func() { c.renewed(t, until, err) })
+	}()
+}
+
+func (c *Coordinator) renewed(t *term, until time.Duration, err error) {
+	c.keeping = false
+	if c.term != t {
+		return
+	}
+	now := clock.Now()
+	switch {
+	case errors.Is(err, topo.ErrLeaseNotFound):
+		c.lost("store ended it")
+		return
+	case err != nil:
+		c.keepAt = now + keepEvery/4
+		c.config.Log.Warn("coordinator's lease not renewed; extending grants", "term", t.rev, "left_ms", (t.until - now).Milliseconds(), "error", err)
+	default:
+		t.until = max(t.until, until)
+		c.keepAt = now + keepEvery
+	}
+	for _, e := range c.engines {
+		e.ExtendHolds(err != nil, now)
+	}
+}
+
+func (c *Coordinator) put(f func()) {
+	if err := c.results.TryPut(f); err != nil {
+		c.config.Log.Error("outcome of a call dropped", "error", err)
+	}
+}
+
+// assign advances the services.
+func (c *Coordinator) assign(ctx context.Context, v *view.View, now time.Duration) {
+	for name, s := range v.Config.Services {
+		if !s.Keyed {
+			continue
+		}
+		e := c.engines[name]
+		if e == nil {
+			e = c.open(v, name, now)
+		}
+		e.SetTargets(c.targets(v, name), now)
+		c.perform(ctx, name, e, e.Tick(now))
+	}
+}
+
+func (c *Coordinator) open(v *view.View, name string, now time.Duration) *engine {
+	e := &engine{}
+	table := ranges.Empty()
+	if t := v.Tables[name]; t != nil {
+		table, e.rev = t.Table, t.Rev
+	}
+	e.Engine = ownership.New(ownership.Config{MaxHold: c.config.MaxHold}, table, now)
+	c.engines[name] = e
+	c.config.Log.Info("assigning keys", "service", name, "term", c.term.rev, "table_revision", e.rev, "spans", len(table.Spans))
+	return e
+}
+
+// Bounds of the capacity that a measured service time gives.
+const (
+	leastSpeed = 0.4
+	mostSpeed  = 2.5
+)
+
+func (c *Coordinator) targets(v *view.View, service string) []ownership.Target {
+	records := v.Targets.Service(service)
+	speeds := c.config.Targets.Speeds()
+	var sum time.Duration
+	n := 0
+	for _, r := range records {
+		if s := speeds[r.ID]; s > 0 {
+			sum += s
+			n++
+		}
+	}
+	out := make([]ownership.Target, 0, len(records))
+	for _, r := range records {
+		t := ownership.Target{Life: r.Life(), Capacity: float64(r.Slots), Leaving: r.State == target.Draining}
+		if s := speeds[r.ID]; s > 0 && n > 0 {
+			t.Capacity *= min(max(float64(sum)/float64(n)/float64(s), leastSpeed), mostSpeed)
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+// perform carries out what an engine wants.
+func (c *Coordinator) perform(ctx context.Context, service string, e *engine, a ownership.Actions) {
+	for _, g := range a.Grants {
+		c.grant(ctx, service, e, g)
+	}
+	for _, r := range a.Releases {
+		c.release(ctx, service, e, r)
+	}
+	if a.Table != nil {
+		c.write(ctx, service, e, a.Table)
+	}
+}
+
+func (c *Coordinator) grant(ctx context.Context, service string, e *engine, g ownership.Grant) {
+	t := c.term
+	known, ok := c.known[g.Span.Life()]
+	if !ok {
+		e.Granted(g, ownership.Failed, clock.Now())
+		return
+	}
+	go func() {
+		result := ownership.Failed
+		var cause error
+		// A process that was suspended must not send after the lease has ended.
+		if t.valid(clock.Now()) {
+			req, err := c.config.Calls.Grant(g)
+			if err == nil {
+				result, _, err = c.call(ctx, known.record, req, grantTimeout)
+			}
+			cause = err
+		}
+		if result != ownership.OK {
+			c.config.Log.Info("grant without success", "service", service, "target", g.Span.Owner, "from", g.Span.From,
+				"to", g.Span.To, "fence", g.Span.Fence, "fenced", result == ownership.Fenced, "error", cause)
+		}
+		c.put(func() { e.Granted(g, result, clock.Now()) })
+	}()
+}
+
+func (c *Coordinator) release(ctx context.Context, service string, e *engine, r ownership.Release) {
+	known, ok := c.known[r.Span.Life()]
+	if !ok {
+		e.Released(r, ownership.Failed, "", clock.Now())
+		return
+	}
+	go func() {
+		start := clock.Now()
+		result := ownership.Failed
+		handover := ""
+		req, err := c.config.Calls.Release(r)
+		if err == nil {
+			result, handover, err = c.call(ctx, known.record, req, releaseTimeout)
+		}
+		c.config.Log.Info("release ended", "service", service, "target", r.Span.Owner, "from", r.Span.From, "to", r.Span.To,
+			"fence", r.Span.Fence, "released", result == ownership.OK, "took_ms", (clock.Now() - start).Milliseconds(), "error", err)
+		c.put(func() { e.Released(r, result, handover, clock.Now()) })
+	}()
+}
+
+func (c *Coordinator) call(ctx context.Context, r target.Record, req *upstream.Request, timeout time.Duration) (ownership.Result, string, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req.Host, req.Target = r.Address, r.ID
+	answer, err := c.config.Targets.Pool(r).Send(ctx, req)
+	if err != nil {
+		return ownership.Failed, "", err
+	}
+	result, handover := c.config.Calls.Result(answer)
+	return result, handover, nil
+}
--- /dev/null
+++ b/internal/edge/coordinator/election.go
@@ -0,0 +1,124 @@
+// Package coordinator runs the duty of assigning keys in the one daemon that
+// holds the coordinator's lease.
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"log/slog"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/edge/view"
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+)
+
+// Times of the coordinator's lease.
+const (
+	// leaseTTL bounds how long nobody coordinates after a loss. It is below the
+	// duration of grants, so that keys stay served meanwhile.
+	leaseTTL = 2 * time.Second
+	// keepEvery leaves two more attempts before the lease runs out.
+	keepEvery = 600 * time.Millisecond
+	// leaseMargin is kept to the end of the lease, for a grant on its way.
+	leaseMargin = 150 * time.Millisecond
+	// rankDelay spreads the candidates, so that few of them write.
+	rankDelay = 100 * time.Millisecond
+	// ranks is the number of different delays.
+	ranks = 8
+)
+
+// Identity names one run of a daemon.
+type Identity struct {
+	Name string `cbor:"1,keyasint"`
+	Run  string `cbor:"2,keyasint"`
+}
+
+// term is one time of holding the lease.
+type term struct {
+	lease topo.LeaseID
+	// rev is the revision of the coordinator's key, a condition of all writes.
+	rev   int64
+	until time.Duration
+}
+
+// valid reports whether the lease certainly still runs at a time.
+func (t *term) valid(now time.Duration) bool { return t != nil && now < t.until-leaseMargin }
+
+// election wins and keeps the lease.
+type election struct {
+	store topo.Store
+	self  Identity
+	log   *slog.Logger
+}
+
+// rank returns this daemon's place among the candidates.
+func (e *election) rank(rev int64) time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(e.self.Name))
+	return time.Duration((h.Sum32()+uint32(rev))%ranks) * rankDelay
+}
+
+// vacant reports whether the lease can be taken, and the revision to replace.
+// A key of an earlier run of this daemon counts as vacant: that run has ended.
+func (e *election) vacant(v *view.View) (int64, bool) {
+	if !v.Coordinator.Exists() {
+		return 0, true
+	}
+	var holder Identity
+	if err := cbor.Unmarshal(v.Coordinator.Value, &holder); err != nil {
+		e.log.Warn("coordinator's key not readable", "revision", v.Coordinator.ModRev, "error", err)
+		return 0, false
+	}
+	return v.Coordinator.ModRev, holder.Name == e.self.Name && holder.Run != e.self.Run
+}
+
+// campaign tries to become the coordinator. It returns nil without an error if
+// another daemon was first.
+func (e *election) campaign(ctx context.Context, rev int64) (*term, error) {
+	sent := clock.Now()
+	lease, err := e.store.GrantLease(ctx, leaseTTL)
+	if err != nil {
+		return nil, err
+	}
+	value, err := cbor.Marshal(e.self)
+	if err != nil {
+		return nil, err
+	}
+	res, err := e.store.Commit(ctx, topo.Txn{
+		Compares: []topo.Compare{{Key: view.CoordinatorKey, Field: topo.CompareModRev, Rev: rev}},
+		Puts:     []topo.Put{{Key: view.CoordinatorKey, Value: value, Lease: lease}},
+	})
+	switch {
+	case errors.Is(err, topo.ErrUnknownResult):
+		stored, getErr := e.store.Get(ctx, view.CoordinatorKey)
+		if getErr != nil || stored.Lease != lease {
+			return nil, errors.Join(err, getErr)
+		}
+		res.Rev = stored.ModRev
+	case err != nil:
+		return nil, err
+	case !res.Succeeded:
+		e.end(ctx, lease)
+		return nil, nil
+	}
+	return &term{lease: lease, rev: res.Rev, until: sent + leaseTTL}, nil
+}
+
+// keep renews the lease and returns when it will run out.
+func (e *election) keep(ctx context.Context, lease topo.LeaseID) (time.Duration, error) {
+	sent := clock.Now()
+	if err := e.store.KeepAlive(ctx, lease); err != nil {
+		return 0, err
+	}
+	return sent + leaseTTL, nil
+}
+
+func (e *election) end(ctx context.Context, lease topo.LeaseID) {
+	if err := e.store.RevokeLease(ctx, lease); err != nil {
+		e.log.Info("lease not ended; it runs out by itself", "lease", int64(lease), "error", err)
+	}
+}
--- /dev/null
+++ b/internal/edge/dispatch/dispatch.go
@@ -0,0 +1,283 @@
+// Package dispatch sends callers' requests to targets.
+//
+// A request that must not run twice is sent again only if the target said, or
+// the connection proves, that it has not run.
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
+	"github.com/jackdawloom/jackdawloom/internal/edge/view"
+	"github.com/jackdawloom/jackdawloom/internal/state/route"
+	"github.com/jackdawloom/jackdawloom/internal/state/target"
+	"github.com/jackdawloom/jackdawloom/internal/transport/upstream"
+)
+
+// Times and limits of dispatching.
+const (
+	// ownerWait is how long a request waits for its key's owner to be named.
+	// A planned move of keys without running requests takes less.
+	ownerWait = 200 * time.Millisecond
+	// moveDelay is the pause before a request is sent again to an owner that has
+	// not got its grant yet.
+	moveDelay = 30 * time.Millisecond
+	// leastLeft is the time that a request must have left to be sent.
+	leastLeft = 15 * time.Millisecond
+	// answerSlack is how much longer than the caller's time an answer is waited
+	// for, since the target stops by itself at that time.
+	answerSlack = 40 * time.Millisecond
+	// maxSends bounds the sends of one request, whatever the route allows.
+	maxSends = 6
+	// usualService is the service time that is assumed before any is measured.
+	usualService = 100 * time.Millisecond
+)
+
+// Request is a caller's request.
+type Request struct {
+	ID, Method, URI, Host string
+	Header                http.Header
+	Body                  []byte
+	Route                 *route.Route
+	Service               string
+	Key                   uint16
+	HasKey                bool
+	// Arrived and Deadline bound the time that the caller is kept waiting.
+	Arrived, Deadline time.Duration
+}
+
+// Reason says why a request got no answer of a target.
+type Reason string
+
+// Reasons.
+const (
+	NoTarget    Reason = "no target registered"
+	NoOwner     Reason = "key has no owner"
+	NoKey       Reason = "key missing"
+	Full        Reason = "targets full"
+	OutOfTime   Reason = "time is up"
+	Unreachable Reason = "target not reached"
+	OverBudget  Reason = "retry budget used up"
+	NotHolding  Reason = "owner does not hold the key"
+	Lost        Reason = "connection ended without an answer"
+	BadAnswer   Reason = "answer not usable"
+	CallerLeft  Reason = "caller left"
+	NoConfig    Reason = "no configuration known"
+)
+
+// Refusal is the end of a request without an answer of a target.
+type Refusal struct {
+	Reason Reason
+	// MayHaveRun is false if the request certainly did not run and never will.
+	MayHaveRun bool
+	RetryAfter time.Duration
+	Sends      int
+	Target     string
+	Cause      error
+}
+
+// Config holds what a Dispatcher needs.
+type Config struct {
+	Names  *upstream.Names
+	Domain string
+	Budget budget.Bound
+	Views  *view.Keeper
+	Log    *slog.Logger
+	// Keys is told of each request to a keyed service.
+	Keys func(service string, key uint16)
+}
+
+// Dispatcher sends requests. It is safe for concurrent use.
+type Dispatcher struct {
+	config Config
+
+	mu       sync.Mutex
+	targets  map[target.Life]*endpoint
+	services map[string]*service
+	remote   map[string]map[string]int // requests at targets, by daemon and target
+}
+
+// service is what is learned about the requests of a service.
+type service struct {
+	budget *budget.Budget
+	usual  time.Duration
+}
+
+// New returns a Dispatcher.
+func New(c Config) *Dispatcher {
+	return &Dispatcher{
+		config: c, targets: make(map[target.Life]*endpoint), services: make(map[string]*service),
+		remote: make(map[string]map[string]int),
+	}
+}
+
+// try is the state of one request over its sends.
+type try struct {
+	req        *Request
+	sends      int
+	targets    map[string]bool // targets that the request was sent to
+	mayHaveRun bool
+	failure    *upstream.Answer // the last failure that a target answered
+	last       Refusal
+}
+
+// Do returns the answer of a target, or why there is none.
+func (d *Dispatcher) Do(ctx context.Context, req *Request) (*upstream.Answer, *Refusal) {
+	d.countRequest(req.Service)
+	t := &try{req: req, targets: make(map[string]bool)}
+	for {
+		ep, refusal := d.choose(ctx, t)
+		if refusal != nil {
+			return d.end(t, refusal)
+		}
+		if t.sends > 0 && !d.takeBudget(req.Service) {
+			d.unreserve(ep)
+			return d.end(t, &Refusal{Reason: OverBudget, Target: ep.record.ID})
+		}
+		answer, again := d.sendOnce(ctx, t, ep)
+		if answer != nil {
+			return answer, nil
+		}
+		if !again {
+			return d.end(t, nil)
+		}
+	}
+}
+
+// end returns the final result of a request that no target answered well.
+func (d *Dispatcher) end(t *try, r *Refusal) (*upstream.Answer, *Refusal) {
+	if t.failure != nil {
+		return t.failure, nil
+	}
+	if r == nil || t.mayHaveRun {
+		last := t.last
+		if r != nil && last.Reason == "" {
+			last.Reason = r.Reason
+		}
+		r = &last
+	}
+	r.MayHaveRun = t.mayHaveRun
+	r.Sends = t.sends
+	if !r.MayHaveRun && r.RetryAfter == 0 {
+		r.RetryAfter = d.comeBack(r.Reason)
+	}
+	return nil, r
+}
+
+// Pauses that refused callers are asked for.
+const (
+	comeBackMoved = 250 * time.Millisecond
+	comeBackFull  = 150 * time.Millisecond
+)
+
+// comeBack returns when a refused request is likely to be served. The spread
+// keeps callers from coming back at once.
+func (d *Dispatcher) comeBack(r Reason) time.Duration {
+	pause := comeBackFull
+	if r == NoOwner || r == NotHolding || r == NoTarget {
+		pause = comeBackMoved
+	}
+	return pause + time.Duration(rand.Float64()*float64(pause)/2)
+}
+
+// sendOnce sends the request to a target. It returns a final answer, or whether
+// the request may be sent again.
+func (d *Dispatcher) sendOnce(ctx context.Context, t *try, ep *endpoint) (*upstream.Answer, bool) {
+	req := t.req
+	now := clock.Now()
+	left := req.Deadline - now
+	sendCtx, cancel := context.WithTimeout(ctx, left+answerSlack)
+	defer cancel()
+	if !req.Route.Idempotent {
+		// The target may have begun; its answer decides, not the caller's leaving.
+		sendCtx, cancel = context.WithTimeout(context.WithoutCancel(ctx), left+answerSlack)
+		defer cancel()
+	}
+	t.sends++
+	t.targets[ep.record.ID] = true
+	load := d.loadOf(ep)
+	answer, err := ep.pool.Send(sendCtx, &upstream.Request{
+		Names: d.config.Names, ID: req.ID, Method: req.Method, URI: req.URI, Host: req.Host,
+		Header: req.Header, Body: req.Body, Target: ep.record.ID, Left: left,
+	})
+	took := clock.Now() - now
+	verdict := d.judge(req, ep, answer, err)
+	if ctx.Err() != nil && verdict.reason == Lost {
+		verdict = judgement{kind: unknown, reason: CallerLeft}
+	}
+	d.learn(ep, verdict, took, load)
+	return d.conclude(t, ep, answer, verdict, took, err)
+}
+
+// conclude decides what follows from a send.
+func (d *Dispatcher) conclude(t *try, ep *endpoint, answer *upstream.Answer, v judgement, took time.Duration, err error) (*upstream.Answer, bool) {
+	req := t.req
+	if v.kind == served {
+		return answer, false
+	}
+	t.last = Refusal{Reason: v.reason, Target: ep.record.ID, Cause: err}
+	again := v.kind == notRun || req.Route.Idempotent
+	if v.kind != notRun {
+		t.mayHaveRun = true
+	}
+	if v.kind == failed {
+		t.failure = answer
+	}
+	if v.reason == CallerLeft || t.sends >= maxSends || !d.moreTargets(t, ep, v) {
+		again = false
+	}
+	d.config.Log.Info("send without success", "request", req.ID, "service", req.Service, "target", ep.record.ID,
+		"send", t.sends, "reason", string(v.reason), "may_have_run", v.kind != notRun, "took_ms", took.Milliseconds(),
+		"left_ms", (req.Deadline - clock.Now()).Milliseconds(), "status", status(answer), "again", again, "error", err)
+	return nil, again
+}
+
+func status(a *upstream.Answer) int {
+	if a == nil {
+		return 0
+	}
+	return a.Status
+}
+
+// moreTargets reports whether the route allows another send.
+func (d *Dispatcher) moreTargets(t *try, ep *endpoint, v judgement) bool {
+	if len(t.targets) < t.req.Route.MaxAttempts {
+		return true
+	}
+	// The owner of a key may be asked again.
+	return t.req.HasKey && d.keyed(t.req.Service) && (v.reason == NotHolding || v.reason == Unreachable)
+}
+
+func (d *Dispatcher) keyed(name string) bool {
+	c := d.config.Views.Current().Config
+	return c != nil && c.Services[name].Keyed
+}
+
+func (d *Dispatcher) countRequest(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.service(name).budget.Request(clock.Now())
+}
+
+func (d *Dispatcher) takeBudget(name string) bool {
+	daemons := len(d.config.Views.Current().Daemons)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.service(name).budget.Take(clock.Now(), daemons)
+}
+
+// service returns what is known of a service. The caller holds the mutex.
+func (d *Dispatcher) service(name string) *service {
+	s := d.services[name]
+	if s == nil {
+		s = &service{budget: budget.New(d.config.Budget), usual: usualService}
+		d.services[name] = s
+	}
+	return s
+}
--- /dev/null
+++ b/internal/edge/dispatch/judge.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/transport/upstream"
+)
+
+// verdict is what a send came to.
+type verdict uint8
+
+const (
+	// served: the answer goes to the caller.
+	served verdict = iota
+	// notRun: the request certainly did not run.
+	notRun
+	// failed: the target answered with a failure of its own.
+	failed
+	// unknown: the request may have run.
+	unknown
+)
+
+type judgement struct {
+	kind   verdict
+	reason Reason
+}
+
+// judge says what a send came to.
+func (d *Dispatcher) judge(req *Request, ep *endpoint, a *upstream.Answer, err error) judgement {
+	switch {
+	case errors.Is(err, upstream.ErrConnections):
+		return judgement{notRun, Full}
+	case errors.Is(err, upstream.ErrNotSent):
+		return judgement{notRun, Unreachable}
+	case err != nil:
+		return judgement{unknown, Lost}
+	}
+	names := d.config.Names
+	if a.Status == http.StatusMisdirectedRequest {
+		if id := a.Header.Get(names.TargetID); id != "" && id != ep.record.ID {
+			return judgement{notRun, Unreachable}
+		}
+		return judgement{notRun, NotHolding}
+	}
+	if a.Header.Get(names.NotRun) != "" {
+		return judgement{notRun, Full}
+	}
+	if a.Header.Get(names.Stamp) == "" || a.Header.Get("Content-Encoding") != "" {
+		return judgement{unknown, BadAnswer}
+	}
+	switch {
+	case a.Status < http.StatusInternalServerError && !promisesNotRun(a.Status):
+		return judgement{served, ""}
+	case promisesNotRun(a.Status):
+		// Without the header the target does not vouch for it.
+		return judgement{unknown, BadAnswer}
+	default:
+		return judgement{failed, BadAnswer}
+	}
+}
+
+// promisesNotRun reports whether callers take the status as proof that the
+// request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// learn records the outcome of a send.
+func (d *Dispatcher) learn(ep *endpoint, v judgement, took time.Duration, load int) {
+	now := clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ep.estimate.Running--
+	switch {
+	case v.kind == served:
+		ep.estimate.Answered(took, load)
+		s := d.service(ep.record.Service)
+		s.usual += (took - s.usual) / usualSmoothing
+	case v.reason == Full:
+		ep.estimate.Refused(now)
+	case v.reason == CallerLeft || v.reason == NotHolding:
+	default:
+		ep.estimate.Failed(now)
+	}
+}
+
+// usualSmoothing is the number of answers over which the usual service time of a
+// service is averaged.
+const usualSmoothing = 50
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,203 @@
+// Package edge is the daemon that serves callers through a platform's store and
+// targets. It joins the duties; what they decide is in their packages.
+package edge
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
+	"github.com/jackdawloom/jackdawloom/internal/edge/coordinator"
+	"github.com/jackdawloom/jackdawloom/internal/edge/dispatch"
+	"github.com/jackdawloom/jackdawloom/internal/edge/front"
+	"github.com/jackdawloom/jackdawloom/internal/edge/view"
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/topo/mirror"
+	"github.com/jackdawloom/jackdawloom/internal/transport/upstream"
+)
+
+// Settings are a daemon's settings.
+type Settings struct {
+	Name, Domain string
+	// Callers, Ready and Peers are the addresses that the daemon listens at.
+	Callers, Ready, Peers string
+	// Grace is the time between the signal to stop and the end by force.
+	Grace time.Duration
+	// MaxHold is the longest grant that targets accept.
+	MaxHold time.Duration
+	// Repeats bounds what all daemons send a second time.
+	Repeats budget.Bound
+}
+
+// Store is the platform's store.
+type Store interface {
+	topo.Store
+	topo.Feed
+}
+
+// Options are what a Daemon is made of.
+type Options struct {
+	Settings  Settings
+	Store     Store
+	Documents view.Documents
+	Calls     coordinator.Calls
+	Names     *upstream.Names
+	Log       *slog.Logger
+}
+
+// Times of a stop, as parts of the grace.
+const (
+	// leaveTime is how long a stopping daemon goes on accepting connections. The
+	// balancer has noticed by then that it is not ready.
+	leaveTime = 2500 * time.Millisecond
+	// finishMargin is kept to the end by force.
+	finishMargin = 400 * time.Millisecond
+	// sweepEvery is how often what has gone is cleared away.
+	sweepEvery = 500 * time.Millisecond
+	// announceRetry is the pause after an announcement that failed.
+	announceRetry = time.Second
+)
+
+// Daemon is one daemon.
+type Daemon struct {
+	options Options
+	self    coordinator.Identity
+	log     *slog.Logger
+	views   *view.Keeper
+	mirror  *mirror.Mirror
+	sender  *dispatch.Dispatcher
+	handler *front.Handler
+	coord   *coordinator.Coordinator
+}
+
+// New returns a daemon that does nothing yet.
+func New(o Options) *Daemon {
+	d := &Daemon{options: o, log: o.Log, self: coordinator.Identity{Name: o.Settings.Name, Run: rand.Text()}}
+	d.views = view.NewKeeper(o.Documents, o.Log, func() mirror.Status { return d.mirror.Status() })
+	d.mirror = mirror.New(o.Store, "", o.Log, d.views.Apply)
+	d.sender = dispatch.New(dispatch.Config{
+		Names: o.Names, Domain: o.Settings.Domain, Budget: o.Settings.Repeats, Views: d.views, Log: o.Log,
+		Keys: func(string, uint16) {},
+	})
+	d.coord = coordinator.New(coordinator.Config{
+		Store: o.Store, Self: d.self, Views: d.views, Calls: o.Calls, Targets: d.sender,
+		MaxHold: o.Settings.MaxHold, Log: o.Log,
+	})
+	d.handler = &front.Handler{Names: o.Names, Views: d.views, Dispatcher: d.sender, Log: o.Log, Observe: func(front.Result) {}}
+	return d
+}
+
+// Run serves until ctx ends, and then until all requests have ended or the grace
+// is over.
+func (d *Daemon) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp4", d.options.Settings.Callers)
+	if err != nil {
+		return fmt.Errorf("callers: %w", err)
+	}
+	ready, err := net.Listen("tcp4", d.options.Settings.Ready)
+	if err != nil {
+		return errors.Join(fmt.Errorf("readiness: %w", err), callers.Close())
+	}
+	d.log.Info("daemon started", "name", d.self.Name, "run", d.self.Run, "domain", d.options.Settings.Domain, "callers", callers.Addr().String())
+
+	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer endDuties()
+	coordinating, endCoordinating := context.WithCancel(duties)
+	defer endCoordinating()
+	var wg sync.WaitGroup
+	wg.Go(func() { d.mirror.Run(duties) })
+	wg.Go(func() { d.coord.Run(coordinating) })
+	wg.Go(func() { d.announce(duties) })
+	wg.Go(func() { d.sweep(duties) })
+	front := front.NewServer(d.handler, d.log)
+	readiness := &http.Server{Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: time.Second}
+	wg.Go(func() { d.serve(front, callers) })
+	wg.Go(func() { d.serve(readiness, ready) })
+
+	<-ctx.Done()
+	d.stop(front, readiness, endCoordinating)
+	endDuties()
+	wg.Wait()
+	d.log.Info("daemon stopped", "name", d.self.Name, "run", d.self.Run)
+	return nil
+}
+
+func (d *Daemon) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		d.log.Error("listener failed", "address", l.Addr().String(), "error", err)
+	}
+}
+
+// ready reports whether the daemon can serve callers.
+func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	v := d.views.Current()
+	if d.handler.Stopping.Load() || v.Config == nil || !v.Read {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// stop leaves the balancer, then waits for the running requests.
+func (d *Daemon) stop(callers, readiness *http.Server, endCoordinating func()) {
+	start := time.Now()
+	d.log.Info("stopping", "grace_ms", d.options.Settings.Grace.Milliseconds())
+	d.handler.Stopping.Store(true)
+	endCoordinating()
+	leave := min(leaveTime, d.options.Settings.Grace/2)
+	time.Sleep(leave)
+	ctx, cancel := context.WithTimeout(context.Background(), d.options.Settings.Grace-finishMargin-time.Since(start))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		d.log.Warn("requests cut by the end of the grace", "error", err)
+	}
+	_ = readiness.Close()
+}
+
+// announcement is what a daemon tells the others about itself.
+type announcement struct {
+	Run    string `cbor:"1,keyasint"`
+	Domain string `cbor:"2,keyasint"`
+	Peers  string `cbor:"3,keyasint"`
+}
+
+// announce writes the daemon's address into the store once.
+func (d *Daemon) announce(ctx context.Context) {
+	value, err := cbor.Marshal(announcement{d.self.Run, d.options.Settings.Domain, d.options.Settings.Peers})
+	if err != nil {
+		d.log.Error("announcement not encoded", "error", err)
+		return
+	}
+	for ctx.Err() == nil {
+		_, err := d.options.Store.Commit(ctx, topo.Txn{Puts: []topo.Put{{Key: view.DaemonKey(d.self.Name), Value: value}}})
+		if err == nil {
+			return
+		}
+		d.log.Warn("daemon not announced", "error", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(announceRetry):
+		}
+	}
+}
+
+func (d *Daemon) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.views.Expire()
+			d.sender.Sweep()
+		}
+	}
+}
--- /dev/null
+++ b/internal/topo/mirror/mirror.go
@@ -0,0 +1,176 @@
+// Package mirror keeps a copy of the store's entries below some prefix.
+package mirror
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+)
+
+// Times of following the store.
+const (
+	// Wait is how long one call waits for changes. It bounds how long a
+	// connection that has fallen silent goes unnoticed.
+	Wait = 1800 * time.Millisecond
+	// Coalesce is the pause after changes, so that a series of them takes few
+	// calls. It is small against the two seconds within which a change must be
+	// in force.
+	Coalesce = 120 * time.Millisecond
+	// retryDelay is the pause after a failed call.
+	retryDelay = 150 * time.Millisecond
+)
+
+// Change is a set of entries that changed together.
+type Change struct {
+	Entries []topo.Entry // deleted ones do not exist
+	// Complete marks a new copy of everything, in place of what was known.
+	Complete bool
+}
+
+// Mirror follows a store and passes on what changes.
+type Mirror struct {
+	feed   topo.Feed
+	prefix string
+	log    *slog.Logger
+	apply  func(Change)
+
+	mu      sync.Mutex
+	known   map[string]int64 // revision of each entry
+	rev     int64
+	heard   time.Duration // time of sending of the last call with an answer
+	up      bool
+	regains time.Duration // time of the first answer after the last failure
+}
+
+// New returns a mirror that calls apply, from one goroutine, with each change.
+func New(feed topo.Feed, prefix string, log *slog.Logger, apply func(Change)) *Mirror {
+	return &Mirror{feed: feed, prefix: prefix, log: log, apply: apply, known: make(map[string]int64)}
+}
+
+// Status tells how current the copy is.
+type Status struct {
+	// Up is false from a failed call until the next answer.
+	Up bool
+	// Heard is when the last answered call was sent.
+	Heard time.Duration
+	// UpSince is when the store was reached again after the last failure.
+	UpSince time.Duration
+	Rev     int64
+}
+
+// Status returns the state of the copy.
+func (m *Mirror) Status() Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Status{Up: m.up, Heard: m.heard, UpSince: m.regains, Rev: m.rev}
+}
+
+// Run follows the store until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	complete := false
+	for ctx.Err() == nil {
+		sent := clock.Now()
+		var change Change
+		var err error
+		if complete {
+			change, err = m.follow(ctx)
+		} else {
+			change, err = m.copy(ctx)
+		}
+		switch {
+		case errors.Is(err, topo.ErrCompacted):
+			m.log.Warn("store discarded its history; reading everything again", "revision", m.Status().Rev)
+			complete = false
+			continue
+		case err != nil:
+			m.failed(ctx, err)
+			sleep(ctx, retryDelay)
+			continue
+		}
+		complete = true
+		m.answered(sent)
+		if len(change.Entries) > 0 || change.Complete {
+			m.apply(change)
+			sleep(ctx, Coalesce)
+		}
+	}
+}
+
+func (m *Mirror) copy(ctx context.Context) (Change, error) {
+	entries, rev, err := m.feed.Snapshot(ctx, m.prefix)
+	if err != nil {
+		return Change{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if rev < m.rev {
+		return Change{}, topo.ErrBadReply
+	}
+	m.rev = rev
+	m.known = make(map[string]int64, len(entries))
+	for _, e := range entries {
+		m.known[e.Key] = e.ModRev
+	}
+	return Change{Entries: entries, Complete: true}, nil
+}
+
+func (m *Mirror) follow(ctx context.Context) (Change, error) {
+	events, at, err := m.feed.Changes(ctx, m.prefix, m.Status().Rev, Wait)
+	if err != nil {
+		return Change{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var change Change
+	for _, e := range events {
+		if e.Entry.ModRev <= m.known[e.Entry.Key] {
+			continue
+		}
+		m.known[e.Entry.Key] = e.Entry.ModRev
+		if !e.Entry.Exists() {
+			delete(m.known, e.Entry.Key)
+		}
+		change.Entries = append(change.Entries, e.Entry)
+	}
+	m.rev = max(m.rev, at)
+	return change, nil
+}
+
+func (m *Mirror) answered(sent time.Duration) {
+	m.mu.Lock()
+	regained := !m.up
+	m.up, m.heard = true, sent
+	if regained {
+		m.regains = clock.Now()
+	}
+	rev := m.rev
+	m.mu.Unlock()
+	if regained {
+		m.log.Info("store reached", "revision", rev)
+	}
+}
+
+func (m *Mirror) failed(ctx context.Context, err error) {
+	m.mu.Lock()
+	lost := m.up
+	m.up = false
+	age := clock.Now() - m.heard
+	m.mu.Unlock()
+	if lost && ctx.Err() == nil {
+		m.log.Warn("store not reached", "error", err, "last_answer_ms", age.Milliseconds())
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -21,6 +21,10 @@
 	ErrRefused       = errors.New("store refused the request")
 )
 
+// ErrCompacted is returned by Feed.Changes if the store no longer has the
+// changes after the given revision.
+var ErrCompacted = errors.New("store history discarded")
+
 // MaxValueBytes is the largest value that the store accepts. A larger one is
 // refused with ErrRefused.
 const MaxValueBytes = 1 << 20
@@ -111,6 +115,18 @@
 	Watch(ctx context.Context, prefix string, fromRev int64) (<-chan Event, error)
 }
 
+// Feed reads changes by revision, for readers that keep a copy of the store.
+type Feed interface {
+	// Snapshot returns the entries with the prefix, and a revision from which
+	// Changes continues without a gap.
+	Snapshot(ctx context.Context, prefix string) ([]Entry, int64, error)
+	// Changes returns the changes after a revision, and the revision to go on
+	// from. It waits up to wait for the first change. A deleted key has an Entry
+	// with only Key and ModRev. The error is ErrCompacted if the changes are no
+	// longer known.
+	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
+}
+
 // InstanceState is the state of an instance in the platform's list.
 type InstanceState string
 
--- /dev/null
+++ b/internal/transport/upstream/request.go
@@ -0,0 +1,78 @@
+package upstream
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// Names are the header names that daemons and targets exchange.
+type Names struct {
+	// RequestID names a request; targets return it.
+	RequestID string
+	// TimeLeft is the time in milliseconds after which a target stops work.
+	TimeLeft string
+	// ExpectTarget is the ID of the only target that may run the request.
+	ExpectTarget string
+	// NotRun marks an answer to a request that the target did not run.
+	NotRun string
+	// TargetID is the ID of the answering target.
+	TargetID string
+	// Key is the key of a request to a keyed service.
+	Key string
+	// Stamp is the target's signature of an answer.
+	Stamp string
+	// Handover accompanies keys from one owner to the next.
+	Handover string
+}
+
+// Request is a request to one target.
+type Request struct {
+	Names  *Names
+	ID     string
+	Method string
+	// URI is the path and query as the caller wrote them.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Target is the ID of the target that may run the request; empty for any.
+	Target string
+	// Left is the time that is left to the caller; 0 for no limit.
+	Left time.Duration
+}
+
+// outgoing returns the request in the form that net/http writes.
+func (r *Request) outgoing() *http.Request {
+	h := r.Header.Clone()
+	if h == nil {
+		h = make(http.Header)
+	}
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""} // keeps net/http from adding its own
+	}
+	if r.Target != "" {
+		h.Set(r.Names.ExpectTarget, r.Target)
+	}
+	if r.Left > 0 {
+		h.Set(r.Names.TimeLeft, strconv.FormatInt(max(r.Left.Milliseconds(), 1), 10))
+	}
+	out := &http.Request{
+		Method: r.Method, URL: &url.URL{Opaque: r.URI}, Host: r.Host, Header: h,
+		ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(r.Body)),
+	}
+	if len(r.Body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(r.Body))
+	}
+	return out
+}
+
+// Answer is the complete answer of a target.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
