Reuse connections after the deadline of their last request

Cause: the deadline of a request stayed set on its connection.

Change: the deadline is cleared when the connection is kept. Tests of the connections against a target of their own, the first of which failed before.

--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -146,7 +146,7 @@
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: body: %w", ErrUnknown, err)
 	}
-	keep = wrote() && !resp.Close && c.in.Buffered() == 0
+	keep = wrote() && !resp.Close && c.in.Buffered() == 0 && c.net.SetDeadline(time.Time{}) == nil
 	c.noteIdle(resp.Header)
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, keep, nil
 }
--- /dev/null
+++ b/internal/transport/upstream/pool_test.go
@@ -0,0 +1,214 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+var testNames = &Names{RequestID: "Id", TimeLeft: "Left", ExpectTarget: "Expect", NotRun: "Not-Run", Stamp: "Stamp"}
+
+// serveTarget runs a target that treats each connection with serve.
+func serveTarget(t *testing.T, serve func(n int, c net.Conn, in *bufio.Reader)) *Pool {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := NewPool(l.Addr().String(), 4)
+	t.Cleanup(func() { p.Close(); _ = l.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return p
+}
+
+func answerText(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func request(id string) *Request {
+	return &Request{Names: testNames, ID: id, Method: http.MethodGet, URI: "/a", Host: "h", Header: http.Header{"Id": {id}}}
+}
+
+func send(t *testing.T, p *Pool, id string, timeout time.Duration) (*Answer, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return p.Send(ctx, request(id))
+}
+
+// echo answers every request of a connection.
+func echo(_ int, c net.Conn, in *bufio.Reader) {
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answerText(r.Header.Get("Id"), "ok"))
+	}
+}
+
+// Guards against a connection that is never used again because the deadline of
+// its last request has passed: 2798 connections were dialed for 4188 requests.
+func TestReusesConnectionAfterDeadlineOfLastRequest(t *testing.T) {
+	p := serveTarget(t, echo)
+	if _, err := send(t, p, "1", 50*time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(80 * time.Millisecond)
+	if _, err := send(t, p, "2", time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if _, dialed := p.Counts(); dialed != 1 {
+		t.Fatalf("dialed %d connections for two requests, want 1", dialed)
+	}
+}
+
+// Guards against handing a late answer to the caller of the next request.
+func TestSkipsAnswerToAnotherRequest(t *testing.T) {
+	p := serveTarget(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answerText("old", "stale")+answerText(r.Header.Get("Id"), "own"))
+	})
+	a, err := send(t, p, "1", time.Second)
+	if err != nil || string(a.Body) != "own" {
+		t.Fatalf("got %v, %v, want the answer with the request's ID", a, err)
+	}
+}
+
+// Guards against reusing a connection on which more bytes came than belong to
+// the answer.
+func TestDropsConnectionWithExtraBytes(t *testing.T) {
+	p := serveTarget(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answerText(r.Header.Get("Id"), "ok"))
+			time.Sleep(10 * time.Millisecond)
+			_, _ = io.WriteString(c, "garbage")
+		}
+	})
+	for i, id := range []string{"1", "2"} {
+		if a, err := send(t, p, id, time.Second); err != nil || string(a.Body) != "ok" {
+			t.Fatalf("request %d: %v, %v", i+1, a, err)
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	if _, dialed := p.Counts(); dialed != 2 {
+		t.Fatalf("dialed %d connections, want a new one after extra bytes", dialed)
+	}
+}
+
+// Guards against taking a truncated body for a whole one.
+func TestTruncatedAnswerIsUnknown(t *testing.T) {
+	p := serveTarget(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, strings.Replace(answerText("1", "whole"), "whole", "who", 1))
+	})
+	if _, err := send(t, p, "1", time.Second); !errors.Is(err, ErrUnknown) {
+		t.Fatalf("got %v, want ErrUnknown", err)
+	}
+}
+
+// Guards against calling a request unsent that the target may have read.
+func TestClosedConnectionAfterRequestIsUnknown(t *testing.T) {
+	p := serveTarget(t, func(_ int, _ net.Conn, in *bufio.Reader) { _, _ = http.ReadRequest(in) })
+	if _, err := send(t, p, "1", time.Second); !errors.Is(err, ErrUnknown) {
+		t.Fatalf("got %v, want ErrUnknown", err)
+	}
+}
+
+// Guards against calling a request lost that certainly did not leave.
+func TestRefusedDialIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	p := NewPool(address, 1)
+	if _, err := send(t, p, "1", time.Second); !errors.Is(err, ErrNotSent) {
+		t.Fatalf("got %v, want ErrNotSent", err)
+	}
+}
+
+// Guards against the use of more connections than the pool's part of what the
+// target accepts.
+func TestBoundsConnections(t *testing.T) {
+	block := make(chan struct{})
+	p := serveTarget(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		<-block
+		echo(0, c, in)
+	})
+	p.SetLimit(1)
+	first := make(chan error, 1)
+	go func() {
+		_, err := send(t, p, "1", 2*time.Second)
+		first <- err
+	}()
+	for {
+		if open, _ := p.Counts(); open == 1 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := send(t, p, "2", time.Second); !errors.Is(err, ErrConnections) || !errors.Is(err, ErrNotSent) {
+		t.Errorf("got %v, want ErrConnections and ErrNotSent", err)
+	}
+	close(block)
+	if err := <-first; err != nil {
+		t.Errorf("first request: %v", err)
+	}
+}
+
+// Guards against other headers or another path than the caller's.
+func TestForwardsRequestUnchanged(t *testing.T) {
+	got := make(chan *http.Request, 1)
+	p := serveTarget(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		got <- r
+		_, _ = io.WriteString(c, answerText(r.Header.Get("Id"), ""))
+	})
+	req := request("1")
+	req.URI, req.Target, req.Left = "/a%2Fb/../c?x=%20&y", "t1", 1200*time.Millisecond
+	req.Header.Set("Id", "1")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if _, err := p.Send(ctx, req); err != nil {
+		t.Fatal(err)
+	}
+	r := <-got
+	if r.RequestURI != req.URI || r.Host != "h" || r.Header.Get("Expect") != "t1" || r.Header.Get("Left") != "1200" {
+		t.Errorf("got %s %v of host %s", r.RequestURI, r.Header, r.Host)
+	}
+	if _, added := r.Header["User-Agent"]; added {
+		t.Error("a User-Agent was added")
+	}
+}
