--- a/cmd/jackdawloomd/platform.go
+++ b/cmd/jackdawloomd/platform.go
@@ -36,5 +36,8 @@
 		Settings: set.Edge, Store: store, Documents: platform.Documents{}, Calls: platform.Keys{},
 		Names: &platform.HeaderNames, Log: log,
 	})
+	watching, endWatching := context.WithCancel(context.WithoutCancel(ctx))
+	defer endWatching()
+	go platform.WatchSettings(watching, cmd.String("settings"), log, func(s *platform.Settings) { d.Reload(s.Edge) })
 	return d.Run(ctx)
 }
--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -4,10 +4,14 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/ownership"
+	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/ring"
 	"github.com/jackdawloom/jackdawloom/internal/state/ranges"
@@ -67,11 +71,24 @@
 	term     *term
 	engines  map[string]*engine
 	results  *ring.Ring[func()]
-	loads    *ring.Ring[Load]
+	loads    *ring.Ring[peers.Sample]
 	known    map[target.Life]address
 	keepAt   time.Duration
 	keeping  bool
 	writes   int
+	holds    atomic.Bool
+}
+
+// Holds reports whether this daemon holds the lease.
+func (c *Coordinator) Holds() bool { return c.holds.Load() }
+
+// Holder returns the name of the daemon that holds the lease, or "".
+func Holder(v *view.View) string {
+	var holder Identity
+	if !v.Coordinator.Exists() || cbor.Unmarshal(v.Coordinator.Value, &holder) != nil {
+		return ""
+	}
+	return holder.Name
 }
 
 // engine is the assignment of one service.
@@ -85,13 +102,6 @@
 	seen   time.Duration
 }
 
-// Load is a sample of requested keys.
-type Load struct {
-	Service string
-	Keys    []uint16
-	Weight  float32
-}
-
 // loadRing holds the samples of all daemons for some ticks.
 const loadRing = 1024
 
@@ -102,14 +112,14 @@
 		election: election{store: c.Store, self: c.Self, log: c.Log},
 		engines:  make(map[string]*engine),
 		results:  ring.New[func()](resultRing),
-		loads:    ring.New[Load](loadRing),
+		loads:    ring.New[peers.Sample](loadRing),
 		known:    make(map[target.Life]address),
 	}
 }
 
 // AddLoad passes on a sample; it is dropped if samples arrive faster than they
 // are used.
-func (c *Coordinator) AddLoad(l Load) { _ = c.loads.TryPut(l) }
+func (c *Coordinator) AddLoad(s peers.Sample) { _ = c.loads.TryPut(s) }
 
 // Run takes part until ctx ends, then gives the lease back.
 func (c *Coordinator) Run(ctx context.Context) {
@@ -132,6 +142,7 @@
 		case <-timer.C:
 		}
 		c.step(ctx)
+		c.holds.Store(c.term != nil)
 		timer.Reset(c.pause())
 	}
 }
@@ -143,7 +154,7 @@
 	return idleEvery
 }
 
-func (c *Coordinator) takeLoad(l Load) {
+func (c *Coordinator) takeLoad(l peers.Sample) {
 	if e := c.engines[l.Service]; e != nil {
 		e.AddLoad(l.Keys, l.Weight)
 	}
--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/balance"
+	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/state/target"
 	"github.com/jackdawloom/jackdawloom/internal/transport/upstream"
@@ -18,6 +19,7 @@
 	pool     *upstream.Pool
 	estimate balance.Estimate
 	limit    int
+	hash     peers.TargetHash
 }
 
 // Limits of admission.
@@ -169,7 +171,7 @@
 		}
 		return ep
 	}
-	ep = &endpoint{record: r, limit: limit, pool: upstream.NewPool(r.Address, limit+1)}
+	ep = &endpoint{record: r, limit: limit, hash: peers.HashTarget(r.ID), pool: upstream.NewPool(r.Address, limit+1)}
 	ep.estimate.Slots = r.Slots
 	ep.estimate.Local = r.Domain == d.config.Domain
 	ep.estimate.ColdUntil = clock.Now() + r.ColdFor
@@ -209,13 +211,13 @@
 }
 
 // Running returns this daemon's requests at each target.
-func (d *Dispatcher) Running() map[string]int {
+func (d *Dispatcher) Running() map[peers.TargetHash]int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make(map[string]int)
-	for life, ep := range d.targets {
+	out := make(map[peers.TargetHash]int)
+	for _, ep := range d.targets {
 		if ep.estimate.Running > 0 {
-			out[life.ID] = ep.estimate.Running
+			out[ep.hash] = ep.estimate.Running
 		}
 	}
 	return out
@@ -223,7 +225,7 @@
 
 // SetElsewhere records another daemon's requests at each target; nil forgets
 // the daemon.
-func (d *Dispatcher) SetElsewhere(daemon string, running map[string]int) {
+func (d *Dispatcher) SetElsewhere(daemon string, running map[peers.TargetHash]int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if running == nil {
@@ -231,14 +233,14 @@
 	} else {
 		d.remote[daemon] = running
 	}
-	sums := make(map[string]int)
+	sums := make(map[peers.TargetHash]int)
 	for _, at := range d.remote {
-		for id, n := range at {
-			sums[id] += n
+		for hash, n := range at {
+			sums[hash] += n
 		}
 	}
-	for life, ep := range d.targets {
-		ep.estimate.Elsewhere = sums[life.ID]
+	for _, ep := range d.targets {
+		ep.estimate.Elsewhere = sums[ep.hash]
 	}
 }
 
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
+	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/state/route"
 	"github.com/jackdawloom/jackdawloom/internal/state/target"
@@ -100,7 +101,7 @@
 	mu       sync.Mutex
 	targets  map[target.Life]*endpoint
 	services map[string]*service
-	remote   map[string]map[string]int // requests at targets, by daemon and target
+	remote   map[string]map[peers.TargetHash]int // requests of other daemons
 }
 
 // service is what is learned about the requests of a service.
@@ -109,11 +110,22 @@
 	usual  time.Duration
 }
 
+// SetBudget changes the bound of repeats.
+func (d *Dispatcher) SetBudget(b budget.Bound) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if b == d.config.Budget {
+		return
+	}
+	d.config.Budget = b
+	clear(d.services)
+}
+
 // New returns a Dispatcher.
 func New(c Config) *Dispatcher {
 	return &Dispatcher{
 		config: c, targets: make(map[target.Life]*endpoint), services: make(map[string]*service),
-		remote: make(map[string]map[string]int),
+		remote: make(map[string]map[peers.TargetHash]int),
 	}
 }
 
@@ -130,6 +142,9 @@
 // Do returns the answer of a target, or why there is none.
 func (d *Dispatcher) Do(ctx context.Context, req *Request) (*upstream.Answer, *Refusal) {
 	d.countRequest(req.Service)
+	if req.HasKey && d.keyed(req.Service) {
+		d.config.Keys(req.Service, req.Key)
+	}
 	t := &try{req: req, targets: make(map[string]bool)}
 	for {
 		ep, refusal := d.choose(ctx, t)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,7 +10,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -19,6 +21,7 @@
 	"github.com/jackdawloom/jackdawloom/internal/edge/coordinator"
 	"github.com/jackdawloom/jackdawloom/internal/edge/dispatch"
 	"github.com/jackdawloom/jackdawloom/internal/edge/front"
+	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/topo"
 	"github.com/jackdawloom/jackdawloom/internal/topo/mirror"
@@ -77,6 +80,13 @@
 	sender  *dispatch.Dispatcher
 	handler *front.Handler
 	coord   *coordinator.Coordinator
+	teller  *peers.Teller
+	grace   atomic.Int64 // nanoseconds
+	// peerList is read off a view, and used by the teller only.
+	peerList struct {
+		of    *view.View
+		peers []peers.Peer
+	}
 }
 
 // New returns a daemon that does nothing yet.
@@ -86,16 +96,33 @@
 	d.mirror = mirror.New(o.Store, "", o.Log, d.views.Apply)
 	d.sender = dispatch.New(dispatch.Config{
 		Names: o.Names, Domain: o.Settings.Domain, Budget: o.Settings.Repeats, Views: d.views, Log: o.Log,
-		Keys: func(string, uint16) {},
+		Keys: func(service string, key uint16) { d.teller.Asked(service, key) },
+	})
+	d.teller = peers.New(peers.Config{
+		Name: o.Settings.Name, Address: o.Settings.Peers, Log: o.Log, Peers: d.peers,
+		Running: d.sender.Running, Heard: d.sender.SetElsewhere,
+		Coordinating: func() bool { return d.coord.Holds() }, Sampled: func(s peers.Sample) { d.coord.AddLoad(s) },
 	})
 	d.coord = coordinator.New(coordinator.Config{
 		Store: o.Store, Self: d.self, Views: d.views, Calls: o.Calls, Targets: d.sender,
 		MaxHold: o.Settings.MaxHold, Log: o.Log,
 	})
 	d.handler = &front.Handler{Names: o.Names, Views: d.views, Dispatcher: d.sender, Log: o.Log, Observe: func(front.Result) {}}
+	d.grace.Store(int64(o.Settings.Grace))
 	return d
 }
 
+// Reload applies the settings that can change while the daemon runs: the grace
+// and the bound of repeats.
+func (d *Daemon) Reload(s Settings) {
+	d.grace.Store(int64(s.Grace))
+	d.sender.SetBudget(s.Repeats)
+	fixed := d.options.Settings
+	fixed.Grace, fixed.Repeats = s.Grace, s.Repeats
+	d.log.Info("settings in force", "grace_ms", s.Grace.Milliseconds(), "repeat_ratio", s.Repeats.Ratio,
+		"repeat_slack", s.Repeats.Slack, "restart_needed", fixed != s)
+}
+
 // Run serves until ctx ends, and then until all requests have ended or the grace
 // is over.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -117,6 +144,11 @@
 	wg.Go(func() { d.mirror.Run(duties) })
 	wg.Go(func() { d.coord.Run(coordinating) })
 	wg.Go(func() { d.announce(duties) })
+	wg.Go(func() {
+		if err := d.teller.Run(duties); err != nil {
+			d.log.Error("daemons not told of running requests", "error", err)
+		}
+	})
 	wg.Go(func() { d.sweep(duties) })
 	front := front.NewServer(d.handler, d.log)
 	readiness := &http.Server{Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: time.Second}
@@ -148,12 +180,13 @@
 // stop leaves the balancer, then waits for the running requests.
 func (d *Daemon) stop(callers, readiness *http.Server, endCoordinating func()) {
 	start := time.Now()
-	d.log.Info("stopping", "grace_ms", d.options.Settings.Grace.Milliseconds())
+	grace := time.Duration(d.grace.Load())
+	d.log.Info("stopping", "grace_ms", grace.Milliseconds())
 	d.handler.Stopping.Store(true)
 	endCoordinating()
-	leave := min(leaveTime, d.options.Settings.Grace/2)
+	leave := min(leaveTime, grace/2)
 	time.Sleep(leave)
-	ctx, cancel := context.WithTimeout(context.Background(), d.options.Settings.Grace-finishMargin-time.Since(start))
+	ctx, cancel := context.WithTimeout(context.Background(), grace-finishMargin-time.Since(start))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		d.log.Warn("requests cut by the end of the grace", "error", err)
@@ -188,6 +221,36 @@
 	}
 }
 
+// peers returns the other daemons that announced themselves.
+func (d *Daemon) peers() []peers.Peer {
+	v := d.views.Current()
+	if d.peerList.of == v {
+		return d.peerList.peers
+	}
+	coordinator := coordinator.Holder(v)
+	var list []peers.Peer
+	for name, e := range v.Daemons {
+		var a announcement
+		if name == d.self.Name || !e.Exists() {
+			continue
+		}
+		if err := cbor.Unmarshal(e.Value, &a); err != nil {
+			d.log.Warn("announcement not readable", "daemon", name, "revision", e.ModRev, "error", err)
+			continue
+		}
+		address, err := netip.ParseAddrPort(a.Peers)
+		if err != nil {
+			d.log.Warn("announcement without address", "daemon", name, "revision", e.ModRev, "error", err)
+			continue
+		}
+		list = append(list, peers.Peer{
+			Name: name, Address: address, Near: a.Domain == d.options.Settings.Domain, Coordinates: name == coordinator,
+		})
+	}
+	d.peerList.of, d.peerList.peers = v, list
+	return list
+}
+
 func (d *Daemon) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
