Let a release wait for the grant on its way

Change: a span is released only when no grant for it is on its way, and the end of a grant is reckoned from the end of its call. Calls about keys have connections of their own: releases of many pieces used up those for requests. A property test drives the engine through late, lost and repeated calls, late writes, changes of the coordinator and targets that start again under their ID, 150 histories of 20 s; it fails without the wait and without the end of unanswered grants.

--- a/internal/coordination/ownership/engine.go
+++ b/internal/coordination/ownership/engine.go
@@ -30,6 +30,11 @@
 	arrivalSlack = 250 * time.Millisecond
 	// retryEvery is the pause after a grant that failed.
 	retryEvery = 200 * time.Millisecond
+	// callTime is the longest time that a call of an earlier coordinator may have
+	// been on its way when its lease ended.
+	callTime = time.Second
+	// releasesAtOnce bounds the releases that one target works on.
+	releasesAtOnce = 5
 )
 
 // Target is a target that may own keys.
@@ -43,6 +48,8 @@
 
 // Grant asks for keys to be given to a target, or for that to be renewed.
 type Grant struct {
+	// ID names the call.
+	ID       uint64
 	Span     ranges.Span
 	Hold     time.Duration
 	Handover string
@@ -76,17 +83,21 @@
 type hold struct {
 	span  ranges.Span
 	phase phase
-	// until is when every grant sent for the span has run out.
+	// until is when every grant sent for the span has run out, but for the one
+	// that is on its way.
 	until time.Duration
 	// unanswered is when the grants without an answer have run out. They can
 	// take effect after a release.
 	unanswered time.Duration
 	renewAt    time.Duration
-	calling    bool
-	sentAt     time.Duration
-	granted    bool // the owner has confirmed a grant of this coordinator
-	released   bool
-	handover   string
+	// grant is the grant on its way, or 0. Parts of a span share it.
+	grant uint64
+	// releasing tells that a release is on its way.
+	releasing bool
+	sentAt    time.Duration
+	granted   bool // the owner has confirmed a grant of this coordinator
+	released  bool
+	handover  string
 	// next is the target that a planned move leads to; empty lets plan choose.
 	next string
 }
@@ -105,6 +116,7 @@
 	planAt  time.Duration
 	firstAt time.Duration // when the first target was seen
 	longest bool
+	calls   uint64
 }
 
 // claim names a span that is being written for a new owner.
@@ -123,23 +135,24 @@
 		config: c, targets: make(map[string]Target), joined: make(map[string]time.Duration),
 		load: make([]float32, ranges.Keys), loadAt: now, claims: make(map[claim]string),
 	}
-	e.adopt(table, now, c.MaxHold)
+	e.adopt(table, now)
 	return e
 }
 
-// worst is the latest end of a grant sent now.
-func worst(now, d time.Duration) time.Duration {
-	return now + d + time.Duration(float64(d)*clockSlack) + arrivalSlack
+// worst is the latest end of a grant that arrived at a time.
+func worst(arrived, d time.Duration) time.Duration {
+	return arrived + d + time.Duration(float64(d)*clockSlack) + arrivalSlack
 }
 
-// adopt rebuilds the knowledge of spans from a table.
-func (e *Engine) adopt(table ranges.Table, now, earlier time.Duration) {
+// adopt rebuilds the knowledge of spans from a table. Grants that were sent up to
+// now may still arrive.
+func (e *Engine) adopt(table ranges.Table, now time.Duration) {
 	e.table = table
 	e.holds = e.holds[:0]
 	for _, s := range table.Spans {
 		h := &hold{span: s, phase: free}
 		if s.Owned() {
-			h.phase, h.renewAt, h.until = holding, now, worst(now, earlier)
+			h.phase, h.renewAt, h.until = holding, now, worst(now+callTime, e.config.MaxHold)
 			h.unanswered = h.until
 		}
 		e.holds = append(e.holds, h)
@@ -181,7 +194,13 @@
 	e.plan(now)
 	var a Actions
 	for _, h := range e.holds {
-		e.tickHold(h, now, &a)
+		switch h.phase {
+		case holding:
+			e.renew(h, now, &a)
+		case releasing:
+			e.takeUp(h, now, &a)
+		case free:
+		}
 	}
 	if e.pending == nil {
 		a.Table = e.assign(now)
@@ -190,28 +209,38 @@
 	return a
 }
 
-// tickHold advances one span.
-func (e *Engine) tickHold(h *hold, now time.Duration, a *Actions) {
-	switch h.phase {
-	case holding:
-		if h.calling || now < h.renewAt {
-			return
-		}
-		g := Grant{Span: h.span, Hold: e.holdTime(), Handover: h.handover}
-		h.calling, h.sentAt = true, now
-		h.until = max(h.until, worst(now, g.Hold))
-		a.Grants = append(a.Grants, g)
-	case releasing:
-		if now >= h.until || h.released && now >= h.unanswered {
-			h.phase = free
-			return
-		}
-		if !h.calling && !h.released && now >= h.renewAt {
-			h.calling, h.sentAt = true, now
-			a.Releases = append(a.Releases, Release{h.span})
+// renew sends a grant that is due.
+func (e *Engine) renew(h *hold, now time.Duration, a *Actions) {
+	if h.grant != 0 || now < h.renewAt {
+		return
+	}
+	e.calls++
+	h.grant, h.sentAt = e.calls, now
+	a.Grants = append(a.Grants, Grant{ID: e.calls, Span: h.span, Hold: e.holdTime(), Handover: h.handover})
+}
+
+// takeUp frees a span that nobody can hold any more, or asks for its release. A
+// release waits for the grant on its way, which could arrive after it.
+func (e *Engine) takeUp(h *hold, now time.Duration, a *Actions) {
+	switch {
+	case h.grant != 0:
+	case now >= h.until, h.released && now >= h.unanswered:
+		h.phase = free
+	case !h.releasing && !h.released && now >= h.renewAt && e.releases(h.span.Owner) < releasesAtOnce:
+		h.releasing, h.sentAt = true, now
+		a.Releases = append(a.Releases, Release{h.span})
+	}
+}
+
+// releases returns the number of releases on their way to a target.
+func (e *Engine) releases(owner string) int {
+	n := 0
+	for _, h := range e.holds {
+		if h.releasing && h.span.Owner == owner {
+			n++
 		}
-	case free:
 	}
+	return n
 }
 
 func (e *Engine) holdTime() time.Duration {
@@ -234,30 +263,37 @@
 	Failed
 )
 
-// Granted reports the outcome of a Grant.
+// Granted reports the outcome of a Grant when its call has ended.
 func (e *Engine) Granted(g Grant, r Result, now time.Duration) {
-	h := e.find(g.Span)
-	if h == nil {
-		return
+	for _, h := range e.holds {
+		if h.grant == g.ID {
+			h.answered(g, r, now)
+		}
 	}
-	h.calling = false
+}
+
+func (h *hold) answered(g Grant, r Result, now time.Duration) {
+	h.grant = 0
+	h.until = max(h.until, worst(now, g.Hold))
 	switch r {
 	case OK:
 		h.granted = true
 		h.handover = ""
 		h.renewAt = h.sentAt + RenewEvery
 	case Fenced:
-		// Another coordinator used a higher fence. The span is free as far as
-		// this fence is concerned, and is given again under a new one.
-		h.renewAt = now
+		// Another coordinator used a higher fence: the span must be given again
+		// under a new one.
 		if h.phase == holding {
-			h.phase, h.next = releasing, h.span.Owner
-			h.renewAt = now
+			h.next = h.span.Owner
+			h.release(now)
 		}
 	case Failed:
-		h.unanswered = max(h.unanswered, worst(h.sentAt, g.Hold))
+		h.unanswered = max(h.unanswered, worst(now, g.Hold))
 		h.renewAt = now + retryEvery
 	}
+	if h.phase == releasing {
+		h.renewAt = now
+	}
 }
 
 // Released reports the outcome of a Release, with the handover of the keys.
@@ -266,7 +302,7 @@
 	if h == nil {
 		return
 	}
-	h.calling = false
+	h.releasing = false
 	if result == OK {
 		h.released, h.handover = true, handover
 		return
@@ -282,7 +318,7 @@
 	if !ok {
 		e.claims = make(map[claim]string)
 		if stored.Writer != e.table.Writer {
-			e.adopt(stored, now, e.config.MaxHold)
+			e.adopt(stored, now)
 		}
 		return
 	}
--- /dev/null
+++ b/internal/coordination/ownership/ownership_test.go
@@ -0,0 +1,205 @@
+package ownership
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/jackdawloom/jackdawloom/internal/proptest"
+	"github.com/jackdawloom/jackdawloom/internal/state/ranges"
+	"github.com/jackdawloom/jackdawloom/internal/state/target"
+)
+
+// disturb makes something happen to the fleet.
+func (w *world) disturb() {
+	switch rapid.IntRange(0, 19).Draw(w.t, "event") {
+	case 0:
+		w.join()
+	case 1:
+		w.reg[w.anyTarget()].Leaving = true
+	case 2: // gone from the registry, and still running
+		i := w.anyTarget()
+		w.reg = append(w.reg[:i:i], w.reg[i+1:]...)
+	case 3: // starts again under its ID
+		i := w.anyTarget()
+		life := w.reg[i].Life
+		w.lives[life].alive = false
+		w.reg = append(w.reg[:i:i], w.reg[i+1:]...)
+		w.add(target.Life{ID: life.ID, Born: life.Born + 1})
+	case 4:
+		w.elect()
+	case 5:
+		w.engine.ExtendHolds(rapid.Bool().Draw(w.t, "extend"), w.now)
+	default:
+		w.hotKeys()
+	}
+}
+
+func (w *world) anyTarget() int {
+	if len(w.reg) == 1 {
+		w.join()
+	}
+	return rapid.IntRange(0, len(w.reg)-1).Draw(w.t, "target")
+}
+
+func (w *world) hotKeys() {
+	from := rapid.IntRange(0, ranges.MaxKey-100).Draw(w.t, "hot")
+	keys := make([]uint16, 100)
+	for i := range keys {
+		keys[i] = uint16(from + i)
+	}
+	w.engine.AddLoad(keys, 5)
+}
+
+// Guards against two owners of a key, whatever is lost, late or repeated, and
+// whoever coordinates.
+func TestNeverTwoOwners(t *testing.T) {
+	proptest.Check(t, 11, 150, func(t *rapid.T) {
+		w := newWorld(t, true)
+		for i := range 400 {
+			if i%15 == 0 {
+				w.disturb()
+			}
+			w.step()
+			w.checkOwners()
+		}
+	})
+}
+
+// Guards against keys that stay without an owner once faults have ended.
+func TestAllKeysServedAfterFaults(t *testing.T) {
+	proptest.Check(t, 11, 150, func(t *rapid.T) {
+		w := newWorld(t, true)
+		for i := range 200 {
+			if i%15 == 0 {
+				w.disturb()
+			}
+			w.step()
+		}
+		w.faulty = false
+		w.join() // all others may be leaving
+		for range 20 * 30 { // 30 s: the longest grant twice, and the late calls
+			w.step()
+			w.checkOwners()
+		}
+		if n := w.served(); n != ranges.Keys {
+			t.Fatalf("%d of %d keys served", n, ranges.Keys)
+		}
+	})
+}
+
+// calmWorld returns a world without faults in which all keys are owned.
+func calmWorld(t *rapid.T) *world {
+	w := newWorld(t, false)
+	for range 60 {
+		w.step()
+	}
+	if n := w.served(); n != ranges.Keys {
+		t.Fatalf("%d of %d keys served after 3 s", n, ranges.Keys)
+	}
+	return w
+}
+
+// Guards against keys that wait for a leaving target longer than its running
+// requests last.
+func TestLeavingTargetGivesUpItsKeys(t *testing.T) {
+	proptest.Check(t, 11, 150, func(t *rapid.T) {
+		w := calmWorld(t)
+		leaving := w.reg[0].Life
+		w.reg[0].Leaving = true
+		for range 20 * 9 {
+			w.step()
+		}
+		for _, s := range w.stored.Spans {
+			if s.Life() == leaving {
+				t.Fatalf("keys %d-%d still belong to the leaving target", s.From, s.To)
+			}
+		}
+		if n := w.served(); n != ranges.Keys {
+			t.Fatalf("%d of %d keys served", n, ranges.Keys)
+		}
+	})
+}
+
+// Guards against keys of a target that fell silent staying without an owner for
+// longer than its grants last.
+func TestSilentTargetIsReplacedWhenItsGrantsRunOut(t *testing.T) {
+	proptest.Check(t, 11, 150, func(t *rapid.T) {
+		w := calmWorld(t)
+		w.lives[w.reg[0].Life].alive = false
+		w.reg = w.reg[1:]
+		for range 20 * 6 {
+			w.step()
+			w.checkOwners()
+		}
+		if n := w.served(); n != ranges.Keys {
+			t.Fatalf("%d of %d keys served 6 s after the loss", n, ranges.Keys)
+		}
+	})
+}
+
+// Guards against keys without an owner while nobody can renew the lease: grants
+// extended at the start of an outage last ten seconds.
+func TestExtendedGrantsOutlastAnOutage(t *testing.T) {
+	proptest.Check(t, 11, 150, func(t *rapid.T) {
+		w := calmWorld(t)
+		w.engine.ExtendHolds(true, w.now)
+		for range 30 {
+			w.step()
+		}
+		for range 20 * 8 { // nobody coordinates
+			w.now += 50 * time.Millisecond
+		}
+		if n := w.served(); n != ranges.Keys {
+			t.Fatalf("%d of %d keys served 8 s into the outage", n, ranges.Keys)
+		}
+	})
+}
+
+// Guards against a hot range staying with one target.
+func TestHotKeysAreSpread(t *testing.T) {
+	targets := make([]Target, 6)
+	for i := range targets {
+		targets[i] = Target{Life: target.Life{ID: string(rune('a' + i)), Born: 1}, Capacity: 3}
+	}
+	e := New(Config{MaxHold: 10 * time.Second}, ranges.Empty(), 0)
+	e.SetTargets(targets, 0)
+	now := 2 * time.Second
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		now += 50 * time.Millisecond
+		keys := make([]uint16, 6)
+		for i := range keys {
+			keys[i] = uint16(rng.IntN(ranges.Keys))
+			if i < 3 {
+				keys[i] = uint16(30000 + rng.IntN(200))
+			}
+		}
+		e.AddLoad(keys, 1)
+		a := e.Tick(now)
+		for _, g := range a.Grants {
+			e.Granted(g, OK, now)
+		}
+		for _, r := range a.Releases {
+			e.Released(r, OK, "h", now)
+		}
+		if a.Table != nil {
+			e.Written(true, *a.Table, now)
+		}
+	}
+	owners := make(map[string]int)
+	for k := 30000; k < 30200; k++ {
+		owners[e.table.Lookup(uint16(k)).Owner]++
+	}
+	if len(owners) < 2 {
+		t.Fatalf("hot keys have %d owner: %v", len(owners), owners)
+	}
+	w := e.weigh()
+	for id, x := range w.byTarget {
+		if fair := w.total / float64(len(targets)); x > 2*fair {
+			t.Errorf("%s has %.0f of a fair share of %.0f", id, x, fair)
+		}
+	}
+}
--- a/internal/coordination/ownership/plan.go
+++ b/internal/coordination/ownership/plan.go
@@ -132,8 +132,7 @@
 			holds = append(holds, h)
 		case known && t.Life != h.span.Life():
 			// The life that held the span has ended.
-			h.phase, h.calling = free, false
-			h.handover = ""
+			h.phase, h.grant, h.releasing, h.handover = free, 0, false, ""
 			holds = append(holds, h)
 		case h.phase == holding && known && t.Leaving:
 			holds = append(holds, e.cut(h, leavePieces, now)...)
@@ -158,21 +157,13 @@
 
 // release starts taking the span back.
 func (h *hold) release(now time.Duration) {
-	if h.calling {
-		// The grant on its way may take effect after the release.
-		h.unanswered = max(h.unanswered, h.until)
-	}
-	h.phase, h.calling, h.released, h.renewAt = releasing, false, false, now
+	h.phase, h.releasing, h.released, h.renewAt = releasing, false, false, now
 }
 
 // part returns the knowledge of a part of the span.
 func (h *hold) part(from, to uint16) *hold {
 	p := *h
 	p.span.From, p.span.To = from, to
-	if h.calling {
-		p.calling = false
-		p.unanswered = max(p.unanswered, h.until)
-	}
 	return &p
 }
 
@@ -214,7 +205,7 @@
 
 func mergeable(a, b *hold) bool {
 	same := a.span.Fence == b.span.Fence && a.span.Life() == b.span.Life() && a.span.Owned()
-	return same && a.phase == holding && b.phase == holding && !a.calling && !b.calling &&
+	return same && a.phase == holding && b.phase == holding && a.grant == 0 && b.grant == 0 &&
 		a.handover == "" && b.handover == ""
 }
 
--- /dev/null
+++ b/internal/coordination/ownership/world_test.go
@@ -0,0 +1,264 @@
+package ownership
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/jackdawloom/jackdawloom/internal/state/ranges"
+	"github.com/jackdawloom/jackdawloom/internal/state/target"
+)
+
+// world is a store and targets in virtual time, driven by an Engine as a
+// coordinator drives it.
+type world struct {
+	t      *rapid.T
+	now    time.Duration
+	stored ranges.Table
+	engine *Engine
+	life   int // number of the present engine
+	lives  map[target.Life]*fakeTarget
+	reg    []Target
+	events []event
+	writes int
+	// faulty makes calls and writes fail at random.
+	faulty bool
+	moved  map[uint64]bool
+}
+
+type event struct {
+	at time.Duration
+	do func()
+}
+
+// fakeTarget holds keys as the platform's targets do: the time of a grant counts
+// from its arrival, on a clock that may run slow.
+type fakeTarget struct {
+	life  target.Life
+	slow  float64
+	alive bool
+	spans []held
+}
+
+type held struct {
+	from, to uint16
+	fence    uint64
+	until    time.Duration
+}
+
+func (f *fakeTarget) grant(g Grant, arrived time.Duration) Result {
+	for _, h := range f.spans {
+		if h.from <= g.Span.To && g.Span.From <= h.to && h.fence > g.Span.Fence {
+			return Fenced
+		}
+	}
+	f.cut(g.Span)
+	until := arrived + time.Duration(float64(g.Hold)*(1+f.slow))
+	f.spans = append(f.spans, held{g.Span.From, g.Span.To, g.Span.Fence, until})
+	return OK
+}
+
+// cut removes what is held of a span's keys up to its fence.
+func (f *fakeTarget) cut(s ranges.Span) {
+	var rest []held
+	for _, h := range f.spans {
+		if h.to < s.From || h.from > s.To || h.fence > s.Fence {
+			rest = append(rest, h)
+			continue
+		}
+		if h.from < s.From {
+			rest = append(rest, held{h.from, s.From - 1, h.fence, h.until})
+		}
+		if h.to > s.To {
+			rest = append(rest, held{s.To + 1, h.to, h.fence, h.until})
+		}
+	}
+	f.spans = rest
+}
+
+func newWorld(t *rapid.T, faulty bool) *world {
+	w := &world{t: t, stored: ranges.Empty(), lives: make(map[target.Life]*fakeTarget), faulty: faulty}
+	for range rapid.IntRange(2, 5).Draw(t, "targets") {
+		w.join()
+	}
+	w.elect()
+	return w
+}
+
+func (w *world) join() {
+	id := fmt.Sprintf("t%d", len(w.lives))
+	w.add(target.Life{ID: id, Born: 1})
+}
+
+func (w *world) add(life target.Life) {
+	slow := float64(rapid.IntRange(0, 20).Draw(w.t, "slow")) / 1000
+	w.lives[life] = &fakeTarget{life: life, slow: slow, alive: true}
+	w.reg = append(w.reg, Target{Life: life, Capacity: 3})
+}
+
+// elect starts the engine of another coordinator.
+func (w *world) elect() {
+	w.life++
+	w.engine = New(Config{MaxHold: 10 * time.Second}, w.stored, w.now)
+	w.engine.SetTargets(w.reg, w.now)
+}
+
+func (w *world) after(d time.Duration, do func()) { w.events = append(w.events, event{w.now + d, do}) }
+
+// chance draws a fault.
+func (w *world) chance(percent int, name string) bool {
+	return w.faulty && rapid.IntRange(0, 99).Draw(w.t, name) < percent
+}
+
+func (w *world) delay(most time.Duration, name string) time.Duration {
+	return time.Duration(rapid.IntRange(0, int(most/time.Millisecond)).Draw(w.t, name)) * time.Millisecond
+}
+
+// step advances time by one tick.
+func (w *world) step() {
+	w.now += 50 * time.Millisecond
+	for {
+		i := slices.IndexFunc(w.events, func(e event) bool { return e.at <= w.now })
+		if i < 0 {
+			break
+		}
+		do := w.events[i].do
+		w.events = slices.Delete(w.events, i, i+1)
+		do()
+	}
+	e := w.engine
+	life := w.life
+	e.SetTargets(w.reg, w.now)
+	a := e.Tick(w.now)
+	for _, g := range a.Grants {
+		w.sendGrant(e, life, g)
+	}
+	for _, r := range a.Releases {
+		w.sendRelease(e, life, r)
+	}
+	if a.Table != nil {
+		w.write(e, life, *a.Table)
+	}
+}
+
+// sendGrant delivers a grant within the timeout of its call. It may be lost, its
+// answer may be lost, or it may take effect late with its time counting from its
+// arrival.
+func (w *world) sendGrant(e *Engine, life int, g Grant) {
+	f := w.lives[g.Span.Life()]
+	result := Failed
+	answer := func() {
+		if w.life == life {
+			e.Granted(g, result, w.now)
+		}
+	}
+	travel := w.delay(500*time.Millisecond, "grant travel")
+	switch {
+	case w.chance(15, "grant lost"):
+	case w.chance(20, "grant late"):
+		w.after(travel, func() {
+			arrived := w.now
+			w.after(w.delay(12*time.Second, "late by"), func() { f.grant(g, arrived) })
+		})
+	default:
+		silent := w.chance(15, "grant answer lost")
+		w.after(travel, func() {
+			if r := f.grant(g, w.now); !silent && f.alive {
+				result = r
+			}
+		})
+	}
+	w.after(600*time.Millisecond, answer)
+}
+
+func (w *world) sendRelease(e *Engine, life int, r Release) {
+	f := w.lives[r.Span.Life()]
+	result, handover := Failed, ""
+	late := w.chance(20, "release late")
+	lost := w.chance(15, "release lost")
+	work := w.delay(2*time.Second, "running work")
+	if late {
+		w.after(w.delay(12*time.Second, "release late by"), func() { f.cut(r.Span) })
+	}
+	if !late && !lost && f.alive {
+		f.cut(r.Span)
+		result, handover = OK, "handover"
+	}
+	w.after(work, func() {
+		if w.life == life {
+			e.Released(r, result, handover, w.now)
+		}
+	})
+}
+
+// write stores a table unless another engine wrote since. The answer may be lost.
+func (w *world) write(e *Engine, life int, table ranges.Table) {
+	w.writes++
+	table.Writer = fmt.Sprint(life, "-", w.writes)
+	base := w.stored.Writer
+	attempt := func() {
+		if w.life == life && w.stored.Writer == base {
+			if err := table.Validate(); err != nil {
+				w.t.Fatalf("table written: %v", err)
+			}
+			w.stored = table.Clone()
+		}
+	}
+	if w.chance(15, "write late") {
+		w.after(w.delay(4*time.Second, "write late by"), attempt)
+	} else {
+		w.after(w.delay(200*time.Millisecond, "write travel"), attempt)
+	}
+	w.after(250*time.Millisecond, func() {
+		if w.life == life {
+			*e.pending = table
+			e.Written(w.stored.Writer == table.Writer, w.stored.Clone(), w.now)
+		}
+	})
+}
+
+// checkOwners fails if two living targets hold a key.
+func (w *world) checkOwners() {
+	type owned struct {
+		held
+		by *fakeTarget
+	}
+	var all []owned
+	for _, f := range w.lives {
+		if !f.alive {
+			continue
+		}
+		for _, h := range f.spans {
+			if h.until > w.now {
+				all = append(all, owned{h, f})
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b owned) int { return int(a.from) - int(b.from) })
+	for i := 1; i < len(all); i++ {
+		a, b := all[i-1], all[i]
+		if b.from <= a.to && a.by != b.by {
+			w.t.Fatalf("at %v keys %d-%d are held by %s (fence %d) and %s (fence %d)",
+				w.now, b.from, min(a.to, b.to), a.by.life.ID, a.fence, b.by.life.ID, b.fence)
+		}
+	}
+}
+
+// served returns the number of keys that the owner in the table holds.
+func (w *world) served() int {
+	n := 0
+	for _, s := range w.stored.Spans {
+		f := w.lives[s.Life()]
+		if f == nil || !f.alive {
+			continue
+		}
+		for _, h := range f.spans {
+			if h.until > w.now && h.from <= s.To && s.From <= h.to {
+				n += int(min(h.to, s.To)) - int(max(h.from, s.From)) + 1
+			}
+		}
+	}
+	return n
+}
--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -35,6 +35,8 @@
 	// addressTime is how long the address of a target that is gone is kept, to
 	// take its keys back.
 	addressTime = 15 * time.Second
+	// callConnections bounds the connections to a target for calls about keys.
+	callConnections = 7
 	// resultRing holds the outcomes of calls; there is at most one a span.
 	resultRing = 4096
 )
@@ -46,9 +48,8 @@
 	Result(*upstream.Answer) (ownership.Result, string)
 }
 
-// Targets sends calls to targets.
+// Targets tells how fast targets are.
 type Targets interface {
-	Pool(target.Record) *upstream.Pool
 	Speeds() map[string]time.Duration
 }
 
@@ -97,8 +98,11 @@
 	rev int64 // revision of the table in the store
 }
 
+// address is where calls about a target's keys go. They have connections of
+// their own, so that requests do not hold them up.
 type address struct {
 	record target.Record
+	pool   *upstream.Pool
 	seen   time.Duration
 }
 
@@ -178,9 +182,17 @@
 
 // remember keeps the addresses of targets, also of those that are gone.
 func (c *Coordinator) remember(v *view.View, now time.Duration) {
-	v.Targets.All(func(r target.Record) { c.known[r.Life()] = address{r, now} })
+	v.Targets.All(func(r target.Record) {
+		a, ok := c.known[r.Life()]
+		if !ok || a.record.Address != r.Address {
+			a.pool = upstream.NewPool(r.Address, callConnections)
+		}
+		a.record, a.seen = r, now
+		c.known[r.Life()] = a
+	})
 	for life, a := range c.known {
 		if now-a.seen > addressTime {
+			a.pool.Close()
 			delete(c.known, life)
 		}
 	}
@@ -384,7 +396,7 @@
 		if t.valid(clock.Now()) {
 			req, err := c.config.Calls.Grant(g)
 			if err == nil {
-				result, _, err = c.call(ctx, known.record, req, grantTimeout)
+				result, _, err = c.call(ctx, known, req, grantTimeout)
 			}
 			cause = err
 		}
@@ -408,7 +420,7 @@
 		handover := ""
 		req, err := c.config.Calls.Release(r)
 		if err == nil {
-			result, handover, err = c.call(ctx, known.record, req, releaseTimeout)
+			result, handover, err = c.call(ctx, known, req, releaseTimeout)
 		}
 		c.config.Log.Info("release ended", "service", service, "target", r.Span.Owner, "from", r.Span.From, "to", r.Span.To,
 			"fence", r.Span.Fence, "released", result == ownership.OK, "took_ms", (clock.Now() - start).Milliseconds(), "error", err)
@@ -416,11 +428,11 @@
 	}()
 }
 
-func (c *Coordinator) call(ctx context.Context, r target.Record, req *upstream.Request, timeout time.Duration) (ownership.Result, string, error) {
+func (c *Coordinator) call(ctx context.Context, a address, req *upstream.Request, timeout time.Duration) (ownership.Result, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	req.Host, req.Target = r.Address, r.ID
-	answer, err := c.config.Targets.Pool(r).Send(ctx, req)
+	req.Host, req.Target = a.record.Address, a.record.ID
+	answer, err := a.pool.Send(ctx, req)
 	if err != nil {
 		return ownership.Failed, "", err
 	}
--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -167,11 +167,11 @@
 		ep.record = r
 		if ep.limit != limit {
 			ep.limit = limit
-			ep.pool.SetLimit(limit + 1)
+			ep.pool.SetLimit(limit)
 		}
 		return ep
 	}
-	ep = &endpoint{record: r, limit: limit, hash: peers.HashTarget(r.ID), pool: upstream.NewPool(r.Address, limit+1)}
+	ep = &endpoint{record: r, limit: limit, hash: peers.HashTarget(r.ID), pool: upstream.NewPool(r.Address, limit)}
 	ep.estimate.Slots = r.Slots
 	ep.estimate.Local = r.Domain == d.config.Domain
 	ep.estimate.ColdUntil = clock.Now() + r.ColdFor
@@ -185,14 +185,6 @@
 	return max(int(share*float64(v.Config.Services[service].MaxConnections)), leastConnections)
 }
 
-// Pool returns the connections to a target, for calls about its keys.
-func (d *Dispatcher) Pool(r target.Record) *upstream.Pool {
-	v := d.config.Views.Current()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.endpoint(v, r).pool
-}
-
 // Sweep closes the connections to targets that are gone.
 func (d *Dispatcher) Sweep() {
 	v := d.config.Views.Current()
