Read the store and exchange loads through one hub a domain

Change: the daemon with the lowest hash of its name in a domain is the domain's hub. It reads the store with waits of 500 ms; the others read its copy and go to the store themselves when it is silent, stopped, or its copy is over 900 ms old. Loads go to the hub, sums come back; hubs exchange the sums of their domains.

--- a/internal/coordination/ownership/ownership_test.go
+++ b/internal/coordination/ownership/ownership_test.go
@@ -79,7 +79,7 @@
 			w.step()
 		}
 		w.faulty = false
-		w.join() // all others may be leaving
+		w.join()            // all others may be leaving
 		for range 20 * 30 { // 30 s: the longest grant twice, and the late calls
 			w.step()
 			w.checkOwners()
--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -203,10 +203,10 @@
 }
 
 // Running returns this daemon's requests at each target.
-func (d *Dispatcher) Running() map[peers.TargetHash]int {
+func (d *Dispatcher) Running() peers.Loads {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make(map[peers.TargetHash]int)
+	out := make(peers.Loads)
 	for _, ep := range d.targets {
 		if ep.estimate.Running > 0 {
 			out[ep.hash] = ep.estimate.Running
@@ -215,24 +215,13 @@
 	return out
 }
 
-// SetElsewhere records another daemon's requests at each target; nil forgets
-// the daemon.
-func (d *Dispatcher) SetElsewhere(daemon string, running map[peers.TargetHash]int) {
+// SetFleet records the requests of all daemons at each target, this daemon's
+// included as it last told them.
+func (d *Dispatcher) SetFleet(loads peers.Loads) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if running == nil {
-		delete(d.remote, daemon)
-	} else {
-		d.remote[daemon] = running
-	}
-	sums := make(map[peers.TargetHash]int)
-	for _, at := range d.remote {
-		for hash, n := range at {
-			sums[hash] += n
-		}
-	}
 	for _, ep := range d.targets {
-		ep.estimate.Elsewhere = sums[ep.hash]
+		ep.estimate.Elsewhere = max(loads[ep.hash]-ep.estimate.Running, 0)
 	}
 }
 
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -14,7 +14,6 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
-	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/state/route"
 	"github.com/jackdawloom/jackdawloom/internal/state/target"
@@ -101,7 +100,6 @@
 	mu       sync.Mutex
 	targets  map[target.Life]*endpoint
 	services map[string]*service
-	remote   map[string]map[peers.TargetHash]int // requests of other daemons
 }
 
 // service is what is learned about the requests of a service.
@@ -125,7 +123,6 @@
 func New(c Config) *Dispatcher {
 	return &Dispatcher{
 		config: c, targets: make(map[target.Life]*endpoint), services: make(map[string]*service),
-		remote: make(map[string]map[peers.TargetHash]int),
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -82,26 +82,33 @@
 	coord   *coordinator.Coordinator
 	teller  *peers.Teller
 	grace   atomic.Int64 // nanoseconds
-	// peerList is read off a view, and used by the teller only.
-	peerList struct {
-		of    *view.View
-		peers []peers.Peer
-	}
+	hubs    *peers.Hubs
+	feed    *peers.Feed
+	// peerList is read off a view.
+	peerList atomic.Pointer[peerList]
+}
+
+// peerList is the list of daemons of a view.
+type peerList struct {
+	of    *view.View
+	peers []peers.Peer
 }
 
 // New returns a daemon that does nothing yet.
 func New(o Options) *Daemon {
 	d := &Daemon{options: o, log: o.Log, self: coordinator.Identity{Name: o.Settings.Name, Run: rand.Text()}}
 	d.views = view.NewKeeper(o.Documents, o.Log, func() mirror.Status { return d.mirror.Status() })
-	d.mirror = mirror.New(o.Store, "", o.Log, d.views.Apply)
+	d.hubs = peers.NewHubs(o.Settings.Name)
+	d.feed = peers.NewFeed(o.Settings.Name, o.Settings.Domain, o.Store, d.hubs, d.peers, o.Log)
+	d.mirror = mirror.New(d.feed, "", o.Log, d.views.Apply)
 	d.sender = dispatch.New(dispatch.Config{
 		Names: o.Names, Domain: o.Settings.Domain, Budget: o.Settings.Repeats, Views: d.views, Log: o.Log,
 		Keys: func(service string, key uint16) { d.teller.Asked(service, key) },
 	})
 	d.teller = peers.New(peers.Config{
-		Name: o.Settings.Name, Address: o.Settings.Peers, Log: o.Log, Peers: d.peers,
-		Running: d.sender.Running, Heard: d.sender.SetElsewhere,
-		Coordinating: func() bool { return d.coord.Holds() }, Sampled: func(s peers.Sample) { d.coord.AddLoad(s) },
+		Name: o.Settings.Name, Domain: o.Settings.Domain, Address: o.Settings.Peers, Log: o.Log, Hubs: d.hubs,
+		Peers: d.peers, Running: d.sender.Running, Fleet: d.sender.SetFleet,
+		Sampled: func(s peers.Sample) { d.coord.AddLoad(s) },
 	})
 	d.coord = coordinator.New(coordinator.Config{
 		Store: o.Store, Self: d.self, Views: d.views, Calls: o.Calls, Targets: d.sender,
@@ -134,6 +141,10 @@
 	if err != nil {
 		return errors.Join(fmt.Errorf("readiness: %w", err), callers.Close())
 	}
+	among, err := net.Listen("tcp4", d.options.Settings.Peers)
+	if err != nil {
+		return errors.Join(fmt.Errorf("daemons: %w", err), callers.Close(), ready.Close())
+	}
 	d.log.Info("daemon started", "name", d.self.Name, "run", d.self.Run, "domain", d.options.Settings.Domain, "callers", callers.Addr().String())
 
 	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
@@ -150,6 +161,11 @@
 		}
 	})
 	wg.Go(func() { d.sweep(duties) })
+	feed := &http.Server{
+		Handler:           &peers.FeedHandler{Mirror: d.mirror, Serves: d.feed.IsHub, Log: d.log},
+		ReadHeaderTimeout: time.Second,
+	}
+	wg.Go(func() { d.serve(feed, among) })
 	front := front.NewServer(d.handler, d.log)
 	readiness := &http.Server{Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: time.Second}
 	wg.Go(func() { d.serve(front, callers) })
@@ -158,6 +174,7 @@
 	<-ctx.Done()
 	d.stop(front, readiness, endCoordinating)
 	endDuties()
+	_ = feed.Close()
 	wg.Wait()
 	d.log.Info("daemon stopped", "name", d.self.Name, "run", d.self.Run)
 	return nil
@@ -221,19 +238,16 @@
 	}
 }
 
-// peers returns the other daemons that announced themselves.
+// peers returns the daemons that announced themselves.
 func (d *Daemon) peers() []peers.Peer {
 	v := d.views.Current()
-	if d.peerList.of == v {
-		return d.peerList.peers
+	if known := d.peerList.Load(); known != nil && known.of == v {
+		return known.peers
 	}
 	coordinator := coordinator.Holder(v)
 	var list []peers.Peer
 	for name, e := range v.Daemons {
 		var a announcement
-		if name == d.self.Name || !e.Exists() {
-			continue
-		}
 		if err := cbor.Unmarshal(e.Value, &a); err != nil {
 			d.log.Warn("announcement not readable", "daemon", name, "revision", e.ModRev, "error", err)
 			continue
@@ -243,11 +257,9 @@
 			d.log.Warn("announcement without address", "daemon", name, "revision", e.ModRev, "error", err)
 			continue
 		}
-		list = append(list, peers.Peer{
-			Name: name, Address: address, Near: a.Domain == d.options.Settings.Domain, Coordinates: name == coordinator,
-		})
+		list = append(list, peers.Peer{Name: name, Address: address, Domain: a.Domain, Coordinates: name == coordinator})
 	}
-	d.peerList.of, d.peerList.peers = v, list
+	d.peerList.Store(&peerList{v, list})
 	return list
 }
 
--- /dev/null
+++ b/internal/edge/peers/feed.go
@@ -0,0 +1,207 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/topo/mirror"
+)
+
+// Limits of reading the store through another daemon.
+const (
+	// maxAge is the age up to which a hub's copy of the store is used. Together
+	// with feedTimeout and the reading of the store itself it stays within the two
+	// seconds in which a change must be in force.
+	maxAge = 900 * time.Millisecond
+	// feedSlack is how much longer than its wait a call to a hub may take.
+	feedSlack   = 300 * time.Millisecond
+	feedDial    = 200 * time.Millisecond
+	maxFeedSize = 8 << 20
+	feedPath    = "/feed"
+)
+
+// feedReply is a hub's answer: the changes after a revision, or everything.
+type feedReply struct {
+	Entries []topo.Entry  `cbor:"1,keyasint"`
+	At      int64         `cbor:"2,keyasint"`
+	Age     time.Duration `cbor:"3,keyasint"`
+}
+
+// errNotHub is returned by a daemon that has no current copy of its own.
+var errNotHub = errors.New("daemon has no current copy of the store")
+
+// Feed reads the store through the hub of the domain. The hub itself, and a
+// daemon that finds no hub with a current copy, read the store.
+type Feed struct {
+	Self, Domain string
+	Store        topo.Feed
+	Hubs         *Hubs
+	Peers        func() []Peer
+	Log          *slog.Logger
+	client       *http.Transport
+}
+
+// NewFeed returns a Feed of the daemon with the given name.
+func NewFeed(self, domain string, store topo.Feed, hubs *Hubs, peers func() []Peer, log *slog.Logger) *Feed {
+	dialer := &net.Dialer{Timeout: feedDial}
+	return &Feed{
+		Self: self, Domain: domain, Store: store, Hubs: hubs, Peers: peers, Log: log,
+		client: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true},
+	}
+}
+
+// hub returns the daemon to read from; false means the store.
+func (f *Feed) hub() (Peer, bool) {
+	hub, ok := f.Hubs.Of(f.Peers())[f.Domain]
+	return hub, ok && hub.Name != f.Self
+}
+
+// IsHub reports whether this daemon reads the store itself.
+func (f *Feed) IsHub() bool {
+	_, other := f.hub()
+	return !other
+}
+
+// Snapshot implements topo.Feed.
+func (f *Feed) Snapshot(ctx context.Context, prefix string) ([]topo.Entry, int64, error) {
+	if hub, ok := f.hub(); ok {
+		reply, err := f.call(ctx, hub, "", feedSlack*2)
+		if err == nil {
+			return reply.Entries, reply.At, nil
+		}
+		f.failed(ctx, hub, err)
+	}
+	return f.Store.Snapshot(ctx, prefix)
+}
+
+// Changes implements topo.Feed.
+func (f *Feed) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]topo.Event, int64, error) {
+	if hub, ok := f.hub(); ok {
+		query := "?after=" + strconv.FormatInt(after, 10) + "&wait=" + strconv.FormatInt(wait.Milliseconds(), 10)
+		reply, err := f.call(ctx, hub, query, wait+feedSlack)
+		if err == nil {
+			events := make([]topo.Event, len(reply.Entries))
+			for i, e := range reply.Entries {
+				events[i] = topo.Event{Entry: e}
+			}
+			return events, max(reply.At, after), nil
+		}
+		if errors.Is(err, topo.ErrCompacted) {
+			return nil, 0, err
+		}
+		f.failed(ctx, hub, err)
+	}
+	return f.Store.Changes(ctx, prefix, after, wait)
+}
+
+func (f *Feed) failed(ctx context.Context, hub Peer, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.Log.Info("hub not used; reading the store", "hub", hub.Name, "error", err)
+	f.Hubs.Failed(hub.Name)
+}
+
+func (f *Feed) call(ctx context.Context, hub Peer, query string, timeout time.Duration) (*feedReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+hub.Address.String()+feedPath+query, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := f.client.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxFeedSize))
+	switch {
+	case err != nil:
+		return nil, err
+	case resp.StatusCode == http.StatusGone:
+		return nil, topo.ErrCompacted
+	case resp.StatusCode != http.StatusOK:
+		return nil, fmt.Errorf("%w: status %d", errNotHub, resp.StatusCode)
+	}
+	var reply feedReply
+	if err := cbor.Unmarshal(body, &reply); err != nil {
+		return nil, fmt.Errorf("%w: %w", topo.ErrBadReply, err)
+	}
+	if reply.Age > maxAge {
+		return nil, fmt.Errorf("%w: %v old", errNotHub, reply.Age)
+	}
+	return &reply, nil
+}
+
+// FeedHandler serves a daemon's copy of the store to the daemons of its domain.
+type FeedHandler struct {
+	Mirror *mirror.Mirror
+	// Serves reports whether the copy comes from the store itself. Copies of copies
+	// would grow old unnoticed.
+	Serves func() bool
+	Log    *slog.Logger
+}
+
+// ServeHTTP implements http.Handler.
+func (h *FeedHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != feedPath {
+		http.NotFound(w, r)
+		return
+	}
+	if !h.current() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	var reply feedReply
+	var err error
+	query := r.URL.Query()
+	after, parseErr := strconv.ParseInt(query.Get("after"), 10, 64)
+	if parseErr != nil {
+		reply.Entries, reply.At = h.Mirror.All()
+	} else {
+		wait, waitErr := strconv.ParseInt(query.Get("wait"), 10, 64)
+		if waitErr != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		reply.Entries, reply.At, err = h.Mirror.Since(r.Context(), after, time.Duration(wait)*time.Millisecond)
+	}
+	switch {
+	case errors.Is(err, topo.ErrCompacted):
+		w.WriteHeader(http.StatusGone)
+		return
+	case err != nil || !h.current():
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	reply.Age = clock.Now() - h.Mirror.Status().Heard
+	h.write(w, reply)
+}
+
+func (h *FeedHandler) current() bool {
+	return h.Serves() && h.Mirror.Status().Up
+}
+
+func (h *FeedHandler) write(w http.ResponseWriter, reply feedReply) {
+	body, err := cbor.Marshal(reply)
+	if err != nil {
+		h.Log.Error("copy of the store not encoded", "error", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if _, err := w.Write(body); err != nil {
+		h.Log.Debug("copy of the store not delivered", "error", err)
+	}
+}
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -1,91 +1,43 @@
-// Package peers tells the daemons of a fleet what each of them runs at each
-// target, and the coordinator which keys are asked for.
-//
-// The messages are hints: they are sent once, as datagrams, and a lost one costs
-// accuracy only. No decision about ownership or configuration depends on them.
 package peers
 
 import (
 	"context"
 	"errors"
-	"hash/fnv"
 	"log/slog"
-	"maps"
 	"net"
-	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 )
 
-// Times and sizes of messages.
+// Times of messages.
 const (
-	// tellNear and tellFar are the pauses between messages to daemons in the own
-	// failure domain and in others. Bytes between domains are charged for.
-	tellNear = 50 * time.Millisecond
-	tellFar  = 200 * time.Millisecond
+	// tellEvery is the pause between a daemon's messages in a small domain.
+	// tellPerMember is added for each daemon there, so that a hub's work stays
+	// bounded, up to tellMost.
+	tellEvery     = 40 * time.Millisecond
+	tellPerMember = 4 * time.Millisecond
+	tellMost      = 200 * time.Millisecond
+	// farEvery is the pause between messages to other domains. Bytes between
+	// domains are charged for.
+	farEvery = 200 * time.Millisecond
 	// silentAfter is when a daemon's message no longer counts.
 	silentAfter = time.Second
-	// maxDatagram fits one packet of the usual size.
-	maxDatagram = 1400
-	// maxKeys is the number of keys in one message. When more were asked for, each
-	// stands for several.
-	maxKeys = 256
 )
 
-// TargetHash names a target in messages. Two targets with the same hash only
-// blur a hint.
-type TargetHash uint32
-
-// HashTarget returns the name of a target in messages.
-func HashTarget(id string) TargetHash {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(id))
-	return TargetHash(h.Sum32())
-}
-
-// message is what one daemon tells another.
-type message struct {
-	From    string             `cbor:"1,keyasint"`
-	Number  uint64             `cbor:"2,keyasint"`
-	Running map[TargetHash]int `cbor:"3,keyasint,omitempty"`
-	// Keys are sent to the coordinator only.
-	Keys []Sample `cbor:"4,keyasint,omitempty"`
-}
-
-// Sample is a set of keys of a service that were asked for.
-type Sample struct {
-	Service string   `cbor:"1,keyasint"`
-	Keys    []uint16 `cbor:"2,keyasint"`
-	Weight  float32  `cbor:"3,keyasint"`
-}
-
-// Peer is another daemon.
-type Peer struct {
-	Name    string
-	Address netip.AddrPort
-	Near    bool
-	// Coordinates marks the daemon that assigns keys.
-	Coordinates bool
-}
-
 // Config holds what a Teller needs.
 type Config struct {
-	Name    string
-	Address string
-	Log     *slog.Logger
-	// Peers returns the other daemons.
+	Name, Domain, Address string
+	Log                   *slog.Logger
+	Hubs                  *Hubs
+	// Peers returns all daemons, this one included.
 	Peers func() []Peer
 	// Running returns this daemon's requests at each target.
-	Running func() map[TargetHash]int
-	// Heard is told of another daemon's requests at each target; nil if it fell
-	// silent.
-	Heard func(daemon string, running map[TargetHash]int)
-	// Coordinating reports whether this daemon assigns keys.
-	Coordinating func() bool
+	Running func() Loads
+	// Fleet is told of the requests of all daemons at each target, this daemon's
+	// included as it last told them.
+	Fleet func(Loads)
 	// Sampled is told of keys that were asked for at any daemon, if this daemon
 	// assigns keys.
 	Sampled func(Sample)
@@ -95,27 +47,42 @@
 type Teller struct {
 	config Config
 	number uint64
+	farAt  time.Duration
+	hubAt  time.Duration // when this daemon's hub was last heard, or chosen
+	hub    string
 
-	mu    sync.Mutex
-	keys  map[string][]uint16
-	skips map[string]int // keys that were asked for beyond maxKeys
-	heard map[string]heard
+	mu      sync.Mutex
+	keys    map[string][]uint16
+	skips   map[string]int // keys that were asked for beyond maxKeys
+	members map[string]*heard
+	domains map[string]*heard
+	fleet   *heard
 }
 
+// heard is what was last told by a daemon.
 type heard struct {
+	from   string
 	number uint64
 	at     time.Duration
+	loads  Loads
 }
 
 // New returns a Teller that has heard nothing.
 func New(c Config) *Teller {
-	return &Teller{config: c, keys: make(map[string][]uint16), skips: make(map[string]int), heard: make(map[string]heard)}
+	return &Teller{
+		config: c, keys: make(map[string][]uint16), skips: make(map[string]int),
+		members: make(map[string]*heard), domains: make(map[string]*heard), fleet: &heard{},
+	}
 }
 
 // Asked notes that a key was asked for.
 func (t *Teller) Asked(service string, key uint16) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.note(service, key)
+}
+
+func (t *Teller) note(service string, key uint16) {
 	if len(t.keys[service]) >= maxKeys {
 		t.skips[service]++
 		return
@@ -156,61 +123,139 @@
 
 // tell sends messages.
 func (t *Teller) tell(ctx context.Context, conn net.PacketConn) {
-	ticker := time.NewTicker(tellNear)
-	defer ticker.Stop()
-	for n := 0; ; n++ {
+	timer := time.NewTimer(tellEvery)
+	defer timer.Stop()
+	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
+		}
+		peers := t.config.Peers()
+		hubs := t.config.Hubs.Of(peers)
+		t.round(conn, peers, hubs)
+		timer.Reset(t.pause(peers))
+	}
+}
+
+func (t *Teller) pause(peers []Peer) time.Duration {
+	members := 0
+	for _, p := range peers {
+		if p.Domain == t.config.Domain {
+			members++
 		}
-		t.round(conn, n%int(tellFar/tellNear) == 0)
-		t.forgetSilent()
 	}
+	return min(tellEvery+time.Duration(members)*tellPerMember, tellMost)
 }
 
-// round tells the daemons whose turn it is.
-func (t *Teller) round(conn net.PacketConn, far bool) {
-	var samples []Sample
+// round tells whom this daemon is to tell.
+func (t *Teller) round(conn net.PacketConn, peers []Peer, hubs map[string]Peer) {
+	now := clock.Now()
+	far := now-t.farAt >= farEvery
 	if far {
-		samples = t.samples()
+		t.farAt = now
+	}
+	t.number++
+	hub, known := hubs[t.config.Domain]
+	if !known {
+		return
+	}
+	if hub.Name == t.config.Name {
+		t.actAsHub(conn, peers, hubs, far, now)
+		return
+	}
+	t.watchHub(hub, now)
+	m := t.message(scopeDaemon, t.config.Running())
+	if far {
+		m.Keys = t.samples()
+	}
+	t.send(conn, hub, m)
+}
+
+// watchHub passes over a hub that does not answer.
+func (t *Teller) watchHub(hub Peer, now time.Duration) {
+	if hub.Name != t.hub {
+		t.hub, t.hubAt = hub.Name, now
+	}
+	t.mu.Lock()
+	if t.fleet.from == hub.Name {
+		t.hubAt = max(t.hubAt, t.fleet.at)
+	}
+	t.mu.Unlock()
+	if now-t.hubAt > silentAfter {
+		t.config.Log.Info("hub silent; choosing another", "hub", hub.Name, "silent_ms", (now - t.hubAt).Milliseconds())
+		t.config.Hubs.Failed(hub.Name)
+	}
+}
+
+// actAsHub sums up the domain and passes the sums on.
+func (t *Teller) actAsHub(conn net.PacketConn, peers []Peer, hubs map[string]Peer, far bool, now time.Duration) {
+	domain := t.config.Running()
+	fleet := make(Loads)
+	t.mu.Lock()
+	for name, h := range t.members {
+		if now-h.at > silentAfter {
+			delete(t.members, name)
+			continue
+		}
+		domain.add(h.loads)
 	}
-	if t.config.Coordinating() {
-		for _, s := range samples {
-			t.config.Sampled(s)
+	for _, h := range t.domains {
+		if now-h.at <= silentAfter {
+			fleet.add(h.loads)
 		}
-		samples = nil
 	}
-	t.number++
-	m := message{From: t.config.Name, Number: t.number, Running: t.config.Running()}
-	plain := t.encode(m)
-	for _, p := range t.config.Peers() {
-		switch {
-		case p.Coordinates && len(samples) > 0:
-			m.Keys = samples
-			t.send(conn, p, t.encode(m))
-		case p.Near || far:
-			t.send(conn, p, plain)
+	t.mu.Unlock()
+	fleet.add(domain)
+	t.config.Fleet(fleet)
+	m := t.message(scopeFleet, fleet)
+	for _, p := range peers {
+		if p.Domain == t.config.Domain && p.Name != t.config.Name {
+			t.send(conn, p, m)
 		}
 	}
+	if far {
+		t.tellFar(conn, peers, hubs, domain)
+	}
 }
 
-func (t *Teller) encode(m message) []byte {
-	b, err := cbor.Marshal(m)
-	if err != nil {
-		t.config.Log.Error("message to daemons not encoded", "error", err)
-		return nil
+// tellFar tells the other domains' hubs, and the coordinator.
+func (t *Teller) tellFar(conn net.PacketConn, peers []Peer, hubs map[string]Peer, domain Loads) {
+	for name, hub := range hubs {
+		if name != t.config.Domain {
+			t.send(conn, hub, t.message(scopeDomain, domain))
+		}
+	}
+	for _, p := range peers {
+		if !p.Coordinates {
+			continue
+		}
+		for _, s := range t.samples() {
+			if p.Name == t.config.Name {
+				t.config.Sampled(s)
+				continue
+			}
+			m := t.message(scopeDomain, domain)
+			m.Keys = []Sample{s}
+			t.send(conn, p, m)
+		}
 	}
-	return b
 }
 
-func (t *Teller) send(conn net.PacketConn, p Peer, b []byte) {
-	if len(b) == 0 || len(b) > maxDatagram {
-		return
-	}
-	_, err := conn.WriteTo(b, net.UDPAddrFromAddrPort(p.Address))
-	if err != nil && !errors.Is(err, net.ErrClosed) {
-		t.config.Log.Debug("message to daemon not sent", "daemon", p.Name, "error", err)
+func (t *Teller) message(s scope, l Loads) message {
+	return message{From: t.config.Name, Domain: t.config.Domain, Scope: s, Number: t.number, Loads: l}
+}
+
+func (t *Teller) send(conn net.PacketConn, p Peer, m message) {
+	for _, part := range m.chunks() {
+		b, err := part.encode()
+		if err != nil || len(b) > maxDatagram {
+			t.config.Log.Warn("message to daemon not encoded", "daemon", p.Name, "bytes", len(b), "error", err)
+			return
+		}
+		if _, err := conn.WriteTo(b, net.UDPAddrFromAddrPort(p.Address)); err != nil && !errors.Is(err, net.ErrClosed) {
+			t.config.Log.Debug("message to daemon not sent", "daemon", p.Name, "error", err)
+		}
 	}
 }
 
@@ -226,8 +271,8 @@
 			t.config.Log.Warn("message from daemons not received", "error", err)
 			continue
 		}
-		var m message
-		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
+		m, err := decode(buf[:n])
+		if err != nil {
 			t.config.Log.Warn("message from daemon not readable", "from", from.String(), "error", err)
 			continue
 		}
@@ -237,40 +282,45 @@
 
 func (t *Teller) receive(m message) {
 	t.mu.Lock()
-	last := t.heard[m.From]
 	now := clock.Now()
-	// A daemon that has started again counts from the beginning.
-	stale := m.Number <= last.number && now-last.at < silentAfter
-	if !stale {
-		t.heard[m.From] = heard{m.Number, now}
+	switch m.Scope {
+	case scopeDaemon:
+		t.members[m.From] = take(t.members[m.From], m, now)
+	case scopeDomain:
+		t.domains[m.Domain] = take(t.domains[m.Domain], m, now)
+	case scopeFleet:
+		t.fleet = take(t.fleet, m, now)
 	}
-	t.mu.Unlock()
-	if !stale {
-		running := m.Running
-		if running == nil {
-			running = map[TargetHash]int{}
+	fleet := t.fleet.loads
+	var own []Sample
+	for _, s := range m.Keys {
+		if m.Scope == scopeDomain {
+			own = append(own, s)
+			continue
 		}
-		t.config.Heard(m.From, running)
-	}
-	if t.config.Coordinating() {
-		for _, s := range m.Keys {
-			t.config.Sampled(s)
+		for _, k := range s.Keys {
+			t.note(s.Service, k)
 		}
 	}
-}
-
-func (t *Teller) forgetSilent() {
-	now := clock.Now()
-	var silent []string
-	t.mu.Lock()
-	for name, h := range t.heard {
-		if now-h.at > silentAfter {
-			silent = append(silent, name)
-		}
+	if m.Scope == scopeFleet {
+		t.config.Fleet(fleet)
 	}
-	maps.DeleteFunc(t.heard, func(_ string, h heard) bool { return now-h.at > silentAfter })
 	t.mu.Unlock()
-	for _, name := range silent {
-		t.config.Heard(name, nil)
+	for _, s := range own {
+		t.config.Sampled(s)
+	}
+}
+
+// take takes over a message unless it is older than what was heard. A sender that
+// has started again counts from the beginning.
+func take(h *heard, m message, now time.Duration) *heard {
+	switch {
+	case h == nil || h.from != m.From || now-h.at > silentAfter:
+		h = &heard{from: m.From}
+	case m.Number < h.number:
+		return h
 	}
+	h.number, h.at = m.Number, now
+	h.loads = m.merge(h.loads)
+	return h
 }
--- /dev/null
+++ b/internal/edge/peers/pick.go
@@ -0,0 +1,63 @@
+package peers
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jackdawloom/jackdawloom/internal/clock"
+)
+
+// Peer is a daemon of the fleet.
+type Peer struct {
+	Name    string
+	Address netip.AddrPort
+	Domain  string
+	// Coordinates marks the daemon that assigns keys.
+	Coordinates bool
+}
+
+// avoidTime is how long a daemon is passed over as a hub after it did not answer.
+const avoidTime = 3 * time.Second
+
+// Hubs picks the hub of each failure domain. Daemons of a domain read the store
+// and exchange loads through its hub, so that calls and messages grow with the
+// number of domains and not with the square of the fleet. All daemons pick the
+// same one by its name alone, apart from those that they cannot reach.
+type Hubs struct {
+	self string
+
+	mu    sync.Mutex
+	avoid map[string]time.Duration // until
+}
+
+// NewHubs returns the choice of the daemon with the given name.
+func NewHubs(self string) *Hubs { return &Hubs{self: self, avoid: make(map[string]time.Duration)} }
+
+// Failed passes over a daemon for a while.
+func (h *Hubs) Failed(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.avoid[name] = clock.Now() + avoidTime
+}
+
+// Of returns the hub of each domain of the peers.
+func (h *Hubs) Of(peers []Peer) map[string]Peer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := clock.Now()
+	hubs := make(map[string]Peer)
+	for _, p := range peers {
+		if until, avoided := h.avoid[p.Name]; avoided && now < until && p.Name != h.self {
+			continue
+		}
+		if best, ok := hubs[p.Domain]; !ok || rank(p.Name) < rank(best.Name) {
+			hubs[p.Domain] = p
+		}
+	}
+	return hubs
+}
+
+func rank(name string) uint64 { return xxhash.Sum64String(name) }
--- a/internal/topo/mirror/mirror.go
+++ b/internal/topo/mirror/mirror.go
@@ -14,13 +14,15 @@
 
 // Times of following the store.
 const (
-	// Wait is how long one call waits for changes. It bounds how long a
-	// connection that has fallen silent goes unnoticed.
-	Wait = 1800 * time.Millisecond
+	// Wait is how long one call waits for changes. It bounds the age of the copy,
+	// and how long a connection that has fallen silent goes unnoticed.
+	Wait = 500 * time.Millisecond
 	// Coalesce is the pause after changes, so that a series of them takes few
 	// calls. It is small against the two seconds within which a change must be
 	// in force.
 	Coalesce = 120 * time.Millisecond
+	// historySize is the number of changes that other readers can go on from.
+	historySize = 2048
 	// retryDelay is the pause after a failed call.
 	retryDelay = 150 * time.Millisecond
 )
@@ -40,8 +42,11 @@
 	apply  func(Change)
 
 	mu      sync.Mutex
-	known   map[string]int64 // revision of each entry
+	entries map[string]topo.Entry // deleted ones stay as such until the next copy
+	history []topo.Entry
+	oldest  int64 // revision up to which changes are no longer in the history
 	rev     int64
+	changed chan struct{} // closed at the next change
 	heard   time.Duration // time of sending of the last call with an answer
 	up      bool
 	regains time.Duration // time of the first answer after the last failure
@@ -49,7 +54,10 @@
 
 // New returns a mirror that calls apply, from one goroutine, with each change.
 func New(feed topo.Feed, prefix string, log *slog.Logger, apply func(Change)) *Mirror {
-	return &Mirror{feed: feed, prefix: prefix, log: log, apply: apply, known: make(map[string]int64)}
+	return &Mirror{
+		feed: feed, prefix: prefix, log: log, apply: apply,
+		entries: make(map[string]topo.Entry), changed: make(chan struct{}),
+	}
 }
 
 // Status tells how current the copy is.
@@ -111,11 +119,13 @@
 	if rev < m.rev {
 		return Change{}, topo.ErrBadReply
 	}
-	m.rev = rev
-	m.known = make(map[string]int64, len(entries))
+	m.rev, m.oldest = rev, rev
+	m.history = nil
+	m.entries = make(map[string]topo.Entry, len(entries))
 	for _, e := range entries {
-		m.known[e.Key] = e.ModRev
+		m.entries[e.Key] = e
 	}
+	m.wake()
 	return Change{Entries: entries, Complete: true}, nil
 }
 
@@ -128,19 +138,83 @@
 	defer m.mu.Unlock()
 	var change Change
 	for _, e := range events {
-		if e.Entry.ModRev <= m.known[e.Entry.Key] {
+		if e.Entry.ModRev <= m.entries[e.Entry.Key].ModRev {
 			continue
 		}
-		m.known[e.Entry.Key] = e.Entry.ModRev
-		if !e.Entry.Exists() {
-			delete(m.known, e.Entry.Key)
-		}
+		m.entries[e.Entry.Key] = e.Entry
+		m.record(e.Entry)
 		change.Entries = append(change.Entries, e.Entry)
 	}
 	m.rev = max(m.rev, at)
+	if len(change.Entries) > 0 {
+		m.wake()
+	}
 	return change, nil
 }
 
+// record adds a change to the history.
+func (m *Mirror) record(e topo.Entry) {
+	m.history = append(m.history, e)
+	if over := len(m.history) - historySize; over > 0 {
+		m.oldest = m.history[over-1].ModRev
+		m.history = append([]topo.Entry(nil), m.history[over:]...)
+	}
+}
+
+func (m *Mirror) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// All returns all entries and the revision of the copy.
+func (m *Mirror) All() ([]topo.Entry, int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]topo.Entry, 0, len(m.entries))
+	for _, e := range m.entries {
+		if e.Exists() {
+			out = append(out, e)
+		}
+	}
+	return out, m.rev
+}
+
+// Since returns the changes after a revision, and the revision of the copy. It
+// waits up to wait for the first change. The error is topo.ErrCompacted if the
+// changes are no longer known.
+func (m *Mirror) Since(ctx context.Context, after int64, wait time.Duration) ([]topo.Entry, int64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changes, rev, changed, err := m.since(after)
+		if err != nil || len(changes) > 0 {
+			return changes, rev, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, rev, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (m *Mirror) since(after int64) ([]topo.Entry, int64, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if after < m.oldest {
+		return nil, 0, nil, topo.ErrCompacted
+	}
+	var out []topo.Entry
+	for _, e := range m.history {
+		if e.ModRev > after {
+			out = append(out, e)
+		}
+	}
+	return out, m.rev, m.changed, nil
+}
+
 func (m *Mirror) answered(sent time.Duration) {
 	m.mu.Lock()
 	regained := !m.up
