Share measured service times; keep a hot key where it is

Cause: targets differ threefold in speed, and a daemon that sends each few requests does not see it, so keys were dealt out by slots alone. A single hot key was the densest run of its owner, could not be moved for the better, and kept its neighbours there. A full owner was asked up to six times for one request.

Change: service times go to the hubs with the loads and come back smoothed over all requests; keys heavier than what is to be moved are left in place and their neighbours go; a full owner is not asked again.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -36,6 +36,7 @@
 	ColdUntil time.Duration
 
 	service  time.Duration // smoothed service time without queueing; 0 unknown
+	shared   bool          // the service time is that of all daemons
 	failures int
 	suspect  time.Duration // avoided until then
 }
@@ -51,20 +52,26 @@
 	return e.service
 }
 
-// Answered records a complete answer. load is that of the target when the
-// request was sent.
-func (e *Estimate) Answered(took time.Duration, load int) {
+// Answered records a complete answer and returns the service time that it shows.
+// load is that of the target when the request was sent.
+func (e *Estimate) Answered(took time.Duration, load int) time.Duration {
 	e.failures, e.suspect = 0, 0
 	if load >= e.Slots && e.Slots > 0 {
 		took = took * time.Duration(e.Slots) / time.Duration(load+1)
 	}
-	if e.service == 0 {
+	switch {
+	case e.shared:
+	case e.service == 0:
 		e.service = took
-		return
+	default:
+		e.service += time.Duration(smoothing * float64(took-e.service))
 	}
-	e.service += time.Duration(smoothing * float64(took-e.service))
+	return took
 }
 
+// Measured sets the service time that all daemons measured together.
+func (e *Estimate) Measured(service time.Duration) { e.service, e.shared = service, true }
+
 // Failed records a request without a usable answer, or one that the target
 // failed.
 func (e *Estimate) Failed(now time.Duration) {
--- a/internal/coordination/ownership/plan.go
+++ b/internal/coordination/ownership/plan.go
@@ -297,6 +297,10 @@
 	return ids
 }
 
+// oversize is the multiple of the wanted weight from which a single key is not
+// moved: it stays where it is, and its neighbours go.
+const oversize = 1.6
+
 // densest returns the fewest neighbouring keys of an owner that weigh about
 // want. Few keys are cheap to move.
 func (e *Engine) densest(w *weights, owner target.Life, want float64) (best *hold, from, to uint16) {
@@ -307,10 +311,16 @@
 		}
 		sum, start := 0.0, int(h.span.From)
 		for k := int(h.span.From); k <= int(h.span.To); k++ {
-			sum += float64(e.load[k]) + w.uniform
-			for sum-float64(e.load[start])-w.uniform >= want && start < k {
-				sum -= float64(e.load[start]) + w.uniform
+			x := float64(e.load[k]) + w.uniform
+			if x > oversize*want {
+				sum, start = 0, k+1
+				continue
+			}
+			sum += x
+			for first := float64(e.load[start]) + w.uniform; sum-first >= want && start < k; {
+				sum -= first
 				start++
+				first = float64(e.load[start]) + w.uniform
 			}
 			if sum >= want && k-start+1 < fewest {
 				best, from, to, fewest = h, uint16(start), uint16(k), k-start+1
--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -225,6 +225,17 @@
 	}
 }
 
+// SetTimes records the service times that all daemons measured.
+func (d *Dispatcher) SetTimes(times peers.Times) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, ep := range d.targets {
+		if millis := times[ep.hash]; millis > 0 {
+			ep.estimate.Measured(time.Duration(millis) * time.Millisecond)
+		}
+	}
+}
+
 // Speeds returns the measured service time of each target.
 func (d *Dispatcher) Speeds() map[string]time.Duration {
 	d.mu.Lock()
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
+	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/state/route"
 	"github.com/jackdawloom/jackdawloom/internal/state/target"
@@ -27,7 +28,7 @@
 	ownerWait = 200 * time.Millisecond
 	// moveDelay is the pause before a request is sent again to an owner that has
 	// not got its grant yet.
-	moveDelay = 30 * time.Millisecond
+	moveDelay = 60 * time.Millisecond
 	// leastLeft is the time that a request must have left to be sent.
 	leastLeft = 15 * time.Millisecond
 	// answerSlack is how much longer than the caller's time an answer is waited
@@ -91,6 +92,8 @@
 	Log    *slog.Logger
 	// Keys is told of each request to a keyed service.
 	Keys func(service string, key uint16)
+	// Ended is told of each measured service time.
+	Ended func(target peers.TargetHash, took time.Duration)
 }
 
 // Dispatcher sends requests. It is safe for concurrent use.
@@ -241,7 +244,7 @@
 	if v.kind == failed {
 		t.failure = answer
 	}
-	if v.reason == CallerLeft || t.sends >= maxSends || !d.moreTargets(t, ep, v) {
+	if v.reason == CallerLeft || t.sends >= maxSends || !d.moreTargets(t, v) {
 		again = false
 	}
 	d.config.Log.Info("send without success", "request", req.ID, "service", req.Service, "target", ep.record.ID,
@@ -258,12 +261,12 @@
 }
 
 // moreTargets reports whether the route allows another send.
-func (d *Dispatcher) moreTargets(t *try, ep *endpoint, v judgement) bool {
-	if len(t.targets) < t.req.Route.MaxAttempts {
-		return true
+func (d *Dispatcher) moreTargets(t *try, v judgement) bool {
+	if !d.keyed(t.req.Service) {
+		return len(t.targets) < t.req.Route.MaxAttempts
 	}
-	// The owner of a key may be asked again.
-	return t.req.HasKey && d.keyed(t.req.Service) && (v.reason == NotHolding || v.reason == Unreachable)
+	// There is one owner. While it is full, callers come back later.
+	return v.reason != Full && (len(t.targets) < t.req.Route.MaxAttempts || v.kind == notRun)
 }
 
 func (d *Dispatcher) keyed(name string) bool {
--- a/internal/edge/dispatch/judge.go
+++ b/internal/edge/dispatch/judge.go
@@ -80,7 +80,7 @@
 	ep.estimate.Running--
 	switch {
 	case v.kind == served:
-		ep.estimate.Answered(took, load)
+		d.config.Ended(ep.hash, ep.estimate.Answered(took, load))
 		s := d.service(ep.record.Service)
 		s.usual += (took - s.usual) / usualSmoothing
 	case v.reason == Full:
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -103,11 +103,12 @@
 	d.mirror = mirror.New(d.feed, "", o.Log, d.views.Apply)
 	d.sender = dispatch.New(dispatch.Config{
 		Names: o.Names, Domain: o.Settings.Domain, Budget: o.Settings.Repeats, Views: d.views, Log: o.Log,
-		Keys: func(service string, key uint16) { d.teller.Asked(service, key) },
+		Keys:  func(service string, key uint16) { d.teller.Asked(service, key) },
+		Ended: func(t peers.TargetHash, took time.Duration) { d.teller.Ended(t, took) },
 	})
 	d.teller = peers.New(peers.Config{
 		Name: o.Settings.Name, Domain: o.Settings.Domain, Address: o.Settings.Peers, Log: o.Log, Hubs: d.hubs,
-		Peers: d.peers, Running: d.sender.Running, Fleet: d.sender.SetFleet,
+		Peers: d.peers, Running: d.sender.Running, Fleet: d.sender.SetFleet, Measured: d.sender.SetTimes,
 		Sampled: func(s peers.Sample) { d.coord.AddLoad(s) },
 	})
 	d.coord = coordinator.New(coordinator.Config{
--- a/internal/edge/peers/message.go
+++ b/internal/edge/peers/message.go
@@ -17,9 +17,12 @@
 const (
 	// maxDatagram fits one packet of the usual size.
 	maxDatagram = 1400
-	// chunkTargets is the number of targets in one datagram: eight bytes each, with
-	// room for the rest.
-	chunkTargets = 140
+	// chunkTargets is the number of targets in one datagram: up to fourteen bytes
+	// each with its time, with room for the rest.
+	chunkTargets = 90
+	// maxEnded is the number of service times in one message. More are dropped:
+	// so many tell as much.
+	maxEnded = 60
 	// maxKeys is the number of keys in one sample. When more were asked for, each
 	// stands for several.
 	maxKeys = 128
@@ -69,8 +72,22 @@
 	Chunks uint32   `cbor:"6,keyasint,omitempty"`
 	Loads  Loads    `cbor:"7,keyasint,omitempty"`
 	Keys   []Sample `cbor:"8,keyasint,omitempty"`
+	// Ended are service times that were measured since the last message.
+	Ended []Ended `cbor:"9,keyasint,omitempty"`
+	// Times are the smoothed service times, told to the daemons of a domain.
+	Times Times `cbor:"10,keyasint,omitempty"`
 }
 
+// Ended is the measured service time of one request, in milliseconds.
+type Ended struct {
+	_      struct{} `cbor:",toarray"`
+	Target TargetHash
+	Millis uint16
+}
+
+// Times are the service times of targets without queueing, in milliseconds.
+type Times map[TargetHash]uint16
+
 // Sample is a set of keys of a service that were asked for.
 type Sample struct {
 	Service string   `cbor:"1,keyasint"`
@@ -80,14 +97,21 @@
 
 // chunks divides a message so that each part fits a datagram.
 func (m message) chunks() []message {
-	n := uint32((len(m.Loads) + chunkTargets - 1) / chunkTargets)
+	n := uint32((max(len(m.Loads), len(m.Times)) + chunkTargets - 1) / chunkTargets)
 	if n <= 1 {
 		return []message{m}
 	}
 	parts := make([]message, n)
 	for i := range parts {
 		parts[i] = m
-		parts[i].Chunk, parts[i].Chunks, parts[i].Loads = uint32(i), n, make(Loads)
+		parts[i].Chunk, parts[i].Chunks = uint32(i), n
+		parts[i].Loads, parts[i].Times = make(Loads), make(Times)
+		if i > 0 {
+			parts[i].Keys, parts[i].Ended = nil, nil
+		}
+	}
+	for t, millis := range m.Times {
+		parts[uint32(t)%n].Times[t] = millis
 	}
 	for t, load := range m.Loads {
 		parts[uint32(t)%n].Loads[t] = load
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -38,6 +39,8 @@
 	// Fleet is told of the requests of all daemons at each target, this daemon's
 	// included as it last told them.
 	Fleet func(Loads)
+	// Measured is told the service times of targets.
+	Measured func(Times)
 	// Sampled is told of keys that were asked for at any daemon, if this daemon
 	// assigns keys.
 	Sampled func(Sample)
@@ -51,7 +54,11 @@
 	hubAt  time.Duration // when this daemon's hub was last heard, or chosen
 	hub    string
 
+	rounds int
+
 	mu      sync.Mutex
+	ended   []Ended // own and, at a hub, its domain's, since they were last told
+	times   estimates
 	keys    map[string][]uint16
 	skips   map[string]int // keys that were asked for beyond maxKeys
 	members map[string]*heard
@@ -71,10 +78,33 @@
 func New(c Config) *Teller {
 	return &Teller{
 		config: c, keys: make(map[string][]uint16), skips: make(map[string]int),
-		members: make(map[string]*heard), domains: make(map[string]*heard), fleet: &heard{},
+		members: make(map[string]*heard), domains: make(map[string]*heard), fleet: &heard{}, times: make(estimates),
 	}
 }
 
+// Ended notes the service time of a request.
+func (t *Teller) Ended(target TargetHash, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x := []Ended{{Target: target, Millis: uint16(min(took.Milliseconds(), math.MaxUint16))}}
+	t.times.add(x)
+	t.noteEnded(x)
+}
+
+func (t *Teller) noteEnded(ended []Ended) {
+	room := maxEnded - len(t.ended)
+	t.ended = append(t.ended, ended[:min(len(ended), room)]...)
+}
+
+// takeEnded returns the service times since the last call.
+func (t *Teller) takeEnded() []Ended {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := t.ended
+	t.ended = nil
+	return out
+}
+
 // Asked notes that a key was asked for.
 func (t *Teller) Asked(service string, key uint16) {
 	t.mu.Lock()
@@ -167,7 +197,7 @@
 	t.watchHub(hub, now)
 	m := t.message(scopeDaemon, t.config.Running())
 	if far {
-		m.Keys = t.samples()
+		m.Keys, m.Ended = t.samples(), t.takeEnded()
 	}
 	t.send(conn, hub, m)
 }
@@ -205,10 +235,15 @@
 			fleet.add(h.loads)
 		}
 	}
+	times := t.times.times()
 	t.mu.Unlock()
 	fleet.add(domain)
 	t.config.Fleet(fleet)
 	m := t.message(scopeFleet, fleet)
+	if t.rounds++; t.rounds%timesEvery == 0 {
+		m.Times = times
+		t.config.Measured(times)
+	}
 	for _, p := range peers {
 		if p.Domain == t.config.Domain && p.Name != t.config.Name {
 			t.send(conn, p, m)
@@ -221,9 +256,11 @@
 
 // tellFar tells the other domains' hubs, and the coordinator.
 func (t *Teller) tellFar(conn net.PacketConn, peers []Peer, hubs map[string]Peer, domain Loads) {
+	m := t.message(scopeDomain, domain)
+	m.Ended = t.takeEnded()
 	for name, hub := range hubs {
 		if name != t.config.Domain {
-			t.send(conn, hub, t.message(scopeDomain, domain))
+			t.send(conn, hub, m)
 		}
 	}
 	for _, p := range peers {
@@ -292,6 +329,10 @@
 		t.fleet = take(t.fleet, m, now)
 	}
 	fleet := t.fleet.loads
+	t.times.add(m.Ended)
+	if m.Scope == scopeDaemon {
+		t.noteEnded(m.Ended)
+	}
 	var own []Sample
 	for _, s := range m.Keys {
 		if m.Scope == scopeDomain {
@@ -306,6 +347,9 @@
 		t.config.Fleet(fleet)
 	}
 	t.mu.Unlock()
+	if len(m.Times) > 0 {
+		t.config.Measured(m.Times)
+	}
 	for _, s := range own {
 		t.config.Sampled(s)
 	}
