Reckon the age of a copy from the end of a wait without changes

Every few seconds all daemons of a domain went to the store. Calls about keys of one target used up their seven connections.

Change: a wait that ends without changes dates the copy at its end; twelve connections a target for calls about keys.

--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -36,7 +36,7 @@
 	// take its keys back.
 	addressTime = 15 * time.Second
 	// callConnections bounds the connections to a target for calls about keys.
-	callConnections = 7
+	callConnections = 12
 	// resultRing holds the outcomes of calls; there is at most one a span.
 	resultRing = 4096
 )
--- a/internal/topo/mirror/mirror.go
+++ b/internal/topo/mirror/mirror.go
@@ -47,7 +47,7 @@
 	oldest  int64 // revision up to which changes are no longer in the history
 	rev     int64
 	changed chan struct{} // closed at the next change
-	heard   time.Duration // time of sending of the last call with an answer
+	heard   time.Duration // time that the copy was certainly current
 	up      bool
 	regains time.Duration // time of the first answer after the last failure
 }
@@ -64,7 +64,7 @@
 type Status struct {
 	// Up is false from a failed call until the next answer.
 	Up bool
-	// Heard is when the last answered call was sent.
+	// Heard is a time at which the copy was current.
 	Heard time.Duration
 	// UpSince is when the store was reached again after the last failure.
 	UpSince time.Duration
@@ -82,7 +82,7 @@
 func (m *Mirror) Run(ctx context.Context) {
 	complete := false
 	for ctx.Err() == nil {
-		sent := clock.Now()
+		asOf := clock.Now()
 		var change Change
 		var err error
 		if complete {
@@ -90,6 +90,10 @@
 		} else {
 			change, err = m.copy(ctx)
 		}
+		if err == nil && complete && len(change.Entries) == 0 {
+			// The store waited all the time and had seen no change by then.
+			asOf = max(asOf, min(asOf+Wait, clock.Now()))
+		}
 		switch {
 		case errors.Is(err, topo.ErrCompacted):
 			m.log.Warn("store discarded its history; reading everything again", "revision", m.Status().Rev)
@@ -101,7 +105,7 @@
 			continue
 		}
 		complete = true
-		m.answered(sent)
+		m.answered(asOf)
 		if len(change.Entries) > 0 || change.Complete {
 			m.apply(change)
 			sleep(ctx, Coalesce)
@@ -215,10 +219,10 @@
 	return out, m.rev, m.changed, nil
 }
 
-func (m *Mirror) answered(sent time.Duration) {
+func (m *Mirror) answered(asOf time.Duration) {
 	m.mu.Lock()
 	regained := !m.up
-	m.up, m.heard = true, sent
+	m.up, m.heard = true, asOf
 	if regained {
 		m.regains = clock.Now()
 	}
