Give spans new fences when the coordinator changes

The earlier coordinator had released parts of a grant and was gone before it wrote the new owner; a target does not take released keys again under the same fence.

Change: spans that come from an earlier coordinator, or from a table that was replaced, get a new fence in the first write. The old owner stays, and what is known of its earlier grants is kept. The targets of the property test refuse released keys under the old fence; TestAllKeysServedAfterFaults fails without the change.

--- a/internal/coordination/ownership/engine.go
+++ b/internal/coordination/ownership/engine.go
@@ -100,6 +100,10 @@
 	handover  string
 	// next is the target that a planned move leads to; empty lets plan choose.
 	next string
+	// inherited spans were assigned by an earlier coordinator, or under a table
+	// that was replaced. Parts of them may have been released, and a target does
+	// not take those again under the same fence, so they need a new one.
+	inherited bool
 }
 
 // Engine decides for one service.
@@ -154,6 +158,7 @@
 		if s.Owned() {
 			h.phase, h.renewAt, h.until = holding, now, worst(now+callTime, e.config.MaxHold)
 			h.unanswered = h.until
+			h.inherited = true
 		}
 		e.holds = append(e.holds, h)
 	}
@@ -330,6 +335,7 @@
 // change keep what is known of them, also where they are known in parts.
 func (e *Engine) rebuild(now time.Duration) {
 	holds := make([]*hold, 0, len(e.holds)+len(e.table.Spans))
+	old := e.holds
 	next := 0
 	for _, s := range e.table.Spans {
 		var parts []*hold
@@ -347,12 +353,28 @@
 		if !s.Owned() {
 			h.phase = free
 		}
+		h.continueFrom(old)
 		holds = append(holds, h)
 	}
 	e.holds = holds
 	e.claims = make(map[claim]string)
 }
 
+// continueFrom takes over until when the owner may hold the span under earlier
+// fences.
+func (h *hold) continueFrom(old []*hold) {
+	for _, o := range old {
+		if o.span.Life() != h.span.Life() || o.span.To < h.span.From || o.span.From > h.span.To || o.phase == free {
+			continue
+		}
+		h.until = max(h.until, o.until)
+		h.unanswered = max(h.unanswered, o.unanswered)
+		if o.grant != 0 {
+			h.grant = o.grant
+		}
+	}
+}
+
 // find returns the knowledge of exactly this span.
 func (e *Engine) find(s ranges.Span) *hold {
 	for _, h := range e.holds {
--- a/internal/coordination/ownership/plan.go
+++ b/internal/coordination/ownership/plan.go
@@ -204,7 +204,7 @@
 }
 
 func mergeable(a, b *hold) bool {
-	same := a.span.Fence == b.span.Fence && a.span.Life() == b.span.Life() && a.span.Owned()
+	same := a.span.Fence == b.span.Fence && a.span.Life() == b.span.Life() && a.span.Owned() && a.inherited == b.inherited
 	return same && a.phase == holding && b.phase == holding && a.grant == 0 && b.grant == 0 &&
 		a.handover == "" && b.handover == ""
 }
@@ -354,12 +354,14 @@
 		return nil
 	}
 	var unowned []*hold
+	inherited := false
 	for _, h := range e.holds {
 		if h.phase == free {
 			unowned = append(unowned, h)
 		}
+		inherited = inherited || h.inherited && h.phase == holding
 	}
-	if len(unowned) == 0 {
+	if len(unowned) == 0 && !inherited {
 		return nil
 	}
 	w := e.weigh()
@@ -372,6 +374,11 @@
 			e.claims[claim{given.From, given.To}] = h.handover
 		}
 	}
+	for _, h := range e.holds {
+		if h.inherited && h.phase == holding {
+			t.Assign(h.span.From, h.span.To, h.span.Life())
+		}
+	}
 	return &t
 }
 
--- a/internal/coordination/ownership/world_test.go
+++ b/internal/coordination/ownership/world_test.go
@@ -40,6 +40,9 @@
 	slow  float64
 	alive bool
 	spans []held
+	// freed are keys that were released under a fence. A grant under that fence
+	// or a lower one does not give them again.
+	freed []ranges.Span
 }
 
 type held struct {
@@ -57,9 +60,20 @@
 	f.cut(g.Span)
 	until := arrived + time.Duration(float64(g.Hold)*(1+f.slow))
 	f.spans = append(f.spans, held{g.Span.From, g.Span.To, g.Span.Fence, until})
+	for _, r := range f.freed {
+		if r.Fence >= g.Span.Fence {
+			f.cut(ranges.Span{From: r.From, To: r.To, Fence: g.Span.Fence})
+		}
+	}
 	return OK
 }
 
+// release takes keys back.
+func (f *fakeTarget) release(s ranges.Span) {
+	f.cut(s)
+	f.freed = append(f.freed, s)
+}
+
 // cut removes what is held of a span's keys up to its fence.
 func (f *fakeTarget) cut(s ranges.Span) {
 	var rest []held
@@ -180,10 +194,10 @@
 	lost := w.chance(15, "release lost")
 	work := w.delay(2*time.Second, "running work")
 	if late {
-		w.after(w.delay(12*time.Second, "release late by"), func() { f.cut(r.Span) })
+		w.after(w.delay(12*time.Second, "release late by"), func() { f.release(r.Span) })
 	}
 	if !late && !lost && f.alive {
-		f.cut(r.Span)
+		f.release(r.Span)
 		result, handover = OK, "handover"
 	}
 	w.after(work, func() {
