Learn from requests that a target did not finish

Cause: a target that became slow was measured only by the requests that it finished in time, so that its service time hardly rose, and it kept at least 0.4 of a fair share of keys.

Change: a request that is given up after twice the service time counts as a measurement; the least speed that counts is a tenth.

--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -343,7 +343,7 @@
 
 // Bounds of the capacity that a measured service time gives.
 const (
-	leastSpeed = 0.4
+	leastSpeed = 0.1
 	mostSpeed  = 2.5
 )
 
--- a/internal/edge/dispatch/judge.go
+++ b/internal/edge/dispatch/judge.go
@@ -85,9 +85,25 @@
 		s.usual += (took - s.usual) / usualSmoothing
 	case v.reason == Full:
 		ep.estimate.Refused(now)
-	case v.reason == CallerLeft || v.reason == NotHolding:
+	case v.reason == NotHolding:
+	case v.reason == CallerLeft:
+		d.learnSlow(ep, took)
 	default:
 		ep.estimate.Failed(now)
+		d.learnSlow(ep, took)
+	}
+}
+
+// slowFactor is the multiple of a target's service time from which a request
+// without an answer tells that the target has become slow.
+const slowFactor = 2
+
+// learnSlow records a request that was given up. It would have taken longer, and
+// a target that is too slow for its callers would otherwise never be measured.
+// The caller holds the mutex.
+func (d *Dispatcher) learnSlow(ep *endpoint, took time.Duration) {
+	if service := ep.estimate.Service(0); service > 0 && took > slowFactor*service {
+		d.config.Ended(ep.hash, took)
 	}
 }
 
