Make the strongest instance of a domain its hub; pass on the age of copies

Change: daemons announce the capacity of their instance; hubs, and coordinators by the order of candidacy, are the strongest ones. Each copy of the store carries its age, so any daemon with a current copy may serve it.

--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -61,7 +61,9 @@
 	Calls   Calls
 	Targets Targets
 	MaxHold time.Duration
-	Log     *slog.Logger
+	// Weakness is 0 for the strongest instances and nears 1 for the weakest.
+	Weakness func() float64
+	Log      *slog.Logger
 }
 
 // Coordinator takes part in the election and, while it holds the lease, assigns
@@ -226,7 +228,9 @@
 // waitRank waits for the candidates before this one. It reports whether there is
 // still no coordinator.
 func (c *Coordinator) waitRank(ctx context.Context) bool {
-	timer := time.NewTimer(c.election.rank(c.config.Views.Current().Coordinator.ModRev))
+	delay := c.election.rank(c.config.Views.Current().Coordinator.ModRev)
+	delay += time.Duration(c.config.Weakness() * float64(weakDelay))
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	for {
 		changed := c.config.Views.Changed()
--- a/internal/edge/coordinator/election.go
+++ b/internal/edge/coordinator/election.go
@@ -26,7 +26,10 @@
 	// leaseMargin is kept to the end of the lease, for a grant on its way.
 	leaseMargin = 150 * time.Millisecond
 	// rankDelay spreads the candidates, so that few of them write.
-	rankDelay = 100 * time.Millisecond
+	rankDelay = 60 * time.Millisecond
+	// weakDelay is added for the weakest instances: grants of a large fleet take
+	// much of a small instance.
+	weakDelay = 600 * time.Millisecond
 	// ranks is the number of different delays.
 	ranks = 8
 )
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,6 +33,9 @@
 	Name, Domain string
 	// Callers, Ready and Peers are the addresses that the daemon listens at.
 	Callers, Ready, Peers string
+	// Capacity is the instance's share of work in its fleet. The strongest instance
+	// of a domain is its hub.
+	Capacity float64
 	// Grace is the time between the signal to stop and the end by force.
 	Grace time.Duration
 	// MaxHold is the longest grant that targets accept.
@@ -83,7 +86,6 @@
 	teller  *peers.Teller
 	grace   atomic.Int64 // nanoseconds
 	hubs    *peers.Hubs
-	feed    *peers.Feed
 	// peerList is read off a view.
 	peerList atomic.Pointer[peerList]
 }
@@ -99,8 +101,8 @@
 	d := &Daemon{options: o, log: o.Log, self: coordinator.Identity{Name: o.Settings.Name, Run: rand.Text()}}
 	d.views = view.NewKeeper(o.Documents, o.Log, func() mirror.Status { return d.mirror.Status() })
 	d.hubs = peers.NewHubs(o.Settings.Name)
-	d.feed = peers.NewFeed(o.Settings.Name, o.Settings.Domain, o.Store, d.hubs, d.peers, o.Log)
-	d.mirror = mirror.New(d.feed, "", o.Log, d.views.Apply)
+	feed := peers.NewFeed(o.Settings.Name, o.Settings.Domain, o.Store, d.hubs, d.peers, o.Log)
+	d.mirror = mirror.New(feed, "", o.Log, d.views.Apply)
 	d.sender = dispatch.New(dispatch.Config{
 		Names: o.Names, Domain: o.Settings.Domain, Budget: o.Settings.Repeats, Views: d.views, Log: o.Log,
 		Keys:  func(service string, key uint16) { d.teller.Asked(service, key) },
@@ -113,7 +115,7 @@
 	})
 	d.coord = coordinator.New(coordinator.Config{
 		Store: o.Store, Self: d.self, Views: d.views, Calls: o.Calls, Targets: d.sender,
-		MaxHold: o.Settings.MaxHold, Log: o.Log,
+		MaxHold: o.Settings.MaxHold, Weakness: d.weakness, Log: o.Log,
 	})
 	d.handler = &front.Handler{Names: o.Names, Views: d.views, Dispatcher: d.sender, Log: o.Log, Observe: func(front.Result) {}}
 	d.grace.Store(int64(o.Settings.Grace))
@@ -163,7 +165,7 @@
 	})
 	wg.Go(func() { d.sweep(duties) })
 	feed := &http.Server{
-		Handler:           &peers.FeedHandler{Mirror: d.mirror, Serves: d.feed.IsHub, Log: d.log},
+		Handler:           &peers.FeedHandler{Mirror: d.mirror, Log: d.log},
 		ReadHeaderTimeout: time.Second,
 	}
 	wg.Go(func() { d.serve(feed, among) })
@@ -217,11 +219,15 @@
 	Run    string `cbor:"1,keyasint"`
 	Domain string `cbor:"2,keyasint"`
 	Peers  string `cbor:"3,keyasint"`
+	// Capacity is that of the instance.
+	Capacity float64 `cbor:"4,keyasint"`
 }
 
 // announce writes the daemon's address into the store once.
 func (d *Daemon) announce(ctx context.Context) {
-	value, err := cbor.Marshal(announcement{d.self.Run, d.options.Settings.Domain, d.options.Settings.Peers})
+	value, err := cbor.Marshal(announcement{
+		Run: d.self.Run, Domain: d.options.Settings.Domain, Peers: d.options.Settings.Peers, Capacity: d.options.Settings.Capacity,
+	})
 	if err != nil {
 		d.log.Error("announcement not encoded", "error", err)
 		return
@@ -239,6 +245,18 @@
 	}
 }
 
+// weakness tells how far this instance is below the strongest one, from 0 to 1.
+func (d *Daemon) weakness() float64 {
+	strongest := d.options.Settings.Capacity
+	for _, p := range d.peers() {
+		strongest = max(strongest, p.Capacity)
+	}
+	if strongest <= 0 {
+		return 0
+	}
+	return 1 - d.options.Settings.Capacity/strongest
+}
+
 // peers returns the daemons that announced themselves.
 func (d *Daemon) peers() []peers.Peer {
 	v := d.views.Current()
@@ -258,7 +276,9 @@
 			d.log.Warn("announcement without address", "daemon", name, "revision", e.ModRev, "error", err)
 			continue
 		}
-		list = append(list, peers.Peer{Name: name, Address: address, Domain: a.Domain, Coordinates: name == coordinator})
+		list = append(list, peers.Peer{
+			Name: name, Address: address, Domain: a.Domain, Capacity: a.Capacity, Coordinates: name == coordinator,
+		})
 	}
 	d.peerList.Store(&peerList{v, list})
 	return list
--- a/internal/edge/peers/feed.go
+++ b/internal/edge/peers/feed.go
@@ -67,18 +67,12 @@
 	return hub, ok && hub.Name != f.Self
 }
 
-// IsHub reports whether this daemon reads the store itself.
-func (f *Feed) IsHub() bool {
-	_, other := f.hub()
-	return !other
-}
-
 // Snapshot implements topo.Feed.
-func (f *Feed) Snapshot(ctx context.Context, prefix string) ([]topo.Entry, int64, error) {
+func (f *Feed) Snapshot(ctx context.Context, prefix string) ([]topo.Entry, topo.Progress, error) {
 	if hub, ok := f.hub(); ok {
 		reply, err := f.call(ctx, hub, "", feedSlack*2)
 		if err == nil {
-			return reply.Entries, reply.At, nil
+			return reply.Entries, topo.Progress{Rev: reply.At, Age: reply.Age}, nil
 		}
 		f.failed(ctx, hub, err)
 	}
@@ -86,7 +80,7 @@
 }
 
 // Changes implements topo.Feed.
-func (f *Feed) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]topo.Event, int64, error) {
+func (f *Feed) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]topo.Event, topo.Progress, error) {
 	if hub, ok := f.hub(); ok {
 		query := "?after=" + strconv.FormatInt(after, 10) + "&wait=" + strconv.FormatInt(wait.Milliseconds(), 10)
 		reply, err := f.call(ctx, hub, query, wait+feedSlack)
@@ -95,10 +89,10 @@
 			for i, e := range reply.Entries {
 				events[i] = topo.Event{Entry: e}
 			}
-			return events, max(reply.At, after), nil
+			return events, topo.Progress{Rev: max(reply.At, after), Age: reply.Age}, nil
 		}
 		if errors.Is(err, topo.ErrCompacted) {
-			return nil, 0, err
+			return nil, topo.Progress{}, err
 		}
 		f.failed(ctx, hub, err)
 	}
@@ -144,12 +138,11 @@
 	return &reply, nil
 }
 
-// FeedHandler serves a daemon's copy of the store to the daemons of its domain.
+// FeedHandler serves a daemon's copy of the store to the daemons of its domain. The
+// age of the copy goes with it, so that a copy of a copy is not taken for newer
+// than it is, and daemons that take each other for the hub go to the store.
 type FeedHandler struct {
 	Mirror *mirror.Mirror
-	// Serves reports whether the copy comes from the store itself. Copies of copies
-	// would grow old unnoticed.
-	Serves func() bool
 	Log    *slog.Logger
 }
 
@@ -159,7 +152,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	if !h.current() {
+	if !h.Mirror.Status().Up {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -181,7 +174,7 @@
 	case errors.Is(err, topo.ErrCompacted):
 		w.WriteHeader(http.StatusGone)
 		return
-	case err != nil || !h.current():
+	case err != nil || !h.Mirror.Status().Up:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -189,10 +182,6 @@
 	h.write(w, reply)
 }
 
-func (h *FeedHandler) current() bool {
-	return h.Serves() && h.Mirror.Status().Up
-}
-
 func (h *FeedHandler) write(w http.ResponseWriter, reply feedReply) {
 	body, err := cbor.Marshal(reply)
 	if err != nil {
--- a/internal/edge/peers/pick.go
+++ b/internal/edge/peers/pick.go
@@ -15,6 +15,8 @@
 	Name    string
 	Address netip.AddrPort
 	Domain  string
+	// Capacity is the instance's share of work in its fleet.
+	Capacity float64
 	// Coordinates marks the daemon that assigns keys.
 	Coordinates bool
 }
@@ -25,7 +27,7 @@
 // Hubs picks the hub of each failure domain. Daemons of a domain read the store
 // and exchange loads through its hub, so that calls and messages grow with the
 // number of domains and not with the square of the fleet. All daemons pick the
-// same one by its name alone, apart from those that they cannot reach.
+// same one by capacity and name, apart from those that they cannot reach.
 type Hubs struct {
 	self string
 
@@ -53,11 +55,19 @@
 		if until, avoided := h.avoid[p.Name]; avoided && now < until && p.Name != h.self {
 			continue
 		}
-		if best, ok := hubs[p.Domain]; !ok || rank(p.Name) < rank(best.Name) {
+		if best, ok := hubs[p.Domain]; !ok || before(p, best) {
 			hubs[p.Domain] = p
 		}
 	}
 	return hubs
 }
 
+// before orders daemons by capacity, then by a hash of the name.
+func before(a, b Peer) bool {
+	if a.Capacity != b.Capacity {
+		return a.Capacity > b.Capacity
+	}
+	return rank(a.Name) < rank(b.Name)
+}
+
 func rank(name string) uint64 { return xxhash.Sum64String(name) }
--- a/internal/topo/mirror/mirror.go
+++ b/internal/topo/mirror/mirror.go
@@ -82,17 +82,13 @@
 func (m *Mirror) Run(ctx context.Context) {
 	complete := false
 	for ctx.Err() == nil {
-		asOf := clock.Now()
 		var change Change
+		var age time.Duration
 		var err error
 		if complete {
-			change, err = m.follow(ctx)
+			change, age, err = m.follow(ctx)
 		} else {
-			change, err = m.copy(ctx)
-		}
-		if err == nil && complete && len(change.Entries) == 0 {
-			// The store waited all the time and had seen no change by then.
-			asOf = max(asOf, min(asOf+Wait, clock.Now()))
+			change, age, err = m.copy(ctx)
 		}
 		switch {
 		case errors.Is(err, topo.ErrCompacted):
@@ -105,7 +101,7 @@
 			continue
 		}
 		complete = true
-		m.answered(asOf)
+		m.answered(clock.Now() - age)
 		if len(change.Entries) > 0 || change.Complete {
 			m.apply(change)
 			sleep(ctx, Coalesce)
@@ -113,30 +109,30 @@
 	}
 }
 
-func (m *Mirror) copy(ctx context.Context) (Change, error) {
-	entries, rev, err := m.feed.Snapshot(ctx, m.prefix)
+func (m *Mirror) copy(ctx context.Context) (Change, time.Duration, error) {
+	entries, progress, err := m.feed.Snapshot(ctx, m.prefix)
 	if err != nil {
-		return Change{}, err
+		return Change{}, 0, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if rev < m.rev {
-		return Change{}, topo.ErrBadReply
+	if progress.Rev < m.rev {
+		return Change{}, 0, topo.ErrBadReply
 	}
-	m.rev, m.oldest = rev, rev
+	m.rev, m.oldest = progress.Rev, progress.Rev
 	m.history = nil
 	m.entries = make(map[string]topo.Entry, len(entries))
 	for _, e := range entries {
 		m.entries[e.Key] = e
 	}
 	m.wake()
-	return Change{Entries: entries, Complete: true}, nil
+	return Change{Entries: entries, Complete: true}, progress.Age, nil
 }
 
-func (m *Mirror) follow(ctx context.Context) (Change, error) {
-	events, at, err := m.feed.Changes(ctx, m.prefix, m.Status().Rev, Wait)
+func (m *Mirror) follow(ctx context.Context) (Change, time.Duration, error) {
+	events, progress, err := m.feed.Changes(ctx, m.prefix, m.Status().Rev, Wait)
 	if err != nil {
-		return Change{}, err
+		return Change{}, 0, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -149,11 +145,11 @@
 		m.record(e.Entry)
 		change.Entries = append(change.Entries, e.Entry)
 	}
-	m.rev = max(m.rev, at)
+	m.rev = max(m.rev, progress.Rev)
 	if len(change.Entries) > 0 {
 		m.wake()
 	}
-	return change, nil
+	return change, progress.Age, nil
 }
 
 // record adds a change to the history.
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -117,14 +117,21 @@
 
 // Feed reads changes by revision, for readers that keep a copy of the store.
 type Feed interface {
-	// Snapshot returns the entries with the prefix, and a revision from which
-	// Changes continues without a gap.
-	Snapshot(ctx context.Context, prefix string) ([]Entry, int64, error)
-	// Changes returns the changes after a revision, and the revision to go on
-	// from. It waits up to wait for the first change. A deleted key has an Entry
-	// with only Key and ModRev. The error is ErrCompacted if the changes are no
-	// longer known.
-	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
+	// Snapshot returns the entries with the prefix. Changes continues from its
+	// revision without a gap.
+	Snapshot(ctx context.Context, prefix string) ([]Entry, Progress, error)
+	// Changes returns the changes after a revision. It waits up to wait for the
+	// first one. A deleted key has an Entry with only Key and ModRev. The error is
+	// ErrCompacted if the changes are no longer known.
+	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, Progress, error)
+}
+
+// Progress tells how far a reader of a Feed has come.
+type Progress struct {
+	// Rev is the revision to go on from.
+	Rev int64
+	// Age is how long ago, at most, the store had no change beyond what was read.
+	Age time.Duration
 }
 
 // InstanceState is the state of an instance in the platform's list.
