Pick among a random sample of targets

Cause: with service times shared, all daemons of the grown Muscat site saw the same best target for the 150 ms until loads were told again: event-book's median rose from 189 to 289 ms, and almanac rejected 392 requests.

Change: three targets at random in the own domain and three in others are compared. Small services are compared whole, as before.

--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
@@ -122,6 +123,7 @@
 	if ready == 0 {
 		return nil, NoTarget
 	}
+	sample(eps, estimates)
 	i := balance.Pick(estimates, clock.Now(), d.service(t.req.Service).usual)
 	if i < 0 {
 		return nil, Full
@@ -129,6 +131,30 @@
 	return d.admit(t, eps[i])
 }
 
+// sampleSize is the number of targets in the own failure domain, and of those in
+// others, among which one is picked. Daemons know each other's requests with a
+// delay, and would all pick the same target if each looked at all.
+const sampleSize = 3
+
+// sample leaves a random choice of the targets in the running; the estimates of
+// the others become nil.
+func sample(eps []*endpoint, estimates []*balance.Estimate) {
+	rand.Shuffle(len(eps), func(i, j int) {
+		eps[i], eps[j] = eps[j], eps[i]
+		estimates[i], estimates[j] = estimates[j], estimates[i]
+	})
+	local, far := 0, 0
+	for i, e := range estimates {
+		seen := &far
+		if e.Local {
+			seen = &local
+		}
+		if *seen++; *seen > sampleSize {
+			estimates[i] = nil
+		}
+	}
+}
+
 // admit reserves a place at the target if the request is likely to end in time.
 // The caller holds the mutex.
 func (d *Dispatcher) admit(t *try, ep *endpoint) (*endpoint, Reason) {
