Plan moves of keys sooner and more at once

Cause: evening out keys took seconds on the grown Muscat site: four moves at a time for 94 targets, planned every 250 ms over a window of 3 s.

Change: six moves and one more for each six targets, every 150 ms, over 2 s.

Refusals around the hot key remain: 230 requests/s for one key are fourteen times what a target can serve.

--- a/internal/coordination/ownership/plan.go
+++ b/internal/coordination/ownership/plan.go
@@ -11,11 +11,11 @@
 
 // Limits of planning.
 const (
-	// loadWindow is the time constant of the measured load. Three seconds of
+	// loadWindow is the time constant of the measured load. Two seconds of
 	// requests tell a hot key from chance and are short against its life.
-	loadWindow = 3 * time.Second
+	loadWindow = 2 * time.Second
 	// planEvery is the pause between moves that even out load.
-	planEvery = 250 * time.Millisecond
+	planEvery = 150 * time.Millisecond
 	// gatherTime is the wait for registrations before the first assignment.
 	gatherTime = 1200 * time.Millisecond
 	// firstPieces is the number of spans that each target gets at first. Busy
@@ -34,8 +34,10 @@
 	// newcomerShare is the part of its fair share below which a target without
 	// keys is given some.
 	newcomerShare = 0.7
-	// movesAtOnce bounds the spans that are being moved to even out load.
-	movesAtOnce = 4
+	// movesAtOnce bounds the spans that are being moved to even out load;
+	// targetsPerMove adds one for so many targets.
+	movesAtOnce    = 6
+	targetsPerMove = 6
 	// minimumRate is the number of counted requests below which load is not
 	// evened out.
 	minimumRate = 20
@@ -217,7 +219,7 @@
 			moving++
 		}
 	}
-	for ; moving < movesAtOnce; moving++ {
+	for most := movesAtOnce + len(e.targets)/targetsPerMove; moving < most; moving++ {
 		w := e.weigh()
 		if !e.moveOne(w, now) {
 			return
