Bound the log, serve metrics, hold callers to the configured limits

Cause: the log waited for its reader, nothing was counted, the limits on callers were constants, and a request with two kinds of length was forwarded by one reading of it.

Change: log lines wait in a ring of 1024; what is dropped, or left out beyond 40 a second of one kind, is counted and told. Counters, gauges and histograms by tally at port 9464. Limits of the configuration apply to new connections. A head with two lengths or a bare line feed gets 400 and its connection is closed.

--- a/cmd/jackdawloomd/platform.go
+++ b/cmd/jackdawloomd/platform.go
@@ -4,10 +4,13 @@
 	"context"
 	"log/slog"
 	"os"
+	"sync"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/jackdawloom/jackdawloom/internal/edge"
+	"github.com/jackdawloom/jackdawloom/internal/edge/metrics"
+	"github.com/jackdawloom/jackdawloom/internal/eventlog"
 	"github.com/jackdawloom/jackdawloom/platform"
 )
 
@@ -29,12 +32,19 @@
 	if err != nil {
 		return err
 	}
-	log := slog.New(slog.NewJSONHandler(os.Stdout, nil))
-	store := platform.NewStore(set.StoreAddress, func(string, int) {})
+	lines := eventlog.New()
+	log := slog.New(lines.Handler(slog.LevelInfo))
+	writing, endWriting := context.WithCancel(context.WithoutCancel(ctx))
+	var written sync.WaitGroup
+	written.Go(func() { lines.Run(writing, os.Stdout) })
+	defer written.Wait()
+	defer endWriting()
+	counts := metrics.New()
+	store := platform.NewStore(set.StoreAddress, counts.StoreCall)
 	defer store.Close()
 	d := edge.New(edge.Options{
 		Settings: set.Edge, Store: store, Documents: platform.Documents{}, Calls: platform.Keys{},
-		Names: &platform.HeaderNames, Log: log,
+		Names: &platform.HeaderNames, Log: log, Metrics: counts, LogCounts: lines.Counts,
 	})
 	watching, endWatching := context.WithCancel(context.WithoutCancel(ctx))
 	defer endWatching()
--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -7,6 +7,7 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/balance"
+	"github.com/jackdawloom/jackdawloom/internal/edge/metrics"
 	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/state/target"
@@ -262,6 +263,31 @@
 	}
 }
 
+// Gauges returns the present values of each service.
+func (d *Dispatcher) Gauges() map[string]metrics.ServiceGauges {
+	daemons := len(d.config.Views.Current().Daemons)
+	now := clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make(map[string]metrics.ServiceGauges)
+	for name, s := range d.services {
+		out[name] = metrics.ServiceGauges{BudgetLeft: s.budget.Left(now, daemons)}
+	}
+	for _, ep := range d.targets {
+		g := out[ep.record.Service]
+		open, _ := ep.pool.Counts()
+		g.Running += ep.estimate.Running
+		g.Elsewhere += ep.estimate.Elsewhere
+		g.Slots += ep.record.Slots
+		g.Connections += open
+		if ep.estimate.Suspect(now) {
+			g.Suspect++
+		}
+		out[ep.record.Service] = g
+	}
+	return out
+}
+
 // Speeds returns the measured service time of each target.
 func (d *Dispatcher) Speeds() map[string]time.Duration {
 	d.mu.Lock()
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -90,6 +90,8 @@
 	Budget budget.Bound
 	Views  *view.Keeper
 	Log    *slog.Logger
+	// Sent is told of each send with its outcome.
+	Sent func(service, outcome string, took time.Duration)
 	// Keys is told of each request to a keyed service.
 	Keys func(service string, key uint16)
 	// Ended is told of each measured service time.
@@ -227,6 +229,7 @@
 		verdict = judgement{kind: unknown, reason: CallerLeft}
 	}
 	d.learn(ep, verdict, took, load)
+	d.config.Sent(req.Service, verdict.String(), took)
 	return d.conclude(t, ep, answer, verdict, took, err)
 }
 
--- a/internal/edge/dispatch/judge.go
+++ b/internal/edge/dispatch/judge.go
@@ -28,6 +28,14 @@
 	reason Reason
 }
 
+// String names the outcome for counters.
+func (j judgement) String() string {
+	if j.kind == served {
+		return "served"
+	}
+	return string(j.reason)
+}
+
 // judge says what a send came to.
 func (d *Dispatcher) judge(req *Request, ep *endpoint, a *upstream.Answer, err error) judgement {
 	switch {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,10 +17,12 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
 	"github.com/jackdawloom/jackdawloom/internal/edge/coordinator"
 	"github.com/jackdawloom/jackdawloom/internal/edge/dispatch"
 	"github.com/jackdawloom/jackdawloom/internal/edge/front"
+	"github.com/jackdawloom/jackdawloom/internal/edge/metrics"
 	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/topo"
@@ -33,6 +35,8 @@
 	Name, Domain string
 	// Callers, Ready and Peers are the addresses that the daemon listens at.
 	Callers, Ready, Peers string
+	// Metrics is the address of the metrics; empty for none.
+	Metrics string
 	// Capacity is the instance's share of work in its fleet. The strongest instance
 	// of a domain is its hub.
 	Capacity float64
@@ -58,6 +62,9 @@
 	Calls     coordinator.Calls
 	Names     *upstream.Names
 	Log       *slog.Logger
+	Metrics   *metrics.Metrics
+	// LogCounts returns the log lines that were dropped and left out.
+	LogCounts func() (dropped, omitted uint64)
 }
 
 // Times of a stop, as parts of the grace.
@@ -105,6 +112,7 @@
 	d.mirror = mirror.New(feed, "", o.Log, d.views.Apply)
 	d.sender = dispatch.New(dispatch.Config{
 		Names: o.Names, Domain: o.Settings.Domain, Budget: o.Settings.Repeats, Views: d.views, Log: o.Log,
+		Sent:  o.Metrics.Send,
 		Keys:  func(service string, key uint16) { d.teller.Asked(service, key) },
 		Ended: func(t peers.TargetHash, took time.Duration) { d.teller.Ended(t, took) },
 	})
@@ -117,7 +125,9 @@
 		Store: o.Store, Self: d.self, Views: d.views, Calls: o.Calls, Targets: d.sender,
 		MaxHold: o.Settings.MaxHold, Weakness: d.weakness, Log: o.Log,
 	})
-	d.handler = &front.Handler{Names: o.Names, Views: d.views, Dispatcher: d.sender, Log: o.Log, Observe: func(front.Result) {}}
+	d.handler = &front.Handler{Names: o.Names, Views: d.views, Dispatcher: d.sender, Log: o.Log, Observe: func(r front.Result) {
+		o.Metrics.Request(r.Service, r.Status, string(r.Reason), r.Took)
+	}}
 	d.grace.Store(int64(o.Settings.Grace))
 	return d
 }
@@ -169,13 +179,20 @@
 		ReadHeaderTimeout: time.Second,
 	}
 	wg.Go(func() { d.serve(feed, among) })
-	front := front.NewServer(d.handler, d.log)
+	if address := d.options.Settings.Metrics; address != "" {
+		wg.Go(func() { d.serveMetrics(duties, address) })
+	}
+	front := front.NewServer(d.handler, d.views, d.log)
 	readiness := &http.Server{Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: time.Second}
-	wg.Go(func() { d.serve(front, callers) })
+	wg.Go(func() {
+		if err := front.Serve(callers); !errors.Is(err, net.ErrClosed) {
+			d.log.Error("listener failed", "address", callers.Addr().String(), "error", err)
+		}
+	})
 	wg.Go(func() { d.serve(readiness, ready) })
 
 	<-ctx.Done()
-	d.stop(front, readiness, endCoordinating)
+	d.stop(front, callers, readiness, endCoordinating)
 	endDuties()
 	_ = feed.Close()
 	wg.Wait()
@@ -189,6 +206,20 @@
 	}
 }
 
+// serveMetrics serves the metrics until ctx ends. A daemon without metrics still
+// serves callers.
+func (d *Daemon) serveMetrics(ctx context.Context, address string) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		d.log.Error("metrics not served", "address", address, "error", err)
+		return
+	}
+	s := &http.Server{Handler: d.options.Metrics.Handler(), ReadHeaderTimeout: time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	d.serve(s, l)
+}
+
 // ready reports whether the daemon can serve callers.
 func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
 	v := d.views.Current()
@@ -198,7 +229,7 @@
 }
 
 // stop leaves the balancer, then waits for the running requests.
-func (d *Daemon) stop(callers, readiness *http.Server, endCoordinating func()) {
+func (d *Daemon) stop(callers *front.Server, listener net.Listener, readiness *http.Server, endCoordinating func()) {
 	start := time.Now()
 	grace := time.Duration(d.grace.Load())
 	d.log.Info("stopping", "grace_ms", grace.Milliseconds())
@@ -208,6 +239,9 @@
 	time.Sleep(leave)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-finishMargin-time.Since(start))
 	defer cancel()
+	if err := listener.Close(); err != nil {
+		d.log.Warn("listener not closed", "error", err)
+	}
 	if err := callers.Shutdown(ctx); err != nil {
 		d.log.Warn("requests cut by the end of the grace", "error", err)
 	}
@@ -284,6 +318,20 @@
 	return list
 }
 
+func (d *Daemon) gauges() metrics.Gauges {
+	v := d.views.Current()
+	status := d.mirror.Status()
+	g := metrics.Gauges{
+		StoreUp: status.Up, CopyAge: clock.Now() - status.Heard, Targets: v.Targets.Len(), Daemons: len(v.Daemons),
+		Coordinating: coordinator.Holder(v) == d.self.Name, Services: d.sender.Gauges(),
+	}
+	g.LogDropped, g.LogOmitted = d.options.LogCounts()
+	if v.Config != nil {
+		g.ConfigVersion = v.Config.Version
+	}
+	return g
+}
+
 func (d *Daemon) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
@@ -294,6 +342,7 @@
 		case <-ticker.C:
 			d.views.Expire()
 			d.sender.Sweep()
+			d.options.Metrics.Set(d.gauges())
 		}
 	}
 }
