--- /dev/null
+++ b/internal/edge/docs_test.go
@@ -0,0 +1,54 @@
+package edge
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// logCall finds the message of a log line in the source.
+var logCall = regexp.MustCompile(`(?i)log\.(?:Info|Warn|Error)\(\s*"((?:[^"\\]|\\.)*)"`)
+
+// documented finds the messages and metrics in the tables of the page.
+var documented = regexp.MustCompile("(?m)^\\| `([^`]+)` \\|")
+
+// Guards against a log message that operators cannot look up, and against a page
+// that describes one that is no longer written.
+func TestOperationsPageListsAllMessages(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listed := make(map[string]bool)
+	for _, m := range documented.FindAllStringSubmatch(string(page), -1) {
+		listed[m[1]] = true
+	}
+	written := make(map[string]bool)
+	for _, dir := range []string{".", "../topo/mirror", "../eventlog", "../../platform"} {
+		err := filepath.WalkDir(dir, func(path string, entry os.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			source, err := os.ReadFile(path)
+			for _, m := range logCall.FindAllStringSubmatch(string(source), -1) {
+				written[m[1]] = true
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for message := range written {
+		if !listed[message] {
+			t.Errorf("log message %q is not on the page", message)
+		}
+	}
+	for name := range listed {
+		if !written[name] && !strings.HasPrefix(name, "jackdawloom_") {
+			t.Errorf("the page lists %q, which is not written", name)
+		}
+	}
+}
