--- a/internal/topo/etcdgw/transport.go
+++ b/internal/topo/etcdgw/transport.go
@@ -1,7 +1,6 @@
 package etcdgw
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/transport/once"
 )
 
 // newTransport returns a transport without proxies, HTTP/2 and compression.
@@ -32,13 +32,6 @@
 	}
 }
 
-// onceBody is a request body that net/http cannot rewind. Without GetBody and
-// with an unknown type of body, the transport never sends a request again, not
-// even after a reused connection turned out to be closed.
-type onceBody struct{ io.Reader }
-
-func (onceBody) Close() error { return nil }
-
 // reply is a complete reply with its status.
 type reply struct {
 	status int
@@ -77,7 +70,7 @@
 		return nil, &noReplyError{cause: err}
 	}
 	if r.method == http.MethodPost {
-		req.Body = onceBody{bytes.NewReader(r.body)}
+		req.Body = once.Body(r.body)
 		req.ContentLength = int64(len(r.body))
 		req.Header.Set("Content-Type", "application/json")
 	}
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/transport/dialer"
 )
 
 // Errors of a send. ErrNotSent means that nothing reached the target.
@@ -64,18 +65,7 @@
 }
 
 func dial(ctx context.Context, address string) (*conn, error) {
-	d := net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: silentAfter / 3, Interval: silentAfter / 3, Count: 2},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var set error
-			err := c.Control(func(fd uintptr) {
-				set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentAfter.Milliseconds()))
-			})
-			return errors.Join(err, set)
-		},
-	}
-	n, err := d.DialContext(ctx, "tcp4", address)
+	n, err := dialer.New(dialTimeout, silentAfter).DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
