Make the slack of the retry budget available over a daemon's first window

All daemons had been killed. Each started with an empty count, and until it knew of the others it took the slack of the whole fleet for its own.

Change: a daemon that knows of no daemon has no slack, and the slack grows over the first window after a start. A test fails without.

--- a/internal/coordination/budget/budget.go
+++ b/internal/coordination/budget/budget.go
@@ -22,6 +22,7 @@
 // Budget counts for one service. It is not safe for concurrent use.
 type Budget struct {
 	bound    Bound
+	started  time.Duration
 	requests window
 	repeats  window
 }
@@ -57,8 +58,9 @@
 	return total
 }
 
-// New returns an empty budget.
-func New(b Bound) *Budget { return &Budget{bound: b} }
+// New returns the budget of a daemon that started at a time. What its earlier run
+// repeated is not known, so the slack becomes available over the first window.
+func New(b Bound, started time.Duration) *Budget { return &Budget{bound: b, started: started} }
 
 func (b *Budget) part(now time.Duration) int64 { return int64(now / (b.bound.Window / (slots - 1))) }
 
@@ -66,10 +68,14 @@
 func (b *Budget) Request(now time.Duration) { b.requests.add(b.part(now)) }
 
 // Left returns how many repeats this daemon may send at present, if the fleet
-// has the given number of daemons.
+// has the given number of daemons. A daemon that knows of none has no slack.
 func (b *Budget) Left(now time.Duration, daemons int) float64 {
 	part := b.part(now)
-	allowed := b.bound.Ratio*float64(b.requests.sum(part)) + b.bound.Slack/float64(max(daemons, 1))
+	allowed := b.bound.Ratio * float64(b.requests.sum(part))
+	if daemons > 0 {
+		age := min(float64(now-b.started)/float64(b.bound.Window), 1)
+		allowed += b.bound.Slack / float64(daemons) * age
+	}
 	return allowed*safety - float64(b.repeats.sum(part))
 }
 
--- a/internal/coordination/budget/budget_test.go
+++ b/internal/coordination/budget/budget_test.go
@@ -17,7 +17,7 @@
 		daemons := rapid.IntRange(1, 9).Draw(t, "daemons")
 		budgets := make([]*Budget, daemons)
 		for i := range budgets {
-			budgets[i] = New(bound)
+			budgets[i] = New(bound, 0)
 		}
 		type event struct {
 			at     time.Duration
@@ -57,9 +57,24 @@
 	})
 }
 
+// Guards against slack that is spent again by every start: after all daemons had
+// been killed, each used the slack of the whole fleet before it knew of the others.
+func TestStartedDaemonHasNoSlack(t *testing.T) {
+	b := New(Bound{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}, time.Minute)
+	if b.Take(time.Minute+time.Second/100, 1) {
+		t.Error("a repeat right after the start")
+	}
+	if b.Take(2*time.Minute, 0) {
+		t.Error("a repeat while no daemon is known")
+	}
+	if !b.Take(2*time.Minute, 1) {
+		t.Error("no repeat a window after the start")
+	}
+}
+
 // Guards against a budget that stays used up.
 func TestBudgetComesBack(t *testing.T) {
-	b := New(Bound{Ratio: 0.2, Slack: 10, Window: 10 * time.Second})
+	b := New(Bound{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, 0)
 	now := time.Minute
 	taken := 0
 	for b.Take(now, 1) {
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -101,7 +101,8 @@
 
 // Dispatcher sends requests. It is safe for concurrent use.
 type Dispatcher struct {
-	config Config
+	config  Config
+	started time.Duration
 
 	mu       sync.Mutex
 	targets  map[target.Life]*endpoint
@@ -128,7 +129,7 @@
 // New returns a Dispatcher.
 func New(c Config) *Dispatcher {
 	return &Dispatcher{
-		config: c, targets: make(map[target.Life]*endpoint), services: make(map[string]*service),
+		config: c, started: clock.Now(), targets: make(map[target.Life]*endpoint), services: make(map[string]*service),
 	}
 }
 
@@ -295,7 +296,7 @@
 func (d *Dispatcher) service(name string) *service {
 	s := d.services[name]
 	if s == nil {
-		s = &service{budget: budget.New(d.config.Budget), usual: usualService}
+		s = &service{budget: budget.New(d.config.Budget, d.started), usual: usualService}
 		d.services[name] = s
 	}
 	return s
