Move other keys while a single key is too busy

Cause: the planner looked at the busiest target only.

Change: targets with nothing to move are passed over; the neighbours of an oversized key leave its owner also if they weigh less than was wanted.

The test fails before the change (2 owners of a hot range beside a hot key).

What is still refused is mostly the single hot key, which one target cannot serve.

--- a/internal/coordination/ownership/ownership_test.go
+++ b/internal/coordination/ownership/ownership_test.go
@@ -256,3 +256,66 @@
 		}
 	}
 }
+
+// calmFleet is an engine whose calls all succeed at once.
+type calmFleet struct {
+	*Engine
+	now time.Duration
+}
+
+func newCalmFleet(targets int) *calmFleet {
+	list := make([]Target, targets)
+	for i := range list {
+		list[i] = Target{Life: target.Life{ID: string(rune('a' + i)), Born: 1}, Capacity: 3}
+	}
+	f := &calmFleet{Engine: New(Config{MaxHold: 10 * time.Second}, ranges.Empty(), 0), now: 2 * time.Second}
+	f.SetTargets(list, 0)
+	return f
+}
+
+// step advances time by one tick in which keys were asked for.
+func (f *calmFleet) step(keys []uint16) {
+	f.now += 50 * time.Millisecond
+	f.AddLoad(keys, 1)
+	a := f.Tick(f.now)
+	for _, g := range a.Grants {
+		f.Granted(g, OK, f.now)
+	}
+	for _, r := range a.Releases {
+		f.Released(r, OK, "h", f.now)
+	}
+	if a.Table != nil {
+		f.Written(true, *a.Table, f.now)
+	}
+}
+
+// Guards against a key that alone is too busy for any target holding up all other
+// moves: on a day of the bench nothing moved for thirteen seconds. Its neighbours
+// must leave its owner, and another hot range must still be spread.
+func TestSingleHotKeyDoesNotHoldUpMoves(t *testing.T) {
+	const hot, ranged = 5000, 40000
+	f := newCalmFleet(12)
+	rng := rand.New(rand.NewPCG(3, 4))
+	for range 200 {
+		keys := make([]uint16, 0, 40)
+		for range 20 {
+			keys = append(keys, uint16(rng.IntN(ranges.Keys)))
+		}
+		for range 10 {
+			keys = append(keys, hot, uint16(ranged+rng.IntN(200)))
+		}
+		f.step(keys)
+	}
+	w := f.weigh()
+	owner := f.table.Lookup(hot).Owner
+	if rest := w.byTarget[owner] - float64(f.load[hot]); rest > w.total/12/2 {
+		t.Errorf("owner of the hot key still has %.0f of other load, a fair share being %.0f", rest, w.total/12)
+	}
+	owners := make(map[string]bool)
+	for k := ranged; k < ranged+200; k++ {
+		owners[f.table.Lookup(uint16(k)).Owner] = true
+	}
+	if len(owners) < 3 {
+		t.Errorf("a hot range has %d owners beside the hot key, want 3 or more", len(owners))
+	}
+}
--- a/internal/coordination/ownership/plan.go
+++ b/internal/coordination/ownership/plan.go
@@ -211,7 +211,8 @@
 		a.handover == "" && b.handover == ""
 }
 
-// even moves load from targets that have too much to those with little.
+// even moves load from targets that have too much to those with little. A target
+// with nothing that can be moved does not hold up the others.
 func (e *Engine) even(now time.Duration) {
 	moving := 0
 	for _, h := range e.holds {
@@ -219,22 +220,30 @@
 			moving++
 		}
 	}
-	for most := movesAtOnce + len(e.targets)/targetsPerMove; moving < most; moving++ {
-		w := e.weigh()
-		if !e.moveOne(w, now) {
+	passed := make(map[string]bool)
+	w := e.weigh()
+	for most := movesAtOnce + len(e.targets)/targetsPerMove; moving < most; {
+		high, low, found := e.extremes(w, passed)
+		if !found {
+			return
+		}
+		newcomer := w.byTarget[low.Life.ID] < e.newcomerWeight(w, low)
+		if !newcomer && (w.total < minimumRate || w.byTarget[high.Life.ID] <= overloadRatio*w.fair(high)) {
 			return
 		}
+		if !e.moveBetween(w, high, low, newcomer, now) {
+			passed[high.Life.ID] = true
+			continue
+		}
+		moving++
+		w = e.weigh()
 	}
 }
 
-// moveOne starts one move and reports whether there was one to make.
-func (e *Engine) moveOne(w *weights, now time.Duration) bool {
-	high, low, found := e.extremes(w)
-	if !found {
-		return false
-	}
-	newcomer := w.byTarget[low.Life.ID] < e.newcomerWeight(w, low)
-	if !newcomer && (w.total < minimumRate || !overloaded(w.byTarget[high.Life.ID], w.fair(high))) {
+// moveBetween starts a move from one target to another, and reports whether there
+// was one to make.
+func (e *Engine) moveBetween(w *weights, high, low Target, newcomer bool, now time.Duration) bool {
+	if !newcomer && !overloaded(w.byTarget[high.Life.ID], w.fair(high)) {
 		return false
 	}
 	room := w.fair(low) - w.byTarget[low.Life.ID]
@@ -242,15 +251,15 @@
 	if newcomer {
 		want = room / 2
 	}
-	h, from, to := e.densest(w, high.Life, want)
-	if h == nil {
+	p := e.densest(w, high.Life, want)
+	if p.of == nil {
 		return false
 	}
-	moved := e.spanWeight(w, ranges.Span{From: from, To: to})
-	if !newcomer && (w.byTarget[low.Life.ID]+moved)/low.Capacity >= w.byTarget[high.Life.ID]/high.Capacity {
+	after := (w.byTarget[low.Life.ID] + p.weight) / low.Capacity
+	if !newcomer && after >= w.byTarget[high.Life.ID]/high.Capacity {
 		return false
 	}
-	e.split(h, from, to, low.Life.ID, now)
+	e.split(p.of, p.from, p.to, low.Life.ID, now)
 	return true
 }
 
@@ -270,8 +279,8 @@
 }
 
 // extremes returns the targets with the most and the least load for their
-// capacity.
-func (e *Engine) extremes(w *weights) (high, low Target, found bool) {
+// capacity. Targets that were passed over are not looked at for the most.
+func (e *Engine) extremes(w *weights, passed map[string]bool) (high, low Target, found bool) {
 	most, least := -1.0, math.Inf(1)
 	for _, id := range e.ids() {
 		t := e.targets[id]
@@ -279,14 +288,14 @@
 			continue
 		}
 		u := w.byTarget[id] / t.Capacity
-		if u > most {
+		if u > most && !passed[id] {
 			most, high = u, t
 		}
 		if u < least {
 			least, low = u, t
 		}
 	}
-	return high, low, high.Life != low.Life
+	return high, low, most >= 0 && high.Life != low.Life
 }
 
 // ids returns the targets in a fixed order.
@@ -299,14 +308,29 @@
 	return ids
 }
 
-// oversize is the multiple of the wanted weight from which a single key is not
-// moved: it stays where it is, and its neighbours go.
-const oversize = 1.6
+const (
+	// oversize is the multiple of the wanted weight from which a single key is not
+	// moved: it stays where it is, and its neighbours go.
+	oversize = 1.6
+	// leastPart is the part of the wanted weight below which a move is not worth
+	// the time without an owner.
+	leastPart = 0.1
+)
+
+// piece is a run of neighbouring keys of one span.
+type piece struct {
+	of       *hold
+	from, to uint16
+	weight   float64
+}
 
-// densest returns the fewest neighbouring keys of an owner that weigh about
-// want. Few keys are cheap to move.
-func (e *Engine) densest(w *weights, owner target.Life, want float64) (best *hold, from, to uint16) {
-	fewest := ranges.Keys + 1
+func (p piece) len() int { return int(p.to) - int(p.from) + 1 }
+
+// densest returns the fewest neighbouring keys of an owner that weigh about want,
+// as few keys are cheap to move. If all runs between oversized keys weigh less, it
+// returns the heaviest one.
+func (e *Engine) densest(w *weights, owner target.Life, want float64) piece {
+	var best, heaviest piece
 	for _, h := range e.holds {
 		if h.phase != holding || !h.granted || h.span.Life() != owner {
 			continue
@@ -324,12 +348,19 @@
 				start++
 				first = float64(e.load[start]) + w.uniform
 			}
-			if sum >= want && k-start+1 < fewest {
-				best, from, to, fewest = h, uint16(start), uint16(k), k-start+1
+			found := piece{h, uint16(start), uint16(k), sum}
+			if sum >= want && (best.of == nil || found.len() < best.len()) {
+				best = found
+			}
+			if sum > max(heaviest.weight, leastPart*want) {
+				heaviest = found
 			}
 		}
 	}
-	return best, from, to
+	if best.of == nil {
+		return heaviest
+	}
+	return best
 }
 
 // split starts the move of a part of a span.
