Prefer targets with an idle connection

Change: targets with a free slot and an idle connection are sampled first; three requests in a hundred look at all targets.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -109,9 +109,6 @@
 func Pick(targets []*Estimate, now, usual time.Duration) int {
 	best, least := -1, math.Inf(1)
 	for i, e := range targets {
-		if e == nil {
-			continue
-		}
 		cost := float64(e.Completion(now, usual))
 		if !e.Local {
 			cost *= 1 + domainPenalty
--- a/internal/coordination/ownership/engine.go
+++ b/internal/coordination/ownership/engine.go
@@ -101,7 +101,7 @@
 	// earlier is the same for grants under lower fences. They have no effect once
 	// the owner has confirmed the span's fence, as it refuses lower ones.
 	earlier time.Duration
-	renewAt    time.Duration
+	renewAt time.Duration
 	// grant is the grant on its way, or 0. Parts of a span share it.
 	grant uint64
 	// releasing tells that a release is on its way.
--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -92,7 +92,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	eps := make([]*endpoint, 0, len(records))
-	estimates := make([]*balance.Estimate, 0, len(records))
 	ready := 0
 	for _, r := range records {
 		if r.State != target.Ready {
@@ -104,41 +103,73 @@
 			continue
 		}
 		eps = append(eps, ep)
-		estimates = append(estimates, &ep.estimate)
 	}
 	if ready == 0 {
 		return nil, NoTarget
 	}
-	sample(eps, estimates)
-	i := balance.Pick(estimates, clock.Now(), d.service(t.req.Service).usual)
-	if i < 0 {
+	ep := pick(eps, clock.Now(), d.service(t.req.Service).usual)
+	if ep == nil {
 		return nil, Full
 	}
-	return d.admit(t, eps[i])
+	return d.admit(t, ep)
+}
+
+const (
+	// sampleSize is the number of targets in the own failure domain, and of those
+	// in others, among which one is picked. Daemons know each other's requests with
+	// a delay, and would all pick the same target if each looked at all.
+	sampleSize = 3
+	// exploreShare is the part of requests that look at all targets, so that a
+	// daemon learns of better ones than those that it has connections to.
+	exploreShare = 0.03
+)
+
+// pick returns the target for a request, or nil if there is none. Targets with a
+// free slot to which there is an idle connection go first, as connections are
+// charged for: the more daemons and targets there are, the less each pair is used.
+func pick(eps []*endpoint, now, usual time.Duration) *endpoint {
+	if rand.Float64() >= exploreShare {
+		var connected []*endpoint
+		for _, ep := range eps {
+			if ep.estimate.Load() < ep.estimate.Slots && !ep.estimate.Suspect(now) && ep.pool.Connected() {
+				connected = append(connected, ep)
+			}
+		}
+		if ep := pickOf(connected, now, usual); ep != nil {
+			return ep
+		}
+	}
+	return pickOf(eps, now, usual)
 }
 
-// sampleSize is the number of targets in the own failure domain, and of those in
-// others, among which one is picked. Daemons know each other's requests with a
-// delay, and would all pick the same target if each looked at all.
-const sampleSize = 3
+// pickOf returns the best of a random sample of targets.
+func pickOf(eps []*endpoint, now, usual time.Duration) *endpoint {
+	eps = sample(eps)
+	estimates := make([]*balance.Estimate, len(eps))
+	for i, ep := range eps {
+		estimates[i] = &ep.estimate
+	}
+	if i := balance.Pick(estimates, now, usual); i >= 0 {
+		return eps[i]
+	}
+	return nil
+}
 
-// sample leaves a random choice of the targets in the running; the estimates of
-// the others become nil.
-func sample(eps []*endpoint, estimates []*balance.Estimate) {
-	rand.Shuffle(len(eps), func(i, j int) {
-		eps[i], eps[j] = eps[j], eps[i]
-		estimates[i], estimates[j] = estimates[j], estimates[i]
-	})
+// sample returns a random choice of targets near and far.
+func sample(eps []*endpoint) []*endpoint {
+	rand.Shuffle(len(eps), func(i, j int) { eps[i], eps[j] = eps[j], eps[i] })
 	local, far := 0, 0
-	for i, e := range estimates {
+	out := make([]*endpoint, 0, 2*sampleSize)
+	for _, ep := range eps {
 		seen := &far
-		if e.Local {
+		if ep.estimate.Local {
 			seen = &local
 		}
-		if *seen++; *seen > sampleSize {
-			estimates[i] = nil
+		if *seen++; *seen <= sampleSize {
+			out = append(out, ep)
 		}
 	}
+	return out
 }
 
 // admit reserves a place at the target if the request is likely to end in time.
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -134,6 +134,14 @@
 	}
 }
 
+// Connected reports whether an idle connection is likely to be usable.
+func (p *Pool) Connected() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	return n > 0 && clock.Now()-p.idle[n-1].parked <= p.idle[n-1].idle
+}
+
 // Counts returns the numbers of open connections and of all that were dialed.
 func (p *Pool) Counts() (open int, dialed uint64) {
 	p.mu.Lock()
