Read the store through one daemon and pause longer while it is down

Cause: each domain's hub kept its own waiting call on the store, and all daemons called a store that was down six times a second; calls are charged for, refused ones too. A hub that the store turned away kept its old copy although others were served.

Change: hubs read through the strongest hub; a daemon that the store turns away reads through others for three seconds; pauses after failed calls double up to 1.2 s.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -84,7 +84,7 @@
 func New(o Options) *Daemon {
 	d := &Daemon{options: o, log: o.Log, self: coordinator.Identity{Name: o.Settings.Name, Run: rand.Text()}}
 	d.views = view.NewKeeper(o.Documents, o.Log, func() mirror.Status { return d.mirror.Status() })
-	d.hubs = peers.NewHubs(o.Settings.Name)
+	d.hubs = peers.NewHubs()
 	feed := peers.NewFeed(o.Settings.Name, o.Settings.Domain, o.Store, d.hubs, d.peers, o.Log)
 	d.mirror = mirror.New(feed, "", o.Log, d.views.Apply)
 	d.sender = dispatch.New(dispatch.Config{
--- a/internal/edge/peers/feed.go
+++ b/internal/edge/peers/feed.go
@@ -29,6 +29,9 @@
 	feedDial    = 200 * time.Millisecond
 	maxFeedSize = 8 << 20
 	feedPath    = "/feed"
+	// hubWait is how long a hub waits for changes at the first hub. It adds to the
+	// age of the copy that its domain reads, which must stay below maxAge.
+	hubWait = 250 * time.Millisecond
 )
 
 // feedReply is a hub's answer: the changes after a revision, or everything.
@@ -41,8 +44,9 @@
 // errNotHub is returned by a daemon that has no current copy of its own.
 var errNotHub = errors.New("daemon has no current copy of the store")
 
-// Feed reads the store through the hub of the domain. The hub itself, and a
-// daemon that finds no hub with a current copy, read the store.
+// Feed reads the store through other daemons: the daemons of a domain through
+// their hub, and hubs through the first hub. Only that one, and daemons that find
+// no current copy elsewhere, read the store, as its calls are charged for.
 type Feed struct {
 	Self, Domain string
 	Store        topo.Feed
@@ -61,27 +65,36 @@
 	}
 }
 
-// hub returns the daemon to read from; false means the store.
-func (f *Feed) hub() (Peer, bool) {
-	hub, ok := f.Hubs.Of(f.Peers())[f.Domain]
+// source returns the daemon to read from; false means the store.
+func (f *Feed) source() (Peer, bool) {
+	hubs := f.Hubs.Of(f.Peers())
+	hub, ok := hubs[f.Domain]
+	if ok && hub.Name == f.Self {
+		hub = first(hubs)
+	}
 	return hub, ok && hub.Name != f.Self
 }
 
 // Snapshot implements topo.Feed.
 func (f *Feed) Snapshot(ctx context.Context, prefix string) ([]topo.Entry, topo.Progress, error) {
-	if hub, ok := f.hub(); ok {
+	if hub, ok := f.source(); ok {
 		reply, err := f.call(ctx, hub, "", feedSlack*2)
 		if err == nil {
 			return reply.Entries, topo.Progress{Rev: reply.At, Age: reply.Age}, nil
 		}
 		f.failed(ctx, hub, err)
 	}
-	return f.Store.Snapshot(ctx, prefix)
+	entries, progress, err := f.Store.Snapshot(ctx, prefix)
+	f.noteStore(ctx, err)
+	return entries, progress, err
 }
 
 // Changes implements topo.Feed.
 func (f *Feed) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]topo.Event, topo.Progress, error) {
-	if hub, ok := f.hub(); ok {
+	if hub, ok := f.source(); ok {
+		if hub.Domain != f.Domain {
+			wait = min(wait, hubWait)
+		}
 		query := "?after=" + strconv.FormatInt(after, 10) + "&wait=" + strconv.FormatInt(wait.Milliseconds(), 10)
 		reply, err := f.call(ctx, hub, query, wait+feedSlack)
 		if err == nil {
@@ -96,7 +109,17 @@
 		}
 		f.failed(ctx, hub, err)
 	}
-	return f.Store.Changes(ctx, prefix, after, wait)
+	events, progress, err := f.Store.Changes(ctx, prefix, after, wait)
+	f.noteStore(ctx, err)
+	return events, progress, err
+}
+
+// noteStore makes a daemon that the store turns away read through others: the
+// store may serve them.
+func (f *Feed) noteStore(ctx context.Context, err error) {
+	if err != nil && !errors.Is(err, topo.ErrCompacted) && ctx.Err() == nil {
+		f.Hubs.Failed(f.Self)
+	}
 }
 
 func (f *Feed) failed(ctx context.Context, hub Peer, err error) {
--- /dev/null
+++ b/internal/edge/peers/feed_test.go
@@ -0,0 +1,170 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/topo/mirror"
+)
+
+// countedStore is a feed with one entry that counts the calls of a daemon.
+type countedStore struct {
+	shared *storeState
+	calls  atomic.Int64
+	down   atomic.Bool
+}
+
+type storeState struct {
+	mu  sync.Mutex
+	rev int64
+}
+
+func (s *storeState) entry() topo.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return topo.Entry{Key: "k", Value: []byte("v"), CreateRev: 1, ModRev: s.rev}
+}
+
+func (s *storeState) change() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	return s.rev
+}
+
+func (c *countedStore) Snapshot(context.Context, string) ([]topo.Entry, topo.Progress, error) {
+	c.calls.Add(1)
+	if c.down.Load() {
+		return nil, topo.Progress{}, topo.ErrUnavailable
+	}
+	e := c.shared.entry()
+	return []topo.Entry{e}, topo.Progress{Rev: e.ModRev}, nil
+}
+
+func (c *countedStore) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]topo.Event, topo.Progress, error) {
+	c.calls.Add(1)
+	for end := time.Now().Add(wait); ; {
+		if c.down.Load() {
+			return nil, topo.Progress{}, topo.ErrUnavailable
+		}
+		if e := c.shared.entry(); e.ModRev > after {
+			return []topo.Event{{Entry: e}}, topo.Progress{Rev: e.ModRev}, nil
+		}
+		if time.Now().After(end) {
+			return nil, topo.Progress{Rev: after}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, topo.Progress{}, ctx.Err()
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// feedFleet is a fleet of mirrors that read a store through each other.
+type feedFleet struct {
+	state   *storeState
+	stores  []*countedStore
+	mirrors []*mirror.Mirror
+	servers []*httptest.Server
+}
+
+func startFeeds(t *testing.T, daemons, domains int) *feedFleet {
+	t.Helper()
+	f := &feedFleet{state: &storeState{rev: 1}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	log := slog.New(slog.DiscardHandler)
+	var list []Peer
+	handlers := make([]*FeedHandler, daemons)
+	for i := range daemons {
+		handlers[i] = &FeedHandler{Log: log}
+		server := httptest.NewServer(handlers[i])
+		f.servers = append(f.servers, server)
+		list = append(list, Peer{
+			Name: fmt.Sprint("d", i), Domain: fmt.Sprint("z", i%domains), Capacity: float64(daemons - i),
+			Address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")),
+		})
+	}
+	for i := range daemons {
+		store := &countedStore{shared: f.state}
+		feed := NewFeed(list[i].Name, list[i].Domain, store, NewHubs(), func() []Peer { return list }, log)
+		m := mirror.New(feed, "", log, func(mirror.Change) {})
+		handlers[i].Mirror = m
+		f.stores, f.mirrors = append(f.stores, store), append(f.mirrors, m)
+	}
+	for _, m := range f.mirrors {
+		wg.Go(func() { m.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, s := range f.servers {
+			s.CloseClientConnections()
+			s.Close()
+		}
+		wg.Wait()
+	})
+	return f
+}
+
+// await waits until all mirrors but the skipped ones have a revision.
+func (f *feedFleet) await(t *testing.T, rev int64, limit time.Duration, skip int) {
+	t.Helper()
+	for end := time.Now().Add(limit); ; time.Sleep(5 * time.Millisecond) {
+		behind := 0
+		for i, m := range f.mirrors {
+			if s := m.Status(); i != skip && (s.Rev < rev || !s.Up) {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d daemons are behind revision %d after %v", behind, rev, limit)
+		}
+	}
+}
+
+// inForce is the time within which a change must be in force everywhere.
+const inForce = 2 * time.Second
+
+// Guards against calls to the store that grow with the number of domains or
+// daemons, and against changes that do not arrive through two hubs.
+func TestOneDaemonReadsTheStore(t *testing.T) {
+	f := startFeeds(t, 9, 3)
+	f.await(t, 1, 5*time.Second, -1)
+	time.Sleep(time.Second) // the daemons that started before their hub have found it
+	before := make([]int64, len(f.stores))
+	for i, s := range f.stores {
+		before[i] = s.calls.Load()
+	}
+	for range 3 {
+		f.await(t, f.state.change(), inForce, -1)
+	}
+	time.Sleep(time.Second)
+	for i, s := range f.stores {
+		if n := s.calls.Load() - before[i]; i > 0 && n > 0 {
+			t.Errorf("daemon %d called the store %d times beside the first hub", i, n)
+		}
+	}
+}
+
+// Guards against daemons that stay behind because the first hub is turned away by
+// the store.
+func TestChangesArriveWhileTheFirstHubIsTurnedAway(t *testing.T) {
+	f := startFeeds(t, 9, 3)
+	f.await(t, 1, 5*time.Second, -1)
+	f.stores[0].down.Store(true)
+	f.await(t, f.state.change(), inForce, -1)
+	f.await(t, f.state.change(), inForce, -1)
+}
--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -65,9 +65,9 @@
 // there is a strong one.
 func TestHubsAgreeOnTheStrongest(t *testing.T) {
 	peers := fleetOf(30, func(i int) float64 { return float64(i % 10) })
-	first := NewHubs("d0").Of(peers)
+	first := NewHubs().Of(peers)
 	for i := range 30 {
-		hubs := NewHubs(fmt.Sprint("d", i)).Of(peers)
+		hubs := NewHubs().Of(peers)
 		for domain, hub := range hubs {
 			if hub.Name != first[domain].Name {
 				t.Errorf("d%d picks %s in %s, d0 picks %s", i, hub.Name, domain, first[domain].Name)
@@ -82,7 +82,7 @@
 // Guards against a hub that does not answer and is asked again and again.
 func TestFailedHubIsPassedOver(t *testing.T) {
 	peers := fleetOf(9, func(int) float64 { return 1 })
-	h := NewHubs("d0")
+	h := NewHubs()
 	old := h.Of(peers)["z1"].Name
 	h.Failed(old)
 	if now := h.Of(peers)["z1"].Name; now == old || now == "" {
@@ -112,7 +112,7 @@
 	for i := range daemons {
 		tellers[i] = New(Config{
 			Name: list[i].Name, Domain: list[i].Domain, Address: list[i].Address.String(), Log: slog.New(slog.DiscardHandler),
-			Hubs: NewHubs(list[i].Name), Peers: func() []Peer { return list },
+			Hubs: NewHubs(), Peers: func() []Peer { return list },
 			Running:  func() Loads { return Loads{7: i + 1} },
 			Fleet:    func(l Loads) { mu.Lock(); defer mu.Unlock(); fleet[i] = Loads{7: l[7]} },
 			Measured: func(x Times) { mu.Lock(); defer mu.Unlock(); times[i] = Times{7: x[7]} },
--- a/internal/edge/peers/pick.go
+++ b/internal/edge/peers/pick.go
@@ -21,7 +21,7 @@
 	Coordinates bool
 }
 
-// avoidTime is how long a daemon is passed over as a hub after it did not answer.
+// avoidTime is how long a daemon is passed over as a hub after it failed.
 const avoidTime = 3 * time.Second
 
 // Hubs picks the hub of each failure domain. Daemons of a domain read the store
@@ -29,16 +29,15 @@
 // number of domains and not with the square of the fleet. All daemons pick the
 // same one by capacity and name, apart from those that they cannot reach.
 type Hubs struct {
-	self string
-
 	mu    sync.Mutex
 	avoid map[string]time.Duration // until
 }
 
-// NewHubs returns the choice of the daemon with the given name.
-func NewHubs(self string) *Hubs { return &Hubs{self: self, avoid: make(map[string]time.Duration)} }
+// NewHubs returns the choice of a daemon that has avoided none yet.
+func NewHubs() *Hubs { return &Hubs{avoid: make(map[string]time.Duration)} }
 
-// Failed passes over a daemon for a while.
+// Failed passes over a daemon for a while: one that does not answer, or this one
+// while the store turns it away.
 func (h *Hubs) Failed(name string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -52,7 +51,7 @@
 	now := clock.Now()
 	hubs := make(map[string]Peer)
 	for _, p := range peers {
-		if until, avoided := h.avoid[p.Name]; avoided && now < until && p.Name != h.self {
+		if until, avoided := h.avoid[p.Name]; avoided && now < until {
 			continue
 		}
 		if best, ok := hubs[p.Domain]; !ok || before(p, best) {
@@ -62,6 +61,17 @@
 	return hubs
 }
 
+// first returns the hub through which the others read the store.
+func first(hubs map[string]Peer) Peer {
+	var best Peer
+	for _, p := range hubs {
+		if best.Name == "" || before(p, best) {
+			best = p
+		}
+	}
+	return best
+}
+
 // before orders daemons by capacity, then by a hash of the name.
 func before(a, b Peer) bool {
 	if a.Capacity != b.Capacity {
--- a/internal/topo/mirror/mirror.go
+++ b/internal/topo/mirror/mirror.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -23,8 +24,11 @@
 	Coalesce = 120 * time.Millisecond
 	// historySize is the number of changes that other readers can go on from.
 	historySize = 2048
-	// retryDelay is the pause after a failed call.
+	// retryDelay is the pause after a failed call. It doubles with each failure in
+	// a row up to retryMost: refused calls are charged for, and a copy has to be
+	// current three seconds after an outage.
 	retryDelay = 150 * time.Millisecond
+	retryMost  = 1200 * time.Millisecond
 )
 
 // Change is a set of entries that changed together.
@@ -81,6 +85,7 @@
 // Run follows the store until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	complete := false
+	failures := 0
 	for ctx.Err() == nil {
 		var change Change
 		var age time.Duration
@@ -97,10 +102,11 @@
 			continue
 		case err != nil:
 			m.failed(ctx, err)
-			sleep(ctx, retryDelay)
+			sleep(ctx, retryPause(failures))
+			failures++
 			continue
 		}
-		complete = true
+		complete, failures = true, 0
 		m.answered(clock.Now() - age)
 		if len(change.Entries) > 0 || change.Complete {
 			m.apply(change)
@@ -109,6 +115,13 @@
 	}
 }
 
+// retryPause is the pause after a failed call that followed others in a row. The
+// spread keeps daemons from calling at once when the store returns.
+func retryPause(before int) time.Duration {
+	pause := min(retryDelay<<min(before, 8), retryMost)
+	return pause - time.Duration(rand.Float64()*float64(pause)/4)
+}
+
 func (m *Mirror) copy(ctx context.Context) (Change, time.Duration, error) {
 	entries, progress, err := m.feed.Snapshot(ctx, m.prefix)
 	if err != nil {
--- a/internal/topo/mirror/mirror_test.go
+++ b/internal/topo/mirror/mirror_test.go
@@ -252,3 +252,23 @@
 		}
 	})
 }
+
+// Guards against calls to a store that is down at the rate of one that answers:
+// refused calls are charged for. A short fault must still be over soon, and the
+// longest pause must leave room in the three seconds after an outage.
+func TestPausesGrowWhileTheStoreIsDown(t *testing.T) {
+	if p := retryPause(0); p > retryDelay {
+		t.Errorf("first pause %v, want at most %v", p, retryDelay)
+	}
+	total := time.Duration(0)
+	for n := range 20 {
+		p := retryPause(n)
+		if p <= 0 || p > 3*time.Second/2 {
+			t.Errorf("pause %v after %d failures", p, n)
+		}
+		total += p
+	}
+	if calls := 20 / total.Seconds(); calls > 2 {
+		t.Errorf("%.1f calls a second over twenty failures, want at most 2", calls)
+	}
+}
