--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -20,6 +20,9 @@
 	priorityStep = 0.15
 	// leastShare bounds the part from below.
 	leastShare = 0.4
+	// objectiveShare is the part of the route's objective within which a request
+	// that has to queue must be expected to end.
+	objectiveShare = 0.8
 	// queueFactor bounds the requests at a target, in multiples of its slots.
 	queueFactor = 3
 )
@@ -186,6 +189,9 @@
 	if queued && expected > time.Duration(share*float64(left)) {
 		return nil, Full
 	}
+	if objective := t.req.Route.Objective; queued && objective > 0 && expected > time.Duration(objectiveShare*float64(objective)) {
+		return nil, Full
+	}
 	ep.estimate.Running++
 	return ep, ""
 }
--- a/internal/edge/dispatch/choose_test.go
+++ b/internal/edge/dispatch/choose_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/state/route"
 	"github.com/jackdawloom/jackdawloom/internal/state/target"
 	"github.com/jackdawloom/jackdawloom/internal/transport/upstream"
 )
@@ -73,3 +75,36 @@
 		t.Error("a target picked of none")
 	}
 }
+
+// Guards against requests that queue at a saturated target until they are late: as
+// many are served either way, and those refused at once can come back.
+func TestAdmitsToAQueueWithinTheObjective(t *testing.T) {
+	d := New(Config{})
+	now := clock.Now()
+	admitted := func(load int, objective time.Duration) bool {
+		ep := &endpoint{record: target.Record{Slots: 2}, limit: 100}
+		ep.estimate.Slots, ep.estimate.Elsewhere = 2, load
+		ep.estimate.Measured(100 * time.Millisecond)
+		r := &Request{Route: &route.Route{Objective: objective}, Arrived: now, Deadline: now + 5*time.Second}
+		got, reason := d.admit(&try{req: r}, ep)
+		if (got == nil) != (reason == Full) {
+			t.Fatalf("endpoint %v with reason %q", got, reason)
+		}
+		return got != nil
+	}
+	for _, c := range []struct {
+		load      int
+		objective time.Duration
+		want      bool
+	}{
+		{0, 50 * time.Millisecond, true}, // a free slot is used whatever the objective
+		{3, 300 * time.Millisecond, true},
+		{5, 300 * time.Millisecond, false},
+		{5, time.Second, true},
+		{5, 0, true}, // no objective stated
+	} {
+		if got := admitted(c.load, c.objective); got != c.want {
+			t.Errorf("load %d, objective %v: admitted %v, want %v", c.load, c.objective, got, c.want)
+		}
+	}
+}
