Keep sums of load by block of keys

Cause: every plan walked all 65,536 keys several times.

Change: the load has a type of its own with a sum for each 64 keys; blocks without requests are passed over.

--- a/internal/coordination/ownership/engine.go
+++ b/internal/coordination/ownership/engine.go
@@ -125,8 +125,7 @@
 	holds   []*hold
 	targets map[string]Target
 	joined  map[string]time.Duration
-	load    []float32 // requests per second of each key
-	loadAt  time.Duration
+	load    loads
 	pending *ranges.Table
 	claims  map[claim]string // handovers of keys about to be given
 	planAt  time.Duration
@@ -160,7 +159,7 @@
 func New(c Config, table ranges.Table, now time.Duration) *Engine {
 	e := &Engine{
 		config: c, targets: make(map[string]Target), joined: make(map[string]time.Duration),
-		load: make([]float32, ranges.Keys), loadAt: now, claims: make(map[claim]string),
+		load: loads{aged: now}, claims: make(map[claim]string),
 		failures: make(map[target.Life]failures), silent: make(map[target.Life]time.Duration),
 	}
 	e.adopt(table, now)
@@ -334,7 +333,7 @@
 		return false
 	}
 	at, silent := e.silent[t.Life]
-	return !silent || e.loadAt > at+silentTime
+	return !silent || e.load.aged > at+silentTime
 }
 
 func (h *hold) answered(g Grant, r Result, now time.Duration) {
--- a/internal/coordination/ownership/ownership_test.go
+++ b/internal/coordination/ownership/ownership_test.go
@@ -308,7 +308,7 @@
 	}
 	w := f.weigh()
 	owner := f.table.Lookup(hot).Owner
-	if rest := w.byTarget[owner] - float64(f.load[hot]); rest > w.total/12/2 {
+	if rest := w.byTarget[owner] - float64(f.load.keys[hot]); rest > w.total/12/2 {
 		t.Errorf("owner of the hot key still has %.0f of other load, a fair share being %.0f", rest, w.total/12)
 	}
 	owners := make(map[string]bool)
--- a/internal/coordination/ownership/plan.go
+++ b/internal/coordination/ownership/plan.go
@@ -11,9 +11,6 @@
 
 // Limits of planning.
 const (
-	// loadWindow is the time constant of the measured load. Two seconds of
-	// requests tell a hot key from chance and are short against its life.
-	loadWindow = 2 * time.Second
 	// planEvery is the pause between moves that even out load.
 	planEvery = 150 * time.Millisecond
 	// gatherTime is the wait for registrations before the first assignment.
@@ -46,19 +43,14 @@
 // AddLoad counts requests for keys, each of the given weight.
 func (e *Engine) AddLoad(keys []uint16, weight float32) {
 	for _, k := range keys {
-		e.load[k] += weight
+		e.load.add(k, weight)
 	}
 }
 
 // decay ages the measured load.
 func (e *Engine) decay(now time.Duration) {
-	if now-e.loadAt < planEvery {
-		return
-	}
-	factor := float32(math.Exp(-float64(now-e.loadAt) / float64(loadWindow)))
-	e.loadAt = now
-	for i := range e.load {
-		e.load[i] *= factor
+	if now-e.load.aged >= planEvery {
+		e.load.age(now)
 	}
 }
 
@@ -78,20 +70,15 @@
 }
 
 func (e *Engine) spanWeight(w *weights, s ranges.Span) float64 {
-	sum := w.uniform * float64(s.Len())
-	for k := int(s.From); k <= int(s.To); k++ {
-		sum += float64(e.load[k])
-	}
-	return sum
+	return w.uniform*float64(s.Len()) + e.load.of(s.From, s.To)
 }
 
+// keyWeight is the weight of one key.
+func (e *Engine) keyWeight(w *weights, key int) float64 { return float64(e.load.keys[key]) + w.uniform }
+
 func (e *Engine) weigh() *weights {
 	w := &weights{byTarget: make(map[string]float64)}
-	measured := 0.0
-	for _, l := range e.load {
-		measured += float64(l)
-	}
-	w.uniform = (measured*uniformShare + 1) / ranges.Keys
+	w.uniform = (e.load.total()*uniformShare + 1) / ranges.Keys
 	for _, h := range e.holds {
 		x := e.spanWeight(w, h.span)
 		w.total += x
@@ -176,7 +163,7 @@
 	var out []*hold
 	from, sum := h.span.From, 0.0
 	for k := int(h.span.From); k <= int(h.span.To); k++ {
-		sum += float64(e.load[k]) + w.uniform
+		sum += e.keyWeight(w, k)
 		if sum < share && k < int(h.span.To) {
 			continue
 		}
@@ -338,16 +325,16 @@
 		}
 		sum, start := 0.0, int(h.span.From)
 		for k := int(h.span.From); k <= int(h.span.To); k++ {
-			x := float64(e.load[k]) + w.uniform
+			x := e.keyWeight(w, k)
 			if x > oversize*want {
 				sum, start = 0, k+1
 				continue
 			}
 			sum += x
-			for first := float64(e.load[start]) + w.uniform; sum-first >= want && start < k; {
+			for first := e.keyWeight(w, start); sum-first >= want && start < k; {
 				sum -= first
 				start++
-				first = float64(e.load[start]) + w.uniform
+				first = e.keyWeight(w, start)
 			}
 			found := piece{h, uint16(start), uint16(k), sum}
 			if sum >= want && (best.of == nil || found.len() < best.len()) {
