Keep the coordinator's lease through other daemons

Cause: when the store turned away the coordinator's instance alone, its lease lapsed after it had extended all grants to ten seconds.

Change: calls that keep and use the lease go through the strongest daemons of other domains while the store does not answer this one.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -86,6 +86,7 @@
 	d.views = view.NewKeeper(o.Documents, o.Log, func() mirror.Status { return d.mirror.Status() })
 	d.hubs = peers.NewHubs()
 	feed := peers.NewFeed(o.Settings.Name, o.Settings.Domain, o.Store, d.hubs, d.peers, o.Log)
+	relay := peers.NewRelay(o.Settings.Name, o.Store, d.hubs, d.peers, o.Log)
 	d.mirror = mirror.New(feed, "", o.Log, d.views.Apply)
 	d.sender = dispatch.New(dispatch.Config{
 		Names: o.Names, Domain: o.Settings.Domain, Budget: o.Settings.Repeats, Views: d.views, Log: o.Log,
@@ -99,7 +100,7 @@
 		Sampled: func(s peers.Sample) { d.coord.AddLoad(s) },
 	})
 	d.coord = coordinator.New(coordinator.Config{
-		Store: o.Store, Self: d.self, Views: d.views, Calls: o.Calls, Targets: d.sender,
+		Store: relay, Self: d.self, Views: d.views, Calls: o.Calls, Targets: d.sender,
 		MaxHold: o.Settings.MaxHold, Weakness: d.weakness, Log: o.Log,
 	})
 	d.handler = &front.Handler{Names: o.Names, Views: d.views, Dispatcher: d.sender, Log: o.Log, Observe: func(r front.Result) {
--- a/internal/edge/peers/feed.go
+++ b/internal/edge/peers/feed.go
@@ -58,11 +58,13 @@
 
 // NewFeed returns a Feed of the daemon with the given name.
 func NewFeed(self, domain string, store topo.Feed, hubs *Hubs, peers func() []Peer, log *slog.Logger) *Feed {
+	return &Feed{Self: self, Domain: domain, Store: store, Hubs: hubs, Peers: peers, Log: log, client: newTransport()}
+}
+
+// newTransport returns connections to other daemons.
+func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: feedDial}
-	return &Feed{
-		Self: self, Domain: domain, Store: store, Hubs: hubs, Peers: peers, Log: log,
-		client: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true},
-	}
+	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
 }
 
 // source returns the daemon to read from; false means the store.
@@ -171,10 +173,6 @@
 
 // ServeHTTP implements http.Handler.
 func (h *FeedHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != feedPath {
-		http.NotFound(w, r)
-		return
-	}
 	if !h.Mirror.Status().Up {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -205,6 +203,14 @@
 	h.write(w, reply)
 }
 
+// NewHandler returns the handler of all calls from other daemons.
+func NewHandler(feed *FeedHandler, relay *RelayHandler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+feedPath, feed)
+	mux.Handle("POST "+relayPath, relay)
+	return mux
+}
+
 func (h *FeedHandler) write(w http.ResponseWriter, reply feedReply) {
 	body, err := cbor.Marshal(reply)
 	if err != nil {
