--- a/internal/coordination/ownership/engine.go
+++ b/internal/coordination/ownership/engine.go
@@ -39,9 +39,12 @@
 	silentCalls = 3
 	silentFor   = 2 * time.Second
 	silentTime  = 4 * time.Second
-	// callTime is the longest time that a call of an earlier coordinator may have
-	// been on its way when its lease ended.
+	// callTime is the longest time that a call may be on its way, also one of an
+	// earlier coordinator when its lease ended.
 	callTime = time.Second
+	// leastHold is the shortest grant that is worth sending to a target that did
+	// not answer.
+	leastHold = 400 * time.Millisecond
 	// releasesAtOnce bounds the releases that one target works on.
 	releasesAtOnce = 5
 )
@@ -242,9 +245,24 @@
 	if h.grant != 0 || now < h.renewAt {
 		return
 	}
+	length := e.holdTime()
+	if now < h.until && h.granted && e.failures[h.span.Life()].count > 0 {
+		length = min(length, h.within(now))
+		if length < leastHold {
+			h.renewAt = now + retryEvery
+			return
+		}
+	}
 	e.calls++
 	h.grant, h.sentAt = e.calls, now
-	a.Grants = append(a.Grants, Grant{ID: e.calls, Span: h.span, Hold: e.holdTime(), Handover: h.handover})
+	a.Grants = append(a.Grants, Grant{ID: e.calls, Span: h.span, Hold: length, Handover: h.handover})
+}
+
+// within returns the longest grant that ends before those already sent. A target
+// that does not answer is sent no longer one: it would put off the time from which
+// others may have the keys.
+func (h *hold) within(now time.Duration) time.Duration {
+	return time.Duration(float64(h.until-now-callTime-arrivalSlack) / (1 + clockSlack))
 }
 
 // takeUp frees a span that nobody can hold any more, or asks for its release. A
@@ -307,8 +325,12 @@
 		e.failures[life] = f
 	}
 	for _, h := range e.holds {
-		if h.grant == g.ID {
-			h.answered(g, r, now)
+		if h.grant != g.ID {
+			continue
+		}
+		h.answered(g, r, now)
+		if r == OK && g.Hold < e.holdTime() {
+			h.renewAt = now
 		}
 	}
 	if f := e.failures[life]; f.count >= silentCalls && now-f.since >= silentFor {
--- a/internal/coordination/ownership/ownership_test.go
+++ b/internal/coordination/ownership/ownership_test.go
@@ -348,3 +348,23 @@
 		}
 	})
 }
+
+// Guards against grants to a target that does not answer putting off its
+// successor: each one that may have arrived moved the end of the last grant, so
+// that keys had no owner for two seconds more than a grant lasts.
+func TestUnansweredGrantsDoNotPutOffANewOwner(t *testing.T) {
+	proptest.Check(t, 11, 100, func(t *rapid.T) {
+		w := calmWorld(t)
+		w.lives[w.reg[0].Life].alive = false
+		lost := w.now
+		// A grant may have been due just before the loss; then a write and a call.
+		limit := RenewEvery + callTime + worst(0, HoldNormal) + 250*time.Millisecond + callTime
+		for w.served() < ranges.Keys {
+			w.step()
+			w.checkOwners()
+			if w.now-lost > limit {
+				t.Fatalf("%d of %d keys served %v after the loss", w.served(), ranges.Keys, limit)
+			}
+		}
+	})
+}
--- a/internal/topo/mirror/mirror.go
+++ b/internal/topo/mirror/mirror.go
@@ -18,6 +18,9 @@
 	// Wait is how long one call waits for changes. It bounds the age of the copy,
 	// and how long a connection that has fallen silent goes unnoticed.
 	Wait = 500 * time.Millisecond
+	// probeWait is the same after a failure, so that the store's return is soon
+	// noticed.
+	probeWait = 50 * time.Millisecond
 	// Coalesce is the pause after changes, so that a series of them takes few
 	// calls. It is small against the two seconds within which a change must be
 	// in force.
@@ -28,7 +31,7 @@
 	// a row up to retryMost: refused calls are charged for, and a copy has to be
 	// current three seconds after an outage.
 	retryDelay = 150 * time.Millisecond
-	retryMost  = 1200 * time.Millisecond
+	retryMost  = 600 * time.Millisecond
 )
 
 // Change is a set of entries that changed together.
@@ -47,7 +50,7 @@
 
 	mu      sync.Mutex
 	entries map[string]topo.Entry // deleted ones stay as such until the next copy
-	history []topo.Entry
+	history []change
 	oldest  int64 // revision up to which changes are no longer in the history
 	rev     int64
 	changed chan struct{} // closed at the next change
@@ -56,6 +59,12 @@
 	regains time.Duration // time of the first answer after the last failure
 }
 
+// change is a key that changed at a revision. Readers get the newest value only.
+type change struct {
+	key string
+	rev int64
+}
+
 // New returns a mirror that calls apply, from one goroutine, with each change.
 func New(feed topo.Feed, prefix string, log *slog.Logger, apply func(Change)) *Mirror {
 	return &Mirror{
@@ -91,7 +100,11 @@
 		var age time.Duration
 		var err error
 		if complete {
-			change, age, err = m.follow(ctx)
+			wait := Wait
+			if failures > 0 {
+				wait = probeWait
+			}
+			change, age, err = m.follow(ctx, wait)
 		} else {
 			change, age, err = m.copy(ctx)
 		}
@@ -142,8 +155,8 @@
 	return Change{Entries: entries, Complete: true}, progress.Age, nil
 }
 
-func (m *Mirror) follow(ctx context.Context) (Change, time.Duration, error) {
-	events, progress, err := m.feed.Changes(ctx, m.prefix, m.Status().Rev, Wait)
+func (m *Mirror) follow(ctx context.Context, wait time.Duration) (Change, time.Duration, error) {
+	events, progress, err := m.feed.Changes(ctx, m.prefix, m.Status().Rev, wait)
 	if err != nil {
 		return Change{}, 0, err
 	}
@@ -167,10 +180,10 @@
 
 // record adds a change to the history.
 func (m *Mirror) record(e topo.Entry) {
-	m.history = append(m.history, e)
+	m.history = append(m.history, change{e.Key, e.ModRev})
 	if over := len(m.history) - historySize; over > 0 {
-		m.oldest = m.history[over-1].ModRev
-		m.history = append([]topo.Entry(nil), m.history[over:]...)
+		m.oldest = m.history[over-1].rev
+		m.history = append([]change(nil), m.history[over:]...)
 	}
 }
 
@@ -192,8 +205,8 @@
 	return out, m.rev
 }
 
-// Since returns the changes after a revision, and the revision of the copy. It
-// waits up to wait for the first change. The error is topo.ErrCompacted if the
+// Since returns the keys that changed after a revision with their newest values,
+// and the revision of the copy. It waits up to wait for the first change. The error is topo.ErrCompacted if the
 // changes are no longer known.
 func (m *Mirror) Since(ctx context.Context, after int64, wait time.Duration) ([]topo.Entry, int64, error) {
 	timer := time.NewTimer(wait)
@@ -220,8 +233,9 @@
 		return nil, 0, nil, topo.ErrCompacted
 	}
 	var out []topo.Entry
-	for _, e := range m.history {
-		if e.ModRev > after {
+	for _, c := range m.history {
+		// A key that changed again later comes with its newest value only.
+		if e := m.entries[c.key]; c.rev > after && e.ModRev == c.rev {
 			out = append(out, e)
 		}
 	}
