Add jackdawctl explain and the inputs of decisions to log lines

Cause: an engineer with a failed request's id had to merge the logs of all daemons by hand, and a refusal did not say which table, copy or load it went by.

Change: 'request refused' carries the key, the versions of configuration and table, the age of the copy, and load, slots and expected time of the target that was too busy. explain merges logs, shows the events that concern the request's key, target and daemon, and tells the cause and what to read next for each reason. Lines that cannot be read are named with their place.

--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -37,6 +37,7 @@
 			return nil, &Refusal{Reason: CallerLeft}
 		}
 		v := d.config.Views.Current()
+		t.inputs = Inputs{ConfigVersion: v.Config.Version, CopyAge: d.config.Views.Age()}
 		if t.req.Deadline-clock.Now() < leastLeft {
 			return nil, &Refusal{Reason: OutOfTime}
 		}
@@ -76,6 +77,7 @@
 	if table == nil {
 		return nil, NoOwner
 	}
+	t.inputs.TableRev = table.Rev
 	span := table.Lookup(t.req.Key)
 	record, known := v.Targets.Get(span.Owner)
 	if !span.Owned() || !known || record.Life() != span.Life() || record.State == target.Draining {
@@ -107,6 +109,7 @@
 		}
 		eps = append(eps, ep)
 	}
+	t.inputs.Ready = ready
 	if ready == 0 {
 		return nil, NoTarget
 	}
@@ -179,23 +182,29 @@
 // The caller holds the mutex.
 func (d *Dispatcher) admit(t *try, ep *endpoint) (*endpoint, Reason) {
 	now := clock.Now()
-	left := t.req.Deadline - now
-	share := max(timeShare-priorityStep*float64(t.req.Route.Priority), leastShare)
+	slots := max(ep.record.Slots, 1)
+	load := ep.estimate.Load()
 	expected := ep.estimate.Completion(now, d.service(ep.record.Service).usual)
-	queued := ep.estimate.Load() >= max(ep.record.Slots, 1)
-	if ep.estimate.Running >= ep.limit || ep.estimate.Load() >= queueFactor*max(ep.record.Slots, 1) {
-		return nil, Full
-	}
-	if queued && expected > time.Duration(share*float64(left)) {
-		return nil, Full
-	}
-	if objective := t.req.Route.Objective; queued && objective > 0 && expected > time.Duration(objectiveShare*float64(objective)) {
+	queued := load >= slots && expected > queueTime(t.req, now)
+	if queued || ep.estimate.Running >= ep.limit || load >= queueFactor*slots {
+		t.inputs.Load, t.inputs.Slots, t.inputs.Expected = load, slots, expected
 		return nil, Full
 	}
 	ep.estimate.Running++
 	return ep, ""
 }
 
+// queueTime is the time within which a request that has to queue must be expected
+// to end.
+func queueTime(r *Request, now time.Duration) time.Duration {
+	share := max(timeShare-priorityStep*float64(r.Route.Priority), leastShare)
+	limit := time.Duration(share * float64(r.Deadline-now))
+	if r.Route.Objective > 0 {
+		limit = min(limit, time.Duration(objectiveShare*float64(r.Route.Objective)))
+	}
+	return limit
+}
+
 func (d *Dispatcher) unreserve(ep *endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -73,9 +73,33 @@
 	NoConfig    Reason = "no configuration known"
 )
 
+// Reasons returns all reasons.
+func Reasons() []Reason {
+	return []Reason{
+		NoTarget, NoOwner, NoKey, Full, OutOfTime, Unreachable, Replaced, OverBudget, NotHolding, Lost, BadAnswer,
+		CallerLeft, NoConfig,
+	}
+}
+
+// Inputs are what the last choice of a target went by.
+type Inputs struct {
+	ConfigVersion uint64
+	// TableRev is the store's revision of the range table; 0 without keys.
+	TableRev int64
+	// CopyAge is the age of the copy of the store.
+	CopyAge time.Duration
+	// Ready is the number of targets that a request without a key could go to.
+	Ready int
+	// Load and Slots are those of the target that was too busy, and Expected is
+	// how long the request would have taken there.
+	Load, Slots int
+	Expected    time.Duration
+}
+
 // Refusal is the end of a request without an answer of a target.
 type Refusal struct {
 	Reason Reason
+	Inputs Inputs
 	// MayHaveRun is false if the request certainly did not run and never will.
 	MayHaveRun bool
 	RetryAfter time.Duration
@@ -141,6 +165,7 @@
 	mayHaveRun bool
 	failure    *upstream.Answer // the last failure that a target answered
 	last       Refusal
+	inputs     Inputs
 }
 
 // Do returns the answer of a target, or why there is none.
@@ -183,6 +208,7 @@
 	}
 	r.MayHaveRun = t.mayHaveRun
 	r.Sends = t.sends
+	r.Inputs = t.inputs
 	if !r.MayHaveRun && r.RetryAfter == 0 {
 		r.RetryAfter = d.comeBack(r.Reason)
 	}
--- a/internal/edge/front/handler.go
+++ b/internal/edge/front/handler.go
@@ -186,10 +186,21 @@
 	}
 	h.Log.Info("request refused", "request", r.Header.Get(h.Names.RequestID), "route", result.Route, "service", result.Service,
 		"status", status, "reason", string(f.Reason), "may_have_run", f.MayHaveRun, "sends", f.Sends, "target", f.Target,
-		"took_ms", result.Took.Milliseconds(), "left_ms", left.Milliseconds(), "error", f.Cause)
+		"took_ms", result.Took.Milliseconds(), "left_ms", left.Milliseconds(), keyOf(req),
+		"config_version", f.Inputs.ConfigVersion, "table_revision", f.Inputs.TableRev, "copy_age_ms", f.Inputs.CopyAge.Milliseconds(),
+		"ready_targets", f.Inputs.Ready, "load", f.Inputs.Load, "slots", f.Inputs.Slots,
+		"expected_ms", f.Inputs.Expected.Milliseconds(), "error", f.Cause)
 	h.finish(w, status, result)
 }
 
+// keyOf is the attribute with the request's key; null without one.
+func keyOf(req *dispatch.Request) slog.Attr {
+	if req == nil || !req.HasKey {
+		return slog.Any("key", nil)
+	}
+	return slog.Int("key", int(req.Key))
+}
+
 // statusOf returns the status of a refusal. Only 503 promises that the request
 // has not run.
 func statusOf(f *dispatch.Refusal) int {
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -104,6 +104,9 @@
 // Current returns the present view.
 func (k *Keeper) Current() *View { return k.current.Load() }
 
+// Age returns how old the copy of the store is that views are made from.
+func (k *Keeper) Age() time.Duration { return clock.Now() - k.status().Heard }
+
 // Changed returns a channel that is closed when the next view is there.
 func (k *Keeper) Changed() <-chan struct{} { return *k.changed.Load() }
 
--- /dev/null
+++ b/internal/explain/advice.go
@@ -0,0 +1,61 @@
+package explain
+
+import "github.com/jackdawloom/jackdawloom/internal/edge/dispatch"
+
+// advice is what a reason means, and what to read next.
+type advice struct{ cause, next string }
+
+var advices = map[dispatch.Reason]advice{
+	dispatch.NoTarget: {
+		"no target of the service was registered and ready",
+		"look for 'target draining' and 'target gone'; without any, the service's targets do not reach the store",
+	},
+	dispatch.NoOwner: {
+		"the key's range had no owner in the table of this daemon",
+		"look for 'release ended' and 'range table written' at the coordinator; a range of a target that fell silent is free only once its last grant has run out",
+	},
+	dispatch.NoKey: {
+		"the service is divided by keys and the request has none",
+		"the caller has to send the key",
+	},
+	dispatch.Full: {
+		"the targets that could run the request were too busy to end it in time",
+		"compare load, slots and expected_ms; for a service with keys only the owner counts, and a single key too busy for one target cannot be moved",
+	},
+	dispatch.OutOfTime: {
+		"the time that the caller or the route allows was over",
+		"compare took_ms with the sends before: a slow target, or a caller with little time",
+	},
+	dispatch.Unreachable: {
+		"no connection to the target could be opened, so nothing was sent",
+		"look for 'target gone' of the target shortly after; several targets at once mean a cut on the way",
+	},
+	dispatch.Replaced: {
+		"another target answered at the address",
+		"the address was given to a new target before the registration of the old one ended",
+	},
+	dispatch.OverBudget: {
+		"the second sends that all daemons may make were used up",
+		"look at jackdawloom_repeat_budget_left and at the reasons of the first sends of that time",
+	},
+	dispatch.NotHolding: {
+		"the owner in the table of this daemon did not hold the key",
+		"compare table_revision with 'range table written' at the coordinator; with the same revision look for 'grant without success' of the target",
+	},
+	dispatch.Lost: {
+		"the connection ended after the request was written; whether it ran is unknown",
+		"only the target's own log can tell whether the request ran",
+	},
+	dispatch.BadAnswer: {
+		"the target failed, or its answer was not usable",
+		"read the status in 'send without success'; 500 and 504 are the target's own",
+	},
+	dispatch.CallerLeft: {
+		"the caller closed its connection before the answer",
+		"compare took_ms with the service's usual time: slow targets make callers leave",
+	},
+	dispatch.NoConfig: {
+		"the daemon had read no configuration yet",
+		"look for 'daemon started' and 'store reached' of this daemon",
+	},
+}
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,145 @@
+package explain
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/edge/dispatch"
+)
+
+// ErrNotFound reports a request that no line names.
+var ErrNotFound = errors.New("no line names the request")
+
+const (
+	// before and after bound the time around the request in which other lines may
+	// explain it: a grant of a lost target lasts about four seconds.
+	before = 4 * time.Second
+	after  = time.Second
+	// maxRelated bounds the other lines; the nearest in time are kept.
+	maxRelated = 40
+)
+
+// endMessage ends a request that no target answered well.
+const endMessage = "request refused"
+
+// Story is what became of a request.
+type Story struct {
+	Request string `json:"request"`
+	// Own are the lines that name the request, and Related those that may explain
+	// them, both by time.
+	Own     []Line `json:"own"`
+	Related []Line `json:"related"`
+	// Cause and Next are empty if the request did not end with a refusal.
+	Cause      string       `json:"cause,omitempty"`
+	Next       string       `json:"next,omitempty"`
+	Status     int          `json:"status,omitempty"`
+	Reason     string       `json:"reason,omitempty"`
+	MayHaveRun bool         `json:"may_have_run"`
+	Omitted    int          `json:"lines_omitted"`
+	Unreadable []Unreadable `json:"unreadable,omitempty"`
+}
+
+// Explain returns the story of a request. The error is ErrNotFound if no line names
+// it; the story then holds only what is known of the lines.
+func (l *Log) Explain(id string) (Story, error) {
+	s := Story{Request: id, Unreadable: l.Unreadable}
+	for _, line := range l.Lines {
+		s.Omitted += line.Omitted
+		if line.Request == id {
+			s.Own = append(s.Own, line)
+		}
+	}
+	if len(s.Own) == 0 {
+		return s, fmt.Errorf("%w: %s in %d lines of %d files", ErrNotFound, id, len(l.Lines), len(l.sources))
+	}
+	sortByTime(s.Own)
+	for _, line := range s.Own {
+		if line.Message == endMessage {
+			s.conclude(line)
+		}
+	}
+	s.Related = l.related(s.Own)
+	return s, nil
+}
+
+func (s *Story) conclude(end Line) {
+	a := advices[dispatch.Reason(end.Reason)]
+	s.Status, s.Reason, s.MayHaveRun, s.Cause, s.Next = end.Status, end.Reason, end.MayHaveRun, a.cause, a.next
+}
+
+// subject is what the lines of a request are about.
+type subject struct {
+	sources, targets, services map[string]bool
+	key                        *uint16
+}
+
+func subjectOf(own []Line) subject {
+	s := subject{sources: make(map[string]bool), targets: make(map[string]bool), services: make(map[string]bool)}
+	for _, line := range own {
+		s.sources[line.Source] = true
+		if line.Target != "" {
+			s.targets[line.Target] = true
+		}
+		if line.Service != "" {
+			s.services[line.Service] = true
+		}
+		if line.Key != nil {
+			s.key = line.Key
+		}
+	}
+	return s
+}
+
+// beliefs are messages about what the daemon of the request believed.
+var beliefs = map[string]bool{
+	"daemon started": true, "stopping": true, "daemon stopped": true, "settings in force": true,
+	"configuration in force": true, "store reached": true, "store not reached": true,
+	"hub not used; reading the store": true, "hub silent; choosing another": true,
+	"store discarded its history; reading everything again": true,
+}
+
+// leases are messages about who assigns keys, wherever they were written.
+var leases = map[string]bool{
+	"coordinator's lease won": true, "coordinator's lease lost": true, "coordinator's lease given back": true,
+	"coordinator's lease not renewed; extending grants": true, "range table written": true, "range table not written": true,
+}
+
+// concerns reports whether a line may explain the subject.
+func (s subject) concerns(line Line) bool {
+	switch {
+	case line.Request != "":
+		return false
+	case line.From != nil && line.To != nil:
+		return s.key != nil && s.services[line.Service] && *line.From <= *s.key && *s.key <= *line.To
+	case leases[line.Message]:
+		return s.key != nil && (line.Service == "" || s.services[line.Service])
+	case line.Message == "range table in force":
+		return s.sources[line.Source] && s.services[line.Service]
+	case beliefs[line.Message]:
+		return s.sources[line.Source]
+	default:
+		return s.sources[line.Source] && s.targets[line.Target]
+	}
+}
+
+// related returns the lines of other events that may explain the request's.
+func (l *Log) related(own []Line) []Line {
+	s := subjectOf(own)
+	first, last := own[0].Time, own[len(own)-1].Time
+	var out []Line
+	for _, line := range l.Lines {
+		if line.Time.Before(first.Add(-before)) || line.Time.After(last.Add(after)) || !s.concerns(line) {
+			continue
+		}
+		out = append(out, line)
+	}
+	if len(out) > maxRelated {
+		distance := func(line Line) time.Duration { return last.Sub(line.Time).Abs() }
+		slices.SortStableFunc(out, func(a, b Line) int { return int(distance(a) - distance(b)) })
+		out = out[:maxRelated]
+	}
+	sortByTime(out)
+	return out
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,125 @@
+package explain
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/edge/dispatch"
+)
+
+// logLine returns a log line some milliseconds after a fixed time.
+func logLine(ms int, message, attributes string) string {
+	at := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC).Add(time.Duration(ms) * time.Millisecond)
+	return fmt.Sprintf(`{"time":%q,"level":"INFO","msg":%q%s}`, at.Format(time.RFC3339Nano), message, attributes) + "\n"
+}
+
+func readAll(t *testing.T, files map[string]string, names ...string) *Log {
+	t.Helper()
+	var l Log
+	for _, name := range names {
+		if err := l.Read(name, strings.NewReader(files[name])); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return &l
+}
+
+func messages(lines []Line) string {
+	var out []string
+	for _, l := range lines {
+		out = append(out, l.Source+": "+l.Message)
+	}
+	return strings.Join(out, "; ")
+}
+
+// Guards against a story that lacks the events which explain a refusal, or drowns
+// them in those of other keys, services and times.
+func TestExplainFindsWhatConcernsTheRequest(t *testing.T) {
+	files := map[string]string{
+		"edge": logLine(1000, "send without success", `,"request":"r1","service":"s","target":"t1","reason":"owner does not hold the key","status":421`) +
+			logLine(1100, "request refused", `,"request":"r1","service":"s","target":"t1","status":503,"reason":"owner does not hold the key","sends":1,"key":70`) +
+			logLine(900, "range table in force", `,"service":"s","revision":5`) +
+			logLine(900, "range table in force", `,"service":"other","revision":6`) +
+			logLine(950, "target draining", `,"service":"s","target":"t1"`) +
+			logLine(951, "target draining", `,"service":"s","target":"t2"`) +
+			logLine(990, "request refused", `,"request":"r2","service":"s","status":503,"reason":"targets full"`),
+		"coordinator": "2026 host-7 " + logLine(800, "release ended", `,"service":"s","target":"t1","from":50,"to":80,"released":true`) +
+			logLine(800, "release ended", `,"service":"s","target":"t1","from":81,"to":90,"released":true`) +
+			logLine(-60000, "coordinator's lease won", `,"term":3`) +
+			logLine(700, "coordinator's lease won", `,"term":4`) +
+			logLine(850, "store not reached", ``),
+	}
+	s, err := readAll(t, files, "edge", "coordinator").Explain("r1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := messages(s.Own), "edge: send without success; edge: request refused"; got != want {
+		t.Errorf("own lines are %s, want %s", got, want)
+	}
+	want := "coordinator: coordinator's lease won; host-7: release ended; edge: range table in force; edge: target draining"
+	if got := messages(s.Related); got != want {
+		t.Errorf("related lines are\n%s, want\n%s", got, want)
+	}
+	if s.Status != 503 || s.Reason != string(dispatch.NotHolding) || s.MayHaveRun || s.Cause == "" || s.Next == "" {
+		t.Errorf("conclusion is %+v", s)
+	}
+}
+
+// Guards against a line that cannot be read hiding the others, or itself.
+func TestUnreadableLinesAreNamedWithTheirPlace(t *testing.T) {
+	files := map[string]string{
+		"a.log": "panic: something\n\n" + logLine(1, "request refused", `,"request":"r1","reason":"targets full"`) +
+			`{"time":"2026-01-02T03:04:05Z","msg":` + "\n" + `{"level":"INFO"}` + "\n",
+	}
+	l := readAll(t, files, "a.log")
+	s, err := l.Explain("r1")
+	if err != nil || len(s.Own) != 1 {
+		t.Fatalf("%d lines, %v", len(s.Own), err)
+	}
+	var places []string
+	for _, u := range s.Unreadable {
+		places = append(places, u.Place)
+	}
+	if got, want := strings.Join(places, " "), "a.log:1 a.log:4 a.log:5"; got != want {
+		t.Errorf("unreadable lines at %s, want %s", got, want)
+	}
+}
+
+// Guards against an unknown request that looks like one without troubles.
+func TestExplainOfUnknownRequest(t *testing.T) {
+	files := map[string]string{"a": logLine(1, "request refused", `,"request":"r1","omitted_before":7`)}
+	s, err := readAll(t, files, "a").Explain("r9")
+	if !errors.Is(err, ErrNotFound) || s.Omitted != 7 {
+		t.Errorf("got %+v, %v", s, err)
+	}
+}
+
+// Guards against a reason that operators are told nothing about.
+func TestEveryReasonHasAdvice(t *testing.T) {
+	for _, r := range dispatch.Reasons() {
+		if a := advices[r]; a.cause == "" || a.next == "" {
+			t.Errorf("reason %q has no advice", r)
+		}
+	}
+	if len(advices) != len(dispatch.Reasons()) {
+		t.Errorf("advice for %d reasons, there are %d", len(advices), len(dispatch.Reasons()))
+	}
+}
+
+// Guards against a story that is too long to read: the nearest lines are kept.
+func TestRelatedLinesAreBounded(t *testing.T) {
+	text := logLine(3000, "request refused", `,"request":"r1","service":"s","key":7`)
+	for ms := range 3000 {
+		text += logLine(ms, "range table in force", `,"service":"s"`)
+	}
+	s, err := readAll(t, map[string]string{"a": text}, "a").Explain("r1")
+	if err != nil || len(s.Related) != maxRelated {
+		t.Fatalf("%d related lines, %v", len(s.Related), err)
+	}
+	if first := s.Related[0].Time; s.Own[0].Time.Sub(first) > time.Second {
+		t.Errorf("oldest line kept is of %v, the request of %v", first, s.Own[0].Time)
+	}
+}
