Wait for the move of a key instead of asking its old owner again

Cause: a request whose owner no longer held its key was sent again after any change of the view, or 60 ms, up to six times; releases wait for running requests and often take longer, so that most of these sends were refused as well and used up the budget of second sends.

Change: it waits until the key's owner changes, at most 160 ms, and is sent four times at most.

--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -30,12 +30,13 @@
 // choose reserves a place at a target for the request's next send.
 func (d *Dispatcher) choose(ctx context.Context, t *try) (*endpoint, *Refusal) {
 	if t.sends > 0 && (t.last.Reason == NotHolding || t.last.Reason == Unreachable && d.keyed(t.req.Service)) {
-		d.waitChange(ctx, moveDelay)
+		d.waitMove(ctx, t)
 	}
 	for {
 		if ctx.Err() != nil {
 			return nil, &Refusal{Reason: CallerLeft}
 		}
+		changed := d.config.Views.Changed()
 		v := d.config.Views.Current()
 		t.inputs = Inputs{ConfigVersion: v.Config.Version, CopyAge: d.config.Views.Age()}
 		if t.req.Deadline-clock.Now() < leastLeft {
@@ -55,15 +56,30 @@
 		if reason != NoOwner || waited >= ownerWait {
 			return nil, &Refusal{Reason: reason}
 		}
-		d.waitChange(ctx, ownerWait-waited)
+		wait(ctx, changed, ownerWait-waited)
 	}
 }
 
-func (d *Dispatcher) waitChange(ctx context.Context, limit time.Duration) {
+// waitMove waits until the key has another owner than the one that did not hold it,
+// or might have got its grant by now.
+func (d *Dispatcher) waitMove(ctx context.Context, t *try) {
+	end := clock.Now() + moveDelay
+	for left := moveDelay; left > 0 && ctx.Err() == nil; left = end - clock.Now() {
+		changed := d.config.Views.Changed()
+		table := d.config.Views.Current().Tables[t.req.Service]
+		if table != nil && table.Lookup(t.req.Key).Fence != t.fence {
+			return
+		}
+		wait(ctx, changed, left)
+	}
+}
+
+// wait waits for a channel to be closed.
+func wait(ctx context.Context, changed <-chan struct{}, limit time.Duration) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
-	case <-d.config.Views.Changed():
+	case <-changed:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -79,6 +95,7 @@
 	}
 	t.inputs.TableRev = table.Rev
 	span := table.Lookup(t.req.Key)
+	t.fence = span.Fence
 	record, known := v.Targets.Get(span.Owner)
 	if !span.Owned() || !known || record.Life() != span.Life() || record.State == target.Draining {
 		return nil, NoOwner
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -26,9 +26,12 @@
 	// ownerWait is how long a request waits for its key's owner to be named.
 	// A planned move of keys without running requests takes less.
 	ownerWait = 200 * time.Millisecond
-	// moveDelay is the pause before a request is sent again to an owner that has
-	// not got its grant yet.
-	moveDelay = 60 * time.Millisecond
+	// moveDelay is the pause before a request is sent again to an owner that did
+	// not hold the key, if the key gets no other owner meanwhile. Releases wait for
+	// running requests, which usually takes several times as long as one request.
+	moveDelay = 160 * time.Millisecond
+	// ownerSends bounds the sends of a request to owners that do not hold its key.
+	ownerSends = 4
 	// leastLeft is the time that a request must have left to be sent.
 	leastLeft = 15 * time.Millisecond
 	// answerSlack is how much longer than the caller's time an answer is waited
@@ -166,6 +169,7 @@
 	failure    *upstream.Answer // the last failure that a target answered
 	last       Refusal
 	inputs     Inputs
+	fence      uint64 // that of the key's owner at the last choice
 }
 
 // Do returns the answer of a target, or why there is none.
@@ -297,6 +301,9 @@
 		return len(t.targets) < t.req.Route.MaxAttempts
 	}
 	// There is one owner. While it is full, callers come back later.
+	if v.reason == NotHolding && t.sends >= ownerSends {
+		return false
+	}
 	return v.reason != Full && (len(t.targets) < t.req.Route.MaxAttempts || v.kind == notRun)
 }
 
--- /dev/null
+++ b/internal/edge/dispatch/move_test.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/edge/view"
+	"github.com/jackdawloom/jackdawloom/internal/state/ranges"
+	"github.com/jackdawloom/jackdawloom/internal/state/route"
+	"github.com/jackdawloom/jackdawloom/internal/state/target"
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/topo/mirror"
+)
+
+// noDocuments reads no document of operators and targets.
+type noDocuments struct{}
+
+func (noDocuments) ConfigKey() string                    { return "config" }
+func (noDocuments) TargetsPrefix() string                { return "targets/" }
+func (noDocuments) Config([]byte) (*route.Config, error) { return nil, topo.ErrBadReply }
+func (noDocuments) Target(string, []byte) (target.Record, error) {
+	return target.Record{}, topo.ErrBadReply
+}
+
+// tableWith returns the change that writes a table.
+func tableWith(t *testing.T, table ranges.Table, rev int64) mirror.Change {
+	t.Helper()
+	b, err := table.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return mirror.Change{Entries: []topo.Entry{{Key: view.RangesKey("s"), Value: b, CreateRev: 1, ModRev: rev}}}
+}
+
+// Guards against a request that is sent to the same owner again and again while
+// its key moves, which uses up the budget of second sends; and against one that
+// waits although its key has a new owner.
+func TestWaitsForTheMoveOfItsKey(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		moved uint16 // key that gets another owner meanwhile
+		wakes bool
+	}{
+		{"another key moves", 900, false},
+		{"its key moves", 70, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			views := view.NewKeeper(noDocuments{}, slog.New(slog.DiscardHandler), func() mirror.Status { return mirror.Status{Up: true} })
+			table := ranges.Empty()
+			table.Assign(0, 100, target.Life{ID: "a", Born: 1})
+			views.Apply(tableWith(t, table, 2))
+			table.Assign(c.moved, c.moved, target.Life{ID: "b", Born: 1})
+			change := tableWith(t, table, 3)
+			d := New(Config{Views: views})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			time.AfterFunc(time.Millisecond, func() { views.Apply(change) })
+			if c.wakes {
+				d.waitMove(ctx, &try{req: &Request{Service: "s", Key: 70}, fence: 1})
+				if got := views.Current().Tables["s"].Rev; got != 3 {
+					t.Errorf("went on with table %d, want 3", got)
+				}
+				return
+			}
+			start := clock.Now()
+			d.waitMove(ctx, &try{req: &Request{Service: "s", Key: 70}, fence: 1})
+			if took := clock.Now() - start; took < moveDelay {
+				t.Errorf("waited %v, want %v", took, moveDelay)
+			}
+		})
+	}
+}
+
+// Guards against a caller that has left and is still waited for.
+func TestStopsWaitingForACallerThatLeft(t *testing.T) {
+	views := view.NewKeeper(noDocuments{}, slog.New(slog.DiscardHandler), func() mirror.Status { return mirror.Status{} })
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	start := clock.Now()
+	New(Config{Views: views}).waitMove(ctx, &try{req: &Request{Service: "s"}})
+	if took := clock.Now() - start; took >= moveDelay {
+		t.Errorf("waited %v for nobody", took)
+	}
+}
