Go on coordinating when the lease stood still in a store that was down

Cause: leases may stand still while the store is down. The coordinator gave up when its lease had run out by its own clock, so that nobody coordinated for two seconds after the store's return, and the successor had to wait ten seconds for the keys of targets lost meanwhile, as it cannot know what was granted.

Change: the coordinator sends nothing from then on but keeps its knowledge, tries to renew, and goes on if the renewal succeeds and its key stands unchanged. It stops at once when a later coordinator's key is seen.

--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -79,12 +78,8 @@
 	keepAt   time.Duration
 	keeping  bool
 	writes   int
-	holds    atomic.Bool
 }
 
-// Holds reports whether this daemon holds the lease.
-func (c *Coordinator) Holds() bool { return c.holds.Load() }
-
 // Holder returns the name of the daemon that holds the lease, or "".
 func Holder(v *view.View) string {
 	var holder Identity
@@ -148,7 +143,6 @@
 		case <-timer.C:
 		}
 		c.step(ctx)
-		c.holds.Store(c.term != nil)
 		timer.Reset(c.pause())
 	}
 }
@@ -174,12 +168,29 @@
 		c.stand(ctx, v)
 		return
 	}
-	if !c.term.valid(now) {
-		c.lost("lease ran out")
+	if c.term.superseded(v, c.config.Self) {
+		c.lost("another daemon holds it")
 		return
 	}
 	c.renew(ctx, now)
-	c.assign(ctx, v, now)
+	if c.confirmed(now) {
+		c.assign(ctx, v, now)
+	}
+}
+
+// confirmed reports whether the lease certainly still runs. While the store is down
+// leases may stand still there, so that the lease may be confirmed again later. As
+// nobody else can have coordinated until then, what is known of grants still holds.
+func (c *Coordinator) confirmed(now time.Duration) bool {
+	valid := c.term.valid(now)
+	switch {
+	case !valid && !c.term.dormant:
+		c.config.Log.Warn("coordinator's lease may have run out; assigning nothing", "term", c.term.rev)
+	case valid && c.term.dormant:
+		c.config.Log.Info("coordinator's lease confirmed again", "term", c.term.rev)
+	}
+	c.term.dormant = !valid
+	return valid
 }
 
 // remember keeps the addresses of targets, also of those that are gone.
@@ -284,8 +295,12 @@
 	}
 	c.keeping = true
 	t := c.term
+	keep := c.election.keep
+	if t.dormant {
+		keep = c.election.confirm
+	}
 	go func() {
-		until, err := c.election.keep(ctx, t.lease)
+		until, err := keep(ctx, t)
 		c.put(func() { c.renewed(t, until, err) })
 	}()
 }
@@ -300,6 +315,9 @@
 	case errors.Is(err, topo.ErrLeaseNotFound):
 		c.lost("store ended it")
 		return
+	case err != nil && t.dormant:
+		c.keepAt = now + keepEvery
+		return
 	case err != nil:
 		c.keepAt = now + keepEvery/4
 		c.config.Log.Warn("coordinator's lease not renewed; extending grants", "term", t.rev, "left_ms", (t.until - now).Milliseconds(), "error", err)
--- a/internal/edge/coordinator/election.go
+++ b/internal/edge/coordinator/election.go
@@ -46,11 +46,22 @@
 	// rev is the revision of the coordinator's key, a condition of all writes.
 	rev   int64
 	until time.Duration
+	// dormant tells that the lease may have run out. Nothing is sent then.
+	dormant bool
 }
 
 // valid reports whether the lease certainly still runs at a time.
 func (t *term) valid(now time.Duration) bool { return t != nil && now < t.until-leaseMargin }
 
+// superseded reports whether the view shows a later coordinator.
+func (t *term) superseded(v *view.View, self Identity) bool {
+	if !v.Coordinator.Exists() || v.Coordinator.ModRev <= t.rev {
+		return false
+	}
+	var holder Identity
+	return cbor.Unmarshal(v.Coordinator.Value, &holder) != nil || holder != self
+}
+
 // election wins and keeps the lease.
 type election struct {
 	store topo.Store
@@ -112,14 +123,28 @@
 }
 
 // keep renews the lease and returns when it will run out.
-func (e *election) keep(ctx context.Context, lease topo.LeaseID) (time.Duration, error) {
+func (e *election) keep(ctx context.Context, t *term) (time.Duration, error) {
 	sent := clock.Now()
-	if err := e.store.KeepAlive(ctx, lease); err != nil {
+	if err := e.store.KeepAlive(ctx, t.lease); err != nil {
 		return 0, err
 	}
 	return sent + leaseTTL, nil
 }
 
+// confirm renews a lease that may have run out. A store can take a lease's keys away
+// and still renew it, so the key has to stand unchanged after that.
+func (e *election) confirm(ctx context.Context, t *term) (time.Duration, error) {
+	until, err := e.keep(ctx, t)
+	if err != nil {
+		return 0, err
+	}
+	stored, err := e.store.Get(ctx, view.CoordinatorKey)
+	if err == nil && stored.ModRev != t.rev {
+		err = topo.ErrLeaseNotFound
+	}
+	return until, err
+}
+
 func (e *election) end(ctx context.Context, lease topo.LeaseID) {
 	if err := e.store.RevokeLease(ctx, lease); err != nil {
 		e.log.Info("lease not ended; it runs out by itself", "lease", int64(lease), "error", err)
