Start with a seed's copy while the store is down

Change: the role serves control, so that settings name seeds; a daemon that knows of no other and does not reach the store takes the copy of a seed, up to 15 s old, and goes on reading as usual.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,6 +5,8 @@
 import (
 	"crypto/rand"
 	"log/slog"
+	"net/netip"
+	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +27,9 @@
 	Name, Domain string
 	// Callers, Ready and Peers are the addresses that the daemon listens at.
 	Callers, Ready, Peers string
+	// Seeds are peer addresses of daemons that may have a copy of the store when
+	// this one starts and does not reach it.
+	Seeds []netip.AddrPort
 	// Metrics is the address of the metrics; empty for none.
 	Metrics string
 	// Capacity is the instance's share of work in its fleet. The strongest instance
@@ -86,6 +91,7 @@
 	d.views = view.NewKeeper(o.Documents, o.Log, func() mirror.Status { return d.mirror.Status() })
 	d.hubs = peers.NewHubs()
 	feed := peers.NewFeed(o.Settings.Name, o.Settings.Domain, o.Store, d.hubs, d.peers, o.Log)
+	feed.Seeds = o.Settings.Seeds
 	relay := peers.NewRelay(o.Settings.Name, o.Store, d.hubs, d.peers, o.Log)
 	d.mirror = mirror.New(feed, "", o.Log, d.views.Apply)
 	d.sender = dispatch.New(dispatch.Config{
@@ -118,5 +124,5 @@
 	fixed := d.options.Settings
 	fixed.Grace, fixed.Repeats = s.Grace, s.Repeats
 	d.log.Info("settings in force", "grace_ms", s.Grace.Milliseconds(), "repeat_ratio", s.Repeats.Ratio,
-		"repeat_slack", s.Repeats.Slack, "restart_needed", fixed != s)
+		"repeat_slack", s.Repeats.Slack, "restart_needed", !reflect.DeepEqual(fixed, s))
 }
--- a/internal/edge/peers/feed.go
+++ b/internal/edge/peers/feed.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -24,11 +25,17 @@
 	// with feedTimeout and the reading of the store itself it stays within the two
 	// seconds in which a change must be in force.
 	maxAge = 900 * time.Millisecond
+	// maxSeedAge is the age up to which a daemon that knows nothing starts with
+	// another one's copy. It is above the outages of the store that are usual, of up
+	// to ten seconds.
+	maxSeedAge = 15 * time.Second
 	// feedSlack is how much longer than its wait a call to a hub may take.
 	feedSlack   = 300 * time.Millisecond
 	feedDial    = 200 * time.Millisecond
 	maxFeedSize = 8 << 20
 	feedPath    = "/feed"
+	// anyAge is the parameter of a call that takes a copy of any age.
+	anyAge = "any-age"
 	// hubWait is how long a hub waits for changes at the first hub. It adds to the
 	// age of the copy that its domain reads, which must stay below maxAge.
 	hubWait = 250 * time.Millisecond
@@ -52,8 +59,10 @@
 	Store        topo.Feed
 	Hubs         *Hubs
 	Peers        func() []Peer
-	Log          *slog.Logger
-	client       *http.Transport
+	// Seeds are asked for their copy by a daemon that starts without the store.
+	Seeds  []netip.AddrPort
+	Log    *slog.Logger
+	client *http.Transport
 }
 
 // NewFeed returns a Feed of the daemon with the given name.
@@ -80,7 +89,7 @@
 // Snapshot implements topo.Feed.
 func (f *Feed) Snapshot(ctx context.Context, prefix string) ([]topo.Entry, topo.Progress, error) {
 	if hub, ok := f.source(); ok {
-		reply, err := f.call(ctx, hub, "", feedSlack*2)
+		reply, err := f.call(ctx, hub.Address, "", maxAge, feedSlack*2)
 		if err == nil {
 			return reply.Entries, topo.Progress{Rev: reply.At, Age: reply.Age}, nil
 		}
@@ -88,9 +97,27 @@
 	}
 	entries, progress, err := f.Store.Snapshot(ctx, prefix)
 	f.noteStore(ctx, err)
+	if err != nil && len(f.Peers()) == 0 {
+		if reply, ok := f.fromSeeds(ctx); ok {
+			return reply.Entries, topo.Progress{Rev: reply.At, Age: reply.Age}, nil
+		}
+	}
 	return entries, progress, err
 }
 
+// fromSeeds returns the copy of a daemon that need not reach the store either.
+func (f *Feed) fromSeeds(ctx context.Context) (*feedReply, bool) {
+	for _, address := range f.Seeds {
+		reply, err := f.call(ctx, address, "?"+anyAge+"=1", maxSeedAge, feedSlack)
+		if err == nil {
+			f.Log.Info("started with the copy of another daemon", "daemon", address.String(), "age_ms", reply.Age.Milliseconds(), "revision", reply.At)
+			return reply, true
+		}
+		f.Log.Info("daemon has no copy to start with", "daemon", address.String(), "error", err)
+	}
+	return nil, false
+}
+
 // Changes implements topo.Feed.
 func (f *Feed) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]topo.Event, topo.Progress, error) {
 	if hub, ok := f.source(); ok {
@@ -98,7 +125,7 @@
 			wait = min(wait, hubWait)
 		}
 		query := "?after=" + strconv.FormatInt(after, 10) + "&wait=" + strconv.FormatInt(wait.Milliseconds(), 10)
-		reply, err := f.call(ctx, hub, query, wait+feedSlack)
+		reply, err := f.call(ctx, hub.Address, query, maxAge, wait+feedSlack)
 		if err == nil {
 			events := make([]topo.Event, len(reply.Entries))
 			for i, e := range reply.Entries {
@@ -132,10 +159,11 @@
 	f.Hubs.Failed(hub.Name)
 }
 
-func (f *Feed) call(ctx context.Context, hub Peer, query string, timeout time.Duration) (*feedReply, error) {
+// call reads from a daemon whose copy is at most so old.
+func (f *Feed) call(ctx context.Context, address netip.AddrPort, query string, oldest, timeout time.Duration) (*feedReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+hub.Address.String()+feedPath+query, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+feedPath+query, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -157,7 +185,7 @@
 	if err := cbor.Unmarshal(body, &reply); err != nil {
 		return nil, fmt.Errorf("%w: %w", topo.ErrBadReply, err)
 	}
-	if reply.Age > maxAge {
+	if reply.Age > oldest {
 		return nil, fmt.Errorf("%w: %v old", errNotHub, reply.Age)
 	}
 	return &reply, nil
@@ -173,13 +201,14 @@
 
 // ServeHTTP implements http.Handler.
 func (h *FeedHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !h.Mirror.Status().Up {
+	query := r.URL.Query()
+	old := query.Has(anyAge) && h.Mirror.Status().Rev > 0
+	if !h.Mirror.Status().Up && !old {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	var reply feedReply
 	var err error
-	query := r.URL.Query()
 	after, parseErr := strconv.ParseInt(query.Get("after"), 10, 64)
 	if parseErr != nil {
 		reply.Entries, reply.At = h.Mirror.All()
@@ -195,7 +224,7 @@
 	case errors.Is(err, topo.ErrCompacted):
 		w.WriteHeader(http.StatusGone)
 		return
-	case err != nil || !h.Mirror.Status().Up:
+	case err != nil || !h.Mirror.Status().Up && !old:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/edge/peers/feed_test.go
+++ b/internal/edge/peers/feed_test.go
@@ -168,3 +168,29 @@
 	f.await(t, f.state.change(), inForce, -1)
 	f.await(t, f.state.change(), inForce, -1)
 }
+
+// Guards against a daemon that starts while the store is down and refuses all
+// callers until its return, although others have a copy.
+func TestStartsWithTheCopyOfASeed(t *testing.T) {
+	f := startFeeds(t, 3, 1)
+	f.await(t, 1, 5*time.Second, -1)
+	for _, s := range f.stores {
+		s.down.Store(true)
+	}
+	time.Sleep(time.Second) // nobody reaches the store any more
+	alone := &countedStore{shared: f.state}
+	alone.down.Store(true)
+	log := slog.New(slog.DiscardHandler)
+	feed := NewFeed("new", "z0", alone, NewHubs(), func() []Peer { return nil }, log)
+	if _, _, err := feed.Snapshot(context.Background(), ""); err == nil {
+		t.Error("a copy without the store and without seeds")
+	}
+	feed.Seeds = []netip.AddrPort{freePort(t), netip.MustParseAddrPort(strings.TrimPrefix(f.servers[1].URL, "http://"))}
+	entries, progress, err := feed.Snapshot(context.Background(), "")
+	if err != nil || len(entries) != 1 || progress.Rev != 1 {
+		t.Fatalf("%d entries at revision %d, %v", len(entries), progress.Rev, err)
+	}
+	if progress.Age < 500*time.Millisecond {
+		t.Errorf("copy is said to be %v old, nobody reached the store for a second", progress.Age)
+	}
+}
