Call the store once for each try while it is down; split what grew

Cause: while the store was down for all, a renewal went through two daemons, to the store, and through the two daemons again; refused calls are charged for.

Change: the daemons are not asked a second time.

--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -182,21 +181,6 @@
 	}
 }
 
-// confirmed reports whether the lease certainly still runs. While the store is down
-// leases may stand still there, so that the lease may be confirmed again later. As
-// nobody else can have coordinated until then, what is known of grants still holds.
-func (c *Coordinator) confirmed(now time.Duration) bool {
-	valid := c.term.valid(now)
-	switch {
-	case !valid && !c.term.dormant:
-		c.config.Log.Warn("coordinator's lease may have run out; assigning nothing", "term", c.term.rev)
-	case valid && c.term.dormant:
-		c.config.Log.Info("coordinator's lease confirmed again", "term", c.term.rev)
-	}
-	c.term.dormant = !valid
-	return valid
-}
-
 // remember keeps the addresses of targets, also of those that are gone.
 func (c *Coordinator) remember(v *view.View, now time.Duration) {
 	v.Targets.All(func(r target.Record) {
@@ -274,106 +258,6 @@
 	return false
 }
 
-func (c *Coordinator) lost(why string) {
-	c.config.Log.Warn("coordinator's lease lost", "term", c.term.rev, "reason", why)
-	c.term = nil
-	c.engines = make(map[string]*engine)
-}
-
-// told is the last hand-over of an earlier coordinator.
-type told struct {
-	ends map[string][]ownership.End
-	at   time.Duration
-}
-
-// left returns the ends of a service as they are at a time.
-func (t told) left(service string, now time.Duration) []ownership.End {
-	out := slices.Clone(t.ends[service])
-	for i := range out {
-		out[i].Left = max(out[i].Left-(now-t.at), 0)
-	}
-	return out
-}
-
-// TakeOver notes what an earlier coordinator tells, which may arrive after this one
-// was elected.
-func (c *Coordinator) TakeOver(h peers.HandOver) {
-	at := clock.Now()
-	c.put(func() {
-		c.told = told{ends: h.Ends, at: at}
-		now := clock.Now()
-		for service, e := range c.engines {
-			e.NoteEnds(c.told.left(service, now), now)
-		}
-	})
-}
-
-// handOver tells successors of the grants, after which nothing more is granted.
-func (c *Coordinator) handOver() {
-	now := clock.Now()
-	ends := make(map[string][]ownership.End)
-	for service, e := range c.engines {
-		ends[service] = e.Ends(now)
-	}
-	c.config.HandOver(context.Background(), peers.HandOver{Ends: ends})
-	c.engines = make(map[string]*engine)
-}
-
-func (c *Coordinator) resign() {
-	if c.term == nil {
-		return
-	}
-	c.handOver()
-	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
-	defer cancel()
-	c.election.end(ctx, c.term.lease)
-	c.config.Log.Info("coordinator's lease given back", "term", c.term.rev)
-	c.term = nil
-}
-
-// renew keeps the lease without waiting for the store. Grants become as long as
-// possible while that fails, so that keys stay served through an outage.
-func (c *Coordinator) renew(ctx context.Context, now time.Duration) {
-	if c.keeping || now < c.keepAt {
-		return
-	}
-	c.keeping = true
-	t := c.term
-	keep := c.election.keep
-	if t.dormant {
-		keep = c.election.confirm
-	}
-	go func() {
-		until, err := keep(ctx, t)
-		c.put(func() { c.renewed(t, until, err) })
-	}()
-}
-
-func (c *Coordinator) renewed(t *term, until time.Duration, err error) {
-	c.keeping = false
-	if c.term != t {
-		return
-	}
-	now := clock.Now()
-	switch {
-	case errors.Is(err, topo.ErrLeaseNotFound):
-		c.lost("store ended it")
-		return
-	case err != nil && t.dormant:
-		c.keepAt = now + keepEvery
-		return
-	case err != nil:
-		c.keepAt = now + keepEvery/4
-		c.config.Log.Warn("coordinator's lease not renewed; extending grants", "term", t.rev, "left_ms", (t.until - now).Milliseconds(), "error", err)
-	default:
-		t.until = max(t.until, until)
-		c.keepAt = now + keepEvery
-	}
-	for _, e := range c.engines {
-		e.ExtendHolds(err != nil, now)
-	}
-}
-
 func (c *Coordinator) put(f func()) {
 	if err := c.results.TryPut(f); err != nil {
 		c.config.Log.Error("outcome of a call dropped", "error", err)
--- /dev/null
+++ b/internal/edge/coordinator/handover.go
@@ -0,0 +1,51 @@
+package coordinator
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/ownership"
+	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
+)
+
+// told is the last hand-over of an earlier coordinator.
+type told struct {
+	ends map[string][]ownership.End
+	at   time.Duration
+}
+
+// left returns the ends of a service as they are at a time.
+func (t told) left(service string, now time.Duration) []ownership.End {
+	out := slices.Clone(t.ends[service])
+	for i := range out {
+		out[i].Left = max(out[i].Left-(now-t.at), 0)
+	}
+	return out
+}
+
+// TakeOver notes what an earlier coordinator tells, which may arrive after this one
+// was elected.
+func (c *Coordinator) TakeOver(h peers.HandOver) {
+	at := clock.Now()
+	c.put(func() {
+		c.told = told{ends: h.Ends, at: at}
+		c.config.Log.Info("told how long grants of the earlier coordinator last", "services", len(h.Ends), "coordinating", c.term != nil)
+		now := clock.Now()
+		for service, e := range c.engines {
+			e.NoteEnds(c.told.left(service, now), now)
+		}
+	})
+}
+
+// handOver tells successors of the grants, after which nothing more is granted.
+func (c *Coordinator) handOver() {
+	now := clock.Now()
+	ends := make(map[string][]ownership.End)
+	for service, e := range c.engines {
+		ends[service] = e.Ends(now)
+	}
+	c.config.HandOver(context.Background(), peers.HandOver{Ends: ends})
+	c.engines = make(map[string]*engine)
+}
--- a/internal/edge/peers/feed_test.go
+++ b/internal/edge/peers/feed_test.go
@@ -116,13 +116,13 @@
 	return f
 }
 
-// await waits until all mirrors but the skipped ones have a revision.
-func (f *feedFleet) await(t *testing.T, rev int64, limit time.Duration, skip int) {
+// await waits until all mirrors have a revision.
+func (f *feedFleet) await(t *testing.T, rev int64, limit time.Duration) {
 	t.Helper()
 	for end := time.Now().Add(limit); ; time.Sleep(5 * time.Millisecond) {
 		behind := 0
-		for i, m := range f.mirrors {
-			if s := m.Status(); i != skip && (s.Rev < rev || !s.Up) {
+		for _, m := range f.mirrors {
+			if s := m.Status(); s.Rev < rev || !s.Up {
 				behind++
 			}
 		}
@@ -142,14 +142,14 @@
 // daemons, and against changes that do not arrive through two hubs.
 func TestOneDaemonReadsTheStore(t *testing.T) {
 	f := startFeeds(t, 9, 3)
-	f.await(t, 1, 5*time.Second, -1)
+	f.await(t, 1, 5*time.Second)
 	time.Sleep(time.Second) // the daemons that started before their hub have found it
 	before := make([]int64, len(f.stores))
 	for i, s := range f.stores {
 		before[i] = s.calls.Load()
 	}
 	for range 3 {
-		f.await(t, f.state.change(), inForce, -1)
+		f.await(t, f.state.change(), inForce)
 	}
 	time.Sleep(time.Second)
 	for i, s := range f.stores {
@@ -163,17 +163,17 @@
 // the store.
 func TestChangesArriveWhileTheFirstHubIsTurnedAway(t *testing.T) {
 	f := startFeeds(t, 9, 3)
-	f.await(t, 1, 5*time.Second, -1)
+	f.await(t, 1, 5*time.Second)
 	f.stores[0].down.Store(true)
-	f.await(t, f.state.change(), inForce, -1)
-	f.await(t, f.state.change(), inForce, -1)
+	f.await(t, f.state.change(), inForce)
+	f.await(t, f.state.change(), inForce)
 }
 
 // Guards against a daemon that starts while the store is down and refuses all
 // callers until its return, although others have a copy.
 func TestStartsWithTheCopyOfASeed(t *testing.T) {
 	f := startFeeds(t, 3, 1)
-	f.await(t, 1, 5*time.Second, -1)
+	f.await(t, 1, 5*time.Second)
 	for _, s := range f.stores {
 		s.down.Store(true)
 	}
--- a/internal/edge/peers/relay.go
+++ b/internal/edge/peers/relay.go
@@ -140,10 +140,11 @@
 	return err
 }
 
-// do makes a call, and again through other daemons while the store turns this one
-// away.
+// do makes a call, and again through other daemons if the store does not answer this
+// one. While the store turns this daemon away, the others go first.
 func (r *Relay) do(ctx context.Context, req relayRequest) (relayReply, error) {
-	if r.turnedAway() {
+	away := r.turnedAway()
+	if away {
 		if reply, err := r.through(ctx, req); !req.again(err) {
 			return reply, err
 		}
@@ -155,7 +156,7 @@
 	r.mu.Lock()
 	r.away = clock.Now() + avoidTime
 	r.mu.Unlock()
-	if !req.again(err) {
+	if away || !req.again(err) {
 		return reply, err
 	}
 	other, otherErr := r.through(ctx, req)
--- a/internal/edge/peers/relay_test.go
+++ b/internal/edge/peers/relay_test.go
@@ -143,3 +143,19 @@
 		}
 	}
 }
+
+// Guards against a store that is down for all and is called five times for one
+// renewal: refused calls are charged for.
+func TestRelayCallsEachOnceWhileTheStoreIsDown(t *testing.T) {
+	r, own, others := relayOf(t, topo.ErrUnavailable, topo.ErrUnavailable, topo.ErrUnavailable)
+	for range 2 {
+		if err := r.KeepAlive(context.Background(), 7); !errors.Is(err, topo.ErrUnavailable) {
+			t.Fatalf("renewal: %v, want ErrUnavailable", err)
+		}
+	}
+	for i, s := range append(others, own) {
+		if n := s.calls.Load(); n != 2 {
+			t.Errorf("store %d was called %d times for two renewals, want 2", i, n)
+		}
+	}
+}
