Tell loads without holding the mutex that service times need

Cause: the dispatcher tells the service time of each answer while it holds its mutex, and the exchange of loads told the dispatcher while it held its own. When both met, a daemon answered nobody until it was restarted.

Change: loads are copied and told after the mutex is free.

--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"math"
 	"net"
 	"sync"
@@ -329,7 +330,7 @@
 	case scopeFleet:
 		t.fleet = take(t.fleet, m, now)
 	}
-	fleet := t.fleet.loads
+	fleet := maps.Clone(t.fleet.loads)
 	t.times.add(m.Ended)
 	if m.Scope == scopeDaemon {
 		t.noteEnded(m.Ended)
@@ -344,10 +345,12 @@
 			t.note(s.Service, k)
 		}
 	}
+	t.mu.Unlock()
+	// The dispatcher tells service times while it holds its mutex, so it must not be
+	// told anything while this one is held.
 	if m.Scope == scopeFleet {
 		t.config.Fleet(fleet)
 	}
-	t.mu.Unlock()
 	if len(m.Times) > 0 {
 		t.config.Measured(m.Times)
 	}
--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -162,3 +162,21 @@
 	defer func() { _ = c.Close() }()
 	return netip.MustParseAddrPort(c.LocalAddr().String())
 }
+
+// Guards against a deadlock between the dispatcher, which tells service times while
+// it holds its mutex, and a message that tells it loads: a daemon of the soak (seed
+// 119) answered nobody any more.
+func TestLoadsAreToldWithoutTheMutex(t *testing.T) {
+	var teller *Teller
+	teller = New(Config{Fleet: func(Loads) { teller.Ended(7, time.Millisecond) }})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		teller.receive(message{From: "hub", Scope: scopeFleet, Loads: Loads{7: 1}})
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("loads are told while the mutex is held")
+	}
+}
