--- a/internal/coordination/ownership/ownership_test.go
+++ b/internal/coordination/ownership/ownership_test.go
@@ -183,16 +183,10 @@
 
 // Guards against a hot range staying with one target.
 func TestHotKeysAreSpread(t *testing.T) {
-	targets := make([]Target, 6)
-	for i := range targets {
-		targets[i] = Target{Life: target.Life{ID: string(rune('a' + i)), Born: 1}, Capacity: 3}
-	}
-	e := New(Config{MaxHold: 10 * time.Second}, ranges.Empty(), 0)
-	e.SetTargets(targets, 0)
-	now := 2 * time.Second
+	const targets = 6
+	f := newCalmFleet(targets)
 	rng := rand.New(rand.NewPCG(1, 2))
 	for range 200 {
-		now += 50 * time.Millisecond
 		keys := make([]uint16, 6)
 		for i := range keys {
 			keys[i] = uint16(rng.IntN(ranges.Keys))
@@ -200,28 +194,18 @@
 				keys[i] = uint16(30000 + rng.IntN(200))
 			}
 		}
-		e.AddLoad(keys, 1)
-		a := e.Tick(now)
-		for _, g := range a.Grants {
-			e.Granted(g, OK, now)
-		}
-		for _, r := range a.Releases {
-			e.Released(r, OK, "h", now)
-		}
-		if a.Table != nil {
-			e.Written(true, *a.Table, now)
-		}
+		f.step(keys)
 	}
 	owners := make(map[string]int)
 	for k := 30000; k < 30200; k++ {
-		owners[e.table.Lookup(uint16(k)).Owner]++
+		owners[f.table.Lookup(uint16(k)).Owner]++
 	}
 	if len(owners) < 2 {
 		t.Fatalf("hot keys have %d owner: %v", len(owners), owners)
 	}
-	w := e.weigh()
+	w := f.weigh()
 	for id, x := range w.byTarget {
-		if fair := w.total / float64(len(targets)); x > 2*fair {
+		if fair := w.total / targets; x > 2*fair {
 			t.Errorf("%s has %.0f of a fair share of %.0f", id, x, fair)
 		}
 	}
