Give calls between daemons one client, and drop what is done twice

Cause: reading the whole change once more. The feed, the relay and the hand-over each built, sent and read an HTTP call to a daemon, and two handlers each read and decoded a message. The load of all keys was weighed again for each span of a leaving target, a request that must not run twice got two timeouts, and the engine kept when targets joined, which nobody read.

Behaviour stays as it is.

Ruled out: one stand-in of the store for the platform's tests and the soak. The first answers single calls on cue, the second has leases, history and faults.

--- a/internal/coordination/ownership/engine.go
+++ b/internal/coordination/ownership/engine.go
@@ -129,7 +129,6 @@
 	table   ranges.Table
 	holds   []*hold
 	targets map[string]Target
-	joined  map[string]time.Duration
 	load    loads
 	pending *ranges.Table
 	claims  map[claim]string // handovers of keys about to be given
@@ -163,7 +162,7 @@
 // may have sent grants up to that time.
 func New(c Config, table ranges.Table, now time.Duration) *Engine {
 	e := &Engine{
-		config: c, targets: make(map[string]Target), joined: make(map[string]time.Duration),
+		config: c, targets: make(map[string]Target),
 		load: loads{aged: now}, claims: make(map[claim]string),
 		failures: make(map[target.Life]failures), silent: make(map[target.Life]time.Duration),
 	}
@@ -197,16 +196,12 @@
 
 // SetTargets replaces the targets of the service.
 func (e *Engine) SetTargets(list []Target, now time.Duration) {
-	old := e.targets
 	e.targets = make(map[string]Target, len(list))
 	if len(list) > 0 && e.firstAt == 0 {
 		e.firstAt = now
 	}
 	for _, t := range list {
 		e.targets[t.Life.ID] = t
-		if before, known := old[t.Life.ID]; !known || before.Life != t.Life {
-			e.joined[t.Life.ID] = now
-		}
 	}
 }
 
--- a/internal/coordination/ownership/ownership_test.go
+++ b/internal/coordination/ownership/ownership_test.go
@@ -117,14 +117,7 @@
 		for range 20 * 9 {
 			w.step()
 		}
-		for _, s := range w.stored.Spans {
-			if s.Life() == leaving {
-				t.Fatalf("keys %d-%d still belong to the leaving target", s.From, s.To)
-			}
-		}
-		if n := w.served(); n != ranges.Keys {
-			t.Fatalf("%d of %d keys served", n, ranges.Keys)
-		}
+		w.checkGaveUp(leaving)
 	})
 }
 
@@ -327,14 +320,7 @@
 			w.step()
 			w.checkOwners()
 		}
-		for _, s := range w.stored.Spans {
-			if s.Life() == leaving {
-				t.Fatalf("keys %d-%d still belong to the leaving target", s.From, s.To)
-			}
-		}
-		if n := w.served(); n != ranges.Keys {
-			t.Fatalf("%d of %d keys served", n, ranges.Keys)
-		}
+		w.checkGaveUp(leaving)
 	})
 }
 
--- a/internal/coordination/ownership/plan.go
+++ b/internal/coordination/ownership/plan.go
@@ -109,6 +109,7 @@
 		return
 	}
 	var holds []*hold
+	var w *weights // weighed when the first leaving target is met
 	for _, h := range e.holds {
 		t, known := e.targets[h.span.Owner]
 		switch {
@@ -119,7 +120,10 @@
 			h.phase, h.grant, h.releasing, h.handover = free, 0, false, ""
 			holds = append(holds, h)
 		case h.phase == holding && known && t.Leaving:
-			holds = append(holds, e.cut(h, now)...)
+			if w == nil {
+				w = e.weigh()
+			}
+			holds = append(holds, e.cut(w, h, now)...)
 		case h.phase == holding && !known:
 			h.release(now)
 			holds = append(holds, h)
@@ -154,8 +158,7 @@
 // cut starts the release of a leaving target's span, in pieces of about the same
 // load. The pieces of all its spans together are few: each is renewed by itself
 // until its keys have moved on.
-func (e *Engine) cut(h *hold, now time.Duration) []*hold {
-	w := e.weigh()
+func (e *Engine) cut(w *weights, h *hold, now time.Duration) []*hold {
 	share := w.byTarget[h.span.Owner] / leavePieces
 	var out []*hold
 	from, sum := h.span.From, 0.0
--- a/internal/coordination/ownership/world_test.go
+++ b/internal/coordination/ownership/world_test.go
@@ -271,6 +271,18 @@
 	}
 }
 
+// checkGaveUp fails if a leaving target still owns keys, or some are not served.
+func (w *world) checkGaveUp(leaving target.Life) {
+	for _, s := range w.stored.Spans {
+		if s.Life() == leaving {
+			w.t.Fatalf("keys %d-%d still belong to the leaving target", s.From, s.To)
+		}
+	}
+	if n := w.served(); n != ranges.Keys {
+		w.t.Fatalf("%d of %d keys served", n, ranges.Keys)
+	}
+}
+
 // served returns the number of keys that the owner in the table holds.
 func (w *world) served() int {
 	n := 0
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -241,13 +241,13 @@
 	req := t.req
 	now := clock.Now()
 	left := req.Deadline - now
-	sendCtx, cancel := context.WithTimeout(ctx, left+answerSlack)
-	defer cancel()
+	sendCtx := ctx
 	if !req.Route.Idempotent {
 		// The target may have begun; its answer decides, not the caller's leaving.
-		sendCtx, cancel = context.WithTimeout(context.WithoutCancel(ctx), left+answerSlack)
-		defer cancel()
+		sendCtx = context.WithoutCancel(ctx)
 	}
+	sendCtx, cancel := context.WithTimeout(sendCtx, left+answerSlack)
+	defer cancel()
 	t.sends++
 	t.targets[ep.record.ID] = true
 	load := d.loadOf(ep)
@@ -300,10 +300,10 @@
 	if !d.keyed(t.req.Service) {
 		return len(t.targets) < t.req.Route.MaxAttempts
 	}
-	// There is one owner. While it is full, callers come back later.
 	if v.reason == NotHolding && t.sends >= ownerSends {
 		return false
 	}
+	// There is one owner. While it is full, callers come back later.
 	return v.reason != Full && (len(t.targets) < t.req.Route.MaxAttempts || v.kind == notRun)
 }
 
--- a/internal/edge/peers/feed.go
+++ b/internal/edge/peers/feed.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -22,7 +20,7 @@
 // Limits of reading the store through another daemon.
 const (
 	// maxAge is the age up to which a hub's copy of the store is used. Together
-	// with feedTimeout and the reading of the store itself it stays within the two
+	// with feedSlack and the reading of the store itself it stays within the two
 	// seconds in which a change must be in force.
 	maxAge = 900 * time.Millisecond
 	// maxSeedAge is the age up to which a daemon that knows nothing starts with
@@ -31,7 +29,6 @@
 	maxSeedAge = 15 * time.Second
 	// feedSlack is how much longer than its wait a call to a hub may take.
 	feedSlack   = 300 * time.Millisecond
-	feedDial    = 200 * time.Millisecond
 	maxFeedSize = 8 << 20
 	feedPath    = "/feed"
 	// anyAge is the parameter of a call that takes a copy of any age.
@@ -70,12 +67,6 @@
 	return &Feed{Self: self, Domain: domain, Store: store, Hubs: hubs, Peers: peers, Log: log, client: newTransport()}
 }
 
-// newTransport returns connections to other daemons.
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: feedDial}
-	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
-}
-
 // source returns the daemon to read from; false means the store.
 func (f *Feed) source() (Peer, bool) {
 	hubs := f.Hubs.Of(f.Peers())
@@ -163,23 +154,14 @@
 func (f *Feed) call(ctx context.Context, address netip.AddrPort, query string, oldest, timeout time.Duration) (*feedReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+feedPath+query, nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := f.client.RoundTrip(req)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxFeedSize))
+	status, body, err := get(ctx, f.client, address, feedPath+query, maxFeedSize)
 	switch {
 	case err != nil:
 		return nil, err
-	case resp.StatusCode == http.StatusGone:
+	case status == http.StatusGone:
 		return nil, topo.ErrCompacted
-	case resp.StatusCode != http.StatusOK:
-		return nil, fmt.Errorf("%w: status %d", errNotHub, resp.StatusCode)
+	case status != http.StatusOK:
+		return nil, fmt.Errorf("%w: status %d", errNotHub, status)
 	}
 	var reply feedReply
 	if err := cbor.Unmarshal(body, &reply); err != nil {
@@ -232,15 +214,6 @@
 	h.write(w, reply)
 }
 
-// NewHandler returns the handler of all calls from other daemons.
-func NewHandler(feed *FeedHandler, relay *RelayHandler, handOver *HandOverHandler) http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("POST "+handOverPath, handOver)
-	mux.Handle("GET "+feedPath, feed)
-	mux.Handle("POST "+relayPath, relay)
-	return mux
-}
-
 func (h *FeedHandler) write(w http.ResponseWriter, reply feedReply) {
 	body, err := cbor.Marshal(reply)
 	if err != nil {
--- a/internal/edge/peers/handover.go
+++ b/internal/edge/peers/handover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -12,7 +11,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/jackdawloom/jackdawloom/internal/coordination/ownership"
-	"github.com/jackdawloom/jackdawloom/internal/transport/once"
 )
 
 const (
@@ -53,23 +51,10 @@
 }
 
 func (r *Relay) tell(ctx context.Context, p Peer, body []byte) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Address.String()+handOverPath, once.Body(body))
-	if err != nil {
-		return err
-	}
-	req.ContentLength = int64(len(body))
-	resp, err := r.http.RoundTrip(req)
-	if err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusOK {
-		err = fmt.Errorf("daemon answered %d", resp.StatusCode)
+	status, _, err := post(ctx, r.http, p.Address, handOverPath, body, maxHandOverSize)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("daemon answered %d", status)
 	}
-	_, copyErr := io.Copy(io.Discard, resp.Body)
-	if err == nil {
-		err = copyErr
-	}
-	_ = resp.Body.Close()
 	return err
 }
 
@@ -81,12 +66,8 @@
 
 // ServeHTTP implements http.Handler.
 func (h *HandOverHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxHandOverSize))
 	var handOver HandOver
-	if err == nil {
-		err = cbor.Unmarshal(body, &handOver)
-	}
-	if err != nil {
+	if err := readMessage(w, r, maxHandOverSize, &handOver); err != nil {
 		h.Log.Warn("hand-over not readable", "from", r.RemoteAddr, "error", err)
 		w.WriteHeader(http.StatusBadRequest)
 		return
--- a/internal/edge/peers/relay.go
+++ b/internal/edge/peers/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"maps"
 	"net"
@@ -18,7 +17,6 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/topo"
-	"github.com/jackdawloom/jackdawloom/internal/transport/once"
 )
 
 // Limits of calls to the store through another daemon.
@@ -222,28 +220,17 @@
 	if err != nil {
 		return relayReply{}, fmt.Errorf("%w: %w", topo.ErrRefused, err)
 	}
-	call, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Address.String()+relayPath, once.Body(body))
-	if err != nil {
-		return relayReply{}, fmt.Errorf("%w: %w", topo.ErrRefused, err)
-	}
-	call.ContentLength = int64(len(body))
-	resp, err := r.http.RoundTrip(call)
+	status, answer, err := post(ctx, r.http, p.Address, relayPath, body, maxRelaySize)
 	var dial *net.OpError
 	switch {
 	case errors.As(err, &dial) && dial.Op == "dial":
 		return relayReply{}, fmt.Errorf("%w: %w", topo.ErrUnavailable, err)
 	case err != nil:
 		return relayReply{}, fmt.Errorf("%w: %w", topo.ErrUnknownResult, err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxRelaySize))
-	if err != nil {
-		return relayReply{}, fmt.Errorf("%w: %w", topo.ErrUnknownResult, err)
+	case status != http.StatusOK:
+		return relayReply{}, fmt.Errorf("%w: daemon answered %d", topo.ErrUnavailable, status)
 	}
 	var reply relayReply
-	if resp.StatusCode != http.StatusOK {
-		return reply, fmt.Errorf("%w: daemon answered %d", topo.ErrUnavailable, resp.StatusCode)
-	}
 	if err := cbor.Unmarshal(answer, &reply); err != nil {
 		return reply, fmt.Errorf("%w: %w", topo.ErrUnknownResult, err)
 	}
@@ -276,12 +263,8 @@
 
 // ServeHTTP implements http.Handler.
 func (h *RelayHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRelaySize))
 	var req relayRequest
-	if err == nil {
-		err = cbor.Unmarshal(body, &req)
-	}
-	if err != nil || !req.ownKeys() {
+	if err := readMessage(w, r, maxRelaySize, &req); err != nil || !req.ownKeys() {
 		h.Log.Warn("call to the store for a daemon not accepted", "from", r.RemoteAddr, "error", err)
 		w.WriteHeader(http.StatusBadRequest)
 		return
