--- a/cmd/jackdawloomd/main.go
+++ b/cmd/jackdawloomd/main.go
@@ -15,10 +15,10 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/daemon"
 	"github.com/jackdawloom/jackdawloom/internal/embedded"
+	"github.com/jackdawloom/jackdawloom/internal/eventlog"
 	"github.com/jackdawloom/jackdawloom/internal/pki"
 	"github.com/jackdawloom/jackdawloom/internal/settings"
 	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
-	"github.com/jackdawloom/jackdawloom/internal/topo"
 	"github.com/jackdawloom/jackdawloom/internal/topo/etcdgw"
 	"github.com/jackdawloom/jackdawloom/internal/topo/failover"
 )
@@ -96,25 +96,16 @@
 	if err != nil {
 		return err
 	}
-	options := daemon.Options{Settings: set, Store: store, Certificate: cert, Authorities: pool, Log: logger(set)}
-	if set.Instances.URL != "" {
-		list, err := etcdgw.New(set.Instances.URL, etcdgw.Options{CallTimeout: set.Store.Timeout})
-		if err != nil {
-			return err
-		}
-		defer list.Close()
-		options.Instances = list
-	}
-	d, err := daemon.New(options)
-	if err != nil {
-		return err
-	}
-	return d.Run(ctx)
+	lines, log := openLog(set)
+	defer writeLog(ctx, lines)()
+	return daemon.New(daemon.Options{
+		Settings: set, Store: store, Certificate: cert, Authorities: pool, Log: log, LogCounts: lines.Counts,
+	}).Run(ctx)
 }
 
 // openStore returns a client that reaches the store through any of the URLs.
-func openStore(s settings.Store) (topo.Store, error) {
-	var clients []topo.Store
+func openStore(s settings.Store) (*failover.Store, error) {
+	var clients []failover.Client
 	for _, u := range s.URLs {
 		client, err := etcdgw.New(u, etcdgw.Options{CallTimeout: s.Timeout})
 		if err != nil {
@@ -125,12 +116,13 @@
 	return failover.New(clients...), nil
 }
 
-func logger(set *settings.Settings) *slog.Logger {
-	options := &slog.HandlerOptions{Level: set.Daemon.LogLevel}
-	if set.Daemon.LogFormat == settings.LogJSON {
-		return slog.New(slog.NewJSONHandler(os.Stderr, options))
+func openLog(set *settings.Settings) (*eventlog.Log, *slog.Logger) {
+	format := eventlog.JSON
+	if set.Daemon.LogFormat == settings.LogText {
+		format = eventlog.Text
 	}
-	return slog.New(slog.NewTextHandler(os.Stderr, options))
+	lines := eventlog.New(format)
+	return lines, slog.New(lines.Handler(set.Daemon.LogLevel))
 }
 
 func runEmbedded(ctx context.Context, cmd *cli.Command) error {
@@ -150,7 +142,9 @@
 		}
 	}
 	set := embedded.Settings(addresses[0], addresses[1], addresses[2])
-	return embedded.Run(ctx, m, set, logger(set), func(*daemon.Daemon) {
+	lines, log := openLog(set)
+	defer writeLog(ctx, lines)()
+	return embedded.Run(ctx, m, set, log, func(*daemon.Daemon) {
 		fmt.Printf("try: curl -i http://%s%s/ramadan-start\n", addresses[0], m.Services[0].PathPrefix)
 	})
 }
--- a/cmd/jackdawloomd/platform.go
+++ b/cmd/jackdawloomd/platform.go
@@ -4,13 +4,13 @@
 	"context"
 	"log/slog"
 	"os"
-	"sync"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/jackdawloom/jackdawloom/internal/edge"
 	"github.com/jackdawloom/jackdawloom/internal/edge/metrics"
 	"github.com/jackdawloom/jackdawloom/internal/eventlog"
+	"github.com/jackdawloom/jackdawloom/internal/transport/plainnet"
 	"github.com/jackdawloom/jackdawloom/platform"
 )
 
@@ -32,22 +32,33 @@
 	if err != nil {
 		return err
 	}
-	lines := eventlog.New()
+	lines := eventlog.New(eventlog.JSON)
 	log := slog.New(lines.Handler(slog.LevelInfo))
-	writing, endWriting := context.WithCancel(context.WithoutCancel(ctx))
-	var written sync.WaitGroup
-	written.Go(func() { lines.Run(writing, os.Stdout) })
-	defer written.Wait()
-	defer endWriting()
+	defer writeLog(ctx, lines)()
 	counts := metrics.New()
 	store := platform.NewStore(set.StoreAddress, counts.StoreCall)
 	defer store.Close()
 	d := edge.New(edge.Options{
 		Settings: set.Edge, Store: store, Documents: platform.Documents{}, Calls: platform.Keys{},
-		Names: &platform.HeaderNames, Log: log, Metrics: counts, LogCounts: lines.Counts,
+		Network: plainnet.New(set.Edge.Peers, log), Names: &platform.HeaderNames, Log: log, Metrics: counts, LogCounts: lines.Counts,
 	})
 	watching, endWatching := context.WithCancel(context.WithoutCancel(ctx))
 	defer endWatching()
 	go platform.WatchSettings(watching, cmd.String("settings"), log, func(s *platform.Settings) { d.Reload(s.Edge) })
 	return d.Run(ctx)
 }
+
+// writeLog writes the log to the standard output until the returned function is
+// called.
+func writeLog(ctx context.Context, lines *eventlog.Log) (end func()) {
+	writing, stop := context.WithCancel(context.WithoutCancel(ctx))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		lines.Run(writing, os.Stdout)
+	}()
+	return func() {
+		stop()
+		<-done
+	}
+}
--- a/internal/coordination/ownership/ends.go
+++ b/internal/coordination/ownership/ends.go
@@ -20,12 +20,16 @@
 func (e *Engine) Ends(now time.Duration) []End {
 	var out []End
 	for _, h := range e.holds {
-		if h.phase == free {
+		if !h.span.Owned() {
 			continue
 		}
+		// Nobody holds a free span, though the table still names its owner.
 		until := max(h.until, h.unanswered, h.earlier)
-		if h.grant != 0 {
-			until = max(until, worst(now+callTime, h.length))
+		if h.phase == free {
+			until = 0
+		}
+		if h.grant != 0 && h.phase != free {
+			until = max(until, e.config.end(now, now+callTime, h.length))
 		}
 		out = append(out, End{From: h.span.From, To: h.span.To, Fence: h.span.Fence, Left: max(until-now, 0)})
 	}
--- a/internal/coordination/ownership/engine.go
+++ b/internal/coordination/ownership/engine.go
@@ -24,6 +24,9 @@
 	// bounds how long the keys of a target that fell silent have no owner, and
 	// outlasts the change of the coordinator.
 	HoldNormal = 3500 * time.Millisecond
+	// silentFor is the time since its last answer after which a target may lose its
+	// keys, in place of Config.SilentFor.
+	silentFor = 2 * time.Second
 	// clockSlack is the share by which a target's clock may run slow.
 	clockSlack = 0.02
 	// arrivalSlack covers the time that a grant travels.
@@ -33,11 +36,10 @@
 	// writeAgain is the pause after a table that was not written. Refused calls to
 	// the store are charged for.
 	writeAgain = 200 * time.Millisecond
-	// silentCalls is the number of unanswered grants in a row, and silentFor the
-	// time since the last answer, after which a target loses its keys; silentTime
-	// is how long it is given none. Single answers get lost.
+	// silentCalls is the number of unanswered grants in a row after which a target
+	// may lose its keys, and silentTime is how long it is given none then. Single
+	// answers get lost.
 	silentCalls = 3
-	silentFor   = 2 * time.Second
 	silentTime  = 4 * time.Second
 	// callTime is the longest time that a call may be on its way, also one of an
 	// earlier coordinator when its lease ended.
@@ -141,6 +143,7 @@
 	firstAt  time.Duration // when the first target was seen
 	longest  bool
 	calls    uint64
+	pins     []pin
 }
 
 // failures counts the grants to a target that were not answered since a time.
@@ -152,17 +155,31 @@
 // claim names a span that is being written for a new owner.
 type claim struct{ from, to uint16 }
 
-// Config holds the limits of an Engine.
+// Config holds the times of grants.
 type Config struct {
 	// MaxHold is the longest grant that targets accept.
 	MaxHold time.Duration
+	// Hold is the duration of grants while the store can be reached; zero means
+	// HoldNormal.
+	Hold time.Duration
+	// RenewEvery is the pause between grants of a span; zero means RenewEvery.
+	RenewEvery time.Duration
+	// SilentFor is the time since its last answer after which a target loses its
+	// keys; zero means two seconds.
+	SilentFor time.Duration
+	// FixedEnds tells that a grant ends at a time on the target's clock. One that
+	// takes effect late then lasts no longer than one that arrived at once.
+	FixedEnds bool
+	// Replaces tells that a grant under a higher fence takes the place of those
+	// before, also of longer ones.
+	Replaces bool
 }
 
 // New returns an Engine that takes over a table at a time. Earlier coordinators
 // may have sent grants up to that time.
 func New(c Config, table ranges.Table, now time.Duration) *Engine {
 	e := &Engine{
-		config: c, targets: make(map[string]Target),
+		config: c.withDefaults(), targets: make(map[string]Target),
 		load: loads{aged: now}, claims: make(map[claim]string),
 		failures: make(map[target.Life]failures), silent: make(map[target.Life]time.Duration),
 	}
@@ -170,9 +187,27 @@
 	return e
 }
 
-// worst is the latest end of a grant that arrived at a time.
-func worst(arrived, d time.Duration) time.Duration {
-	return arrived + d + time.Duration(float64(d)*clockSlack) + arrivalSlack
+func (c Config) withDefaults() Config {
+	if c.Hold == 0 {
+		c.Hold = HoldNormal
+	}
+	if c.RenewEvery == 0 {
+		c.RenewEvery = RenewEvery
+	}
+	if c.SilentFor == 0 {
+		c.SilentFor = silentFor
+	}
+	return c
+}
+
+// end is the latest end of a grant that was sent at a time and has arrived by
+// another.
+func (c Config) end(sent, arrived, d time.Duration) time.Duration {
+	slow := d + time.Duration(float64(d)*clockSlack)
+	if c.FixedEnds {
+		return sent + slow
+	}
+	return arrived + slow + arrivalSlack
 }
 
 // adopt rebuilds the knowledge of spans from a table. Grants that were sent up to
@@ -183,7 +218,7 @@
 	for _, s := range table.Spans {
 		h := &hold{span: s, phase: free}
 		if s.Owned() {
-			h.phase, h.renewAt, h.until = holding, now, worst(now+callTime, e.config.MaxHold)
+			h.phase, h.renewAt, h.until = holding, now, e.config.end(now, now+callTime, e.config.MaxHold)
 			h.unanswered = h.until
 			h.inherited = true
 		}
@@ -244,7 +279,7 @@
 	}
 	length := e.holdTime()
 	if now < h.until && h.granted && e.failures[h.span.Life()].count > 0 {
-		length = min(length, h.within(now))
+		length = min(length, e.config.within(h.until, now))
 		if length < leastHold {
 			h.renewAt = now + retryEvery
 			return
@@ -258,8 +293,12 @@
 // within returns the longest grant that ends before those already sent. A target
 // that does not answer is sent no longer one: it would put off the time from which
 // others may have the keys.
-func (h *hold) within(now time.Duration) time.Duration {
-	return time.Duration(float64(h.until-now-callTime-arrivalSlack) / (1 + clockSlack))
+func (c Config) within(until, now time.Duration) time.Duration {
+	left := until - now
+	if !c.FixedEnds {
+		left -= callTime + arrivalSlack
+	}
+	return time.Duration(float64(left) / (1 + clockSlack))
 }
 
 // takeUp frees a span that nobody can hold any more, or asks for its release. A
@@ -290,7 +329,7 @@
 	if e.longest {
 		return e.config.MaxHold
 	}
-	return min(HoldNormal, e.config.MaxHold)
+	return min(e.config.Hold, e.config.MaxHold)
 }
 
 // Result is the outcome of a call to a target.
@@ -325,12 +364,12 @@
 		if h.grant != g.ID {
 			continue
 		}
-		h.answered(g, r, now)
+		h.answered(e.config, g, r, now)
 		if r == OK && g.Hold < e.holdTime() {
 			h.renewAt = now
 		}
 	}
-	if f := e.failures[life]; f.count >= silentCalls && now-f.since >= silentFor {
+	if f := e.failures[life]; f.count >= silentCalls && now-f.since >= e.config.SilentFor {
 		e.dropSilent(life, now)
 	}
 }
@@ -355,16 +394,20 @@
 	return !silent || e.load.aged > at+silentTime
 }
 
-func (h *hold) answered(g Grant, r Result, now time.Duration) {
+func (h *hold) answered(c Config, g Grant, r Result, now time.Duration) {
 	h.grant = 0
 	if r != NotSent {
-		h.until = max(h.until, worst(now, g.Hold))
+		h.until = max(h.until, c.end(h.sentAt, now, g.Hold))
 	}
 	switch r {
 	case OK:
+		if c.Replaces && !h.granted {
+			// The longest grants of an earlier coordinator no longer count.
+			h.until = max(c.end(h.sentAt, now, g.Hold), h.unanswered)
+		}
 		h.granted, h.earlier = true, 0
 		h.handover = ""
-		h.renewAt = h.sentAt + RenewEvery
+		h.renewAt = h.sentAt + c.RenewEvery
 	case Fenced:
 		// Another coordinator used a higher fence: the span must be given again
 		// under a new one.
@@ -373,7 +416,7 @@
 			h.release(now)
 		}
 	case Failed:
-		h.unanswered = max(h.unanswered, worst(now, g.Hold))
+		h.unanswered = max(h.unanswered, c.end(h.sentAt, now, g.Hold))
 		h.renewAt = now + retryEvery
 	case NotSent:
 		h.renewAt = now + retryEvery
@@ -436,7 +479,7 @@
 		if !s.Owned() {
 			h.phase = free
 		}
-		h.continueFrom(old, now)
+		h.continueFrom(e.config, old, now)
 		holds = append(holds, h)
 	}
 	e.holds = holds
@@ -446,7 +489,7 @@
 // continueFrom takes over until when the owner may hold the span under earlier
 // fences. Grants on their way count as if they arrived as late as they can: several
 // spans may have become one, so their answers are not waited for.
-func (h *hold) continueFrom(old []*hold, now time.Duration) {
+func (h *hold) continueFrom(c Config, old []*hold, now time.Duration) {
 	for _, o := range old {
 		if o.span.Life() != h.span.Life() || o.span.To < h.span.From || o.span.From > h.span.To || o.phase == free {
 			continue
@@ -454,7 +497,7 @@
 		h.until = max(h.until, o.until)
 		h.earlier = max(h.earlier, o.earlier, o.unanswered)
 		if o.grant != 0 {
-			arrives := worst(now+callTime, o.length)
+			arrives := c.end(now, now+callTime, o.length)
 			h.until, h.earlier = max(h.until, arrives), max(h.earlier, arrives)
 		}
 	}
--- a/internal/coordination/ownership/plan.go
+++ b/internal/coordination/ownership/plan.go
@@ -326,7 +326,7 @@
 		sum, start := 0.0, int(h.span.From)
 		for k := int(h.span.From); k <= int(h.span.To); k++ {
 			x := e.keyWeight(w, k)
-			if x > oversize*want {
+			if x > oversize*want || e.pinned(uint16(k)) {
 				sum, start = 0, k+1
 				continue
 			}
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -41,8 +41,8 @@
 // drained is the result of drain and undrain for scripts.
 type drained struct {
 	applied
-	// Shards is the number of shards that the target owns at the end.
-	Shards int `json:"shards"`
+	// Spans is the number of runs of keys that the target owns at the end.
+	Spans int `json:"spans"`
 }
 
 func setDrain(ctx context.Context, cmd *cli.Command, drain bool) error {
@@ -70,9 +70,9 @@
 		}
 	}
 	if drain {
-		result.Shards, err = c.awaitEmpty(ctx, cmd, args[0], args[1])
+		result.Spans, err = c.awaitEmpty(ctx, cmd, args[0], args[1])
 	} else {
-		result.Shards, err = c.shardsOf(ctx, args[0], args[1])
+		result.Spans, err = c.awaitActive(ctx, cmd, args[0], args[1])
 	}
 	if err != nil {
 		return err
@@ -108,7 +108,7 @@
 	defer cancel()
 	last, seen := 0, false
 	for {
-		n, err := c.shardsOf(ctx, service, target)
+		n, err := c.spansOf(ctx, service, target)
 		switch {
 		case err == nil && n == 0:
 			return 0, nil
@@ -124,10 +124,30 @@
 	}
 }
 
-func (c *client) shardsOf(ctx context.Context, service, target string) (int, error) {
+// awaitActive waits until the target may own keys again, and returns what it owns.
+// Daemons learn from the target itself that it lives.
+func (c *client) awaitActive(ctx context.Context, cmd *cli.Command, service, target string) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration(flagWait))
+	defer cancel()
+	for {
+		row, err := c.targetRow(ctx, service, target)
+		if row.State == adminapi.TargetActive || ctx.Err() != nil {
+			return row.Spans, err
+		}
+		pause(ctx)
+	}
+}
+
+func (c *client) spansOf(ctx context.Context, service, target string) (int, error) {
+	row, err := c.targetRow(ctx, service, target)
+	return row.Spans, err
+}
+
+// targetRow returns a target of the table; one that it lacks owns nothing.
+func (c *client) targetRow(ctx context.Context, service, target string) (adminapi.Target, error) {
 	var t adminapi.Table
 	if err := c.get(ctx, adminapi.PathTable, &t); err != nil {
-		return 0, err
+		return adminapi.Target{}, err
 	}
 	for _, s := range t.Services {
 		if s.Name != service {
@@ -135,11 +155,11 @@
 		}
 		for _, row := range s.Targets {
 			if row.Name == target {
-				return row.Shards, nil
+				return row, nil
 			}
 		}
 	}
-	return 0, nil
+	return adminapi.Target{}, nil
 }
 
 func (d drained) finish(cmd *cli.Command, target string, drain bool) error {
@@ -147,7 +167,7 @@
 		if err := d.print(w); err != nil {
 			return err
 		}
-		_, err := fmt.Fprintf(w, "%s owns %d shards\n", target, d.Shards)
+		_, err := fmt.Fprintf(w, "%s owns %d runs of keys\n", target, d.Spans)
 		return err
 	}
 	if err := emit(cmd, d, human); err != nil {
@@ -156,9 +176,9 @@
 	if err := d.failure(); err != nil {
 		return err
 	}
-	if drain && d.Shards > 0 {
+	if drain && d.Spans > 0 {
 		return &CommandError{
-			Code: ExitNotInForce, Problem: fmt.Sprintf("%s is draining and still owns %d shards", target, d.Shards),
+			Code: ExitNotInForce, Problem: fmt.Sprintf("%s is draining and still owns %d runs of keys", target, d.Spans),
 			Remedy: "watch it with jackdawctl targets; do not stop the target before it owns none",
 		}
 	}
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -5,7 +5,6 @@
 	"sync"
 
 	"github.com/jackdawloom/jackdawloom/internal/protocol/adminapi"
-	"github.com/jackdawloom/jackdawloom/internal/state/table"
 )
 
 // maxParallel bounds the members that are asked at one time.
@@ -59,7 +58,7 @@
 		out.Problem = err.Error()
 		return out
 	}
-	if s.Run != string(table.MemberID(m.ID).Run()) {
+	if s.Run != m.Run {
 		out.Problem = "another run of the daemon answers at " + m.Admin
 		return out
 	}
@@ -67,36 +66,28 @@
 	return out
 }
 
-// front returns the state of the target's front, or nil if its daemon did not
-// answer or does not front the target.
-func (f fleet) front(service string, t adminapi.Target) *adminapi.Front {
+// target returns what the fleet knows of a target's load: its requests of all
+// daemons and their connections to it.
+func (f fleet) target(service, name string) (load adminapi.TargetLoad, known bool) {
+	load = adminapi.TargetLoad{Service: service, Target: name}
 	for _, m := range f.Members {
-		if m.State == nil || m.ID != t.Front {
+		if m.State == nil {
 			continue
 		}
-		for i := range m.State.Fronts {
-			front := &m.State.Fronts[i]
-			if front.Service == service && front.Target == t.Name {
-				return front
+		for _, t := range m.State.Targets {
+			if t.Service != service || t.Target != name {
+				continue
 			}
+			known = true
+			load.Running += t.Running
+			load.Connections += t.Connections
+			load.Slots = t.Slots
+			load.Suspect = load.Suspect || t.Suspect
+			load.TimeMs = max(load.TimeMs, t.TimeMs)
 		}
 	}
-	return nil
+	return load, known
 }
 
 // coordinator reports whether the member's daemon is the coordinator.
 func (m memberState) coordinator() bool { return m.State != nil && m.State.IsCoordinator }
-
-// authority returns the longest time left of the serving leases in ms.
-func (m memberState) authority() int64 {
-	if m.State == nil {
-		return 0
-	}
-	var left int64
-	for _, membership := range m.State.Memberships {
-		if membership.ID == m.ID {
-			left = max(left, membership.AuthorityMs)
-		}
-	}
-	return left
-}
--- a/internal/ctl/instances.go
+++ b/internal/ctl/instances.go
@@ -11,9 +11,9 @@
 func instancesCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "instances",
-		Usage: "list the members with their authority, revisions and coordinator",
-		Description: `Authority is the time left in ms for which a member may serve; 0 means that it
-must not. Config and Table are the revisions that the daemon has in force.
+		Usage: "list the daemons with their configuration, their copy of the store and their role",
+		Description: `Config is the revision that the daemon has in force. Copy age is the age in ms of
+its copy of the store; daemons serve requests with any copy.
 
 Example:
    jackdawctl instances`,
@@ -34,15 +34,14 @@
 }
 
 func (f fleet) printInstances(w io.Writer) error {
-	t := newTable(w, "Instance", "Member", "Domain", "Authority (ms)", "Config", "Table", "In flight", "Role")
+	t := newTable(w, "Instance", "Run", "Domain", "Config", "Store", "Copy age (ms)", "In flight", "Role")
 	for _, m := range f.Members {
 		if m.State == nil {
-			t.AppendRow([]any{m.Daemon, m.ID, m.Domain, "?", "?", "?", "?", "no answer"})
+			t.AppendRow([]any{m.Daemon, m.Run, m.Domain, "?", "?", "?", "?", "no answer"})
 			continue
 		}
 		t.AppendRow([]any{
-			m.Daemon, m.ID, m.Domain, m.authority(), m.State.InForce.Config, m.State.InForce.Table,
-			m.State.InFlight, m.role(),
+			m.Daemon, m.Run, m.Domain, m.State.Config, reached(m.State.StoreUp), m.State.CopyAgeMs, m.State.InFlight, m.role(),
 		})
 	}
 	t.Render()
@@ -51,16 +50,21 @@
 			_, _ = fmt.Fprintf(w, "%s: %s\n", m.Daemon, m.Problem)
 		}
 	}
-	_, err := fmt.Fprintf(w, "table revision %d for configuration %d, term %d\n", f.Table.Revision, f.Table.Config, f.Table.Term)
+	_, err := fmt.Fprintf(w, "configuration %d, coordinator %s\n", f.Table.Config, orNone(f.Table.Coordinator))
 	return err
 }
 
+func reached(up bool) string {
+	if up {
+		return "reached"
+	}
+	return "not reached"
+}
+
 func (m memberState) role() string {
 	switch {
 	case m.State.Stopping:
 		return "stopping"
-	case m.Draining:
-		return "draining"
 	case m.coordinator():
 		return "coordinator"
 	}
--- a/internal/ctl/move.go
+++ b/internal/ctl/move.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -25,14 +24,14 @@
 		Name:      "move",
 		Usage:     "move a shard to a target and wait until it owns it",
 		ArgsUsage: "SERVICE SHARD TARGET",
-		Description: `SHARD is a number from 0, also as printed by owner (s17). Requests of the shard
-are held while it moves, so callers see a delay only. For 10 minutes the shard is
-kept at the target against the planner's balance; a drain or the loss of the
-target still moves it. The request is kept by the coordinator in memory: if the
-coordinator changes before the move has begun, run the command again.
+		Description: `SHARD is a number from 0, as printed by owner. Requests of the shard wait while
+it moves, so callers see a delay only. For 10 minutes the shard is kept at the
+target against the balance of load; a drain or the loss of the target still moves
+it. The request is kept by the coordinator in memory: if the coordinator changes
+before the move has begun, run the command again.
 
 Example:
-   jackdawctl move display s1001 display-04`,
+   jackdawctl move display 1001 display-04`,
 		Flags: []cli.Flag{
 			&cli.DurationFlag{Name: flagWait, Value: defaultMoveWait, Usage: "how long to wait for the move"},
 		},
@@ -75,11 +74,11 @@
 	if err != nil {
 		return adminapi.Move{}, err
 	}
-	n, err := strconv.ParseUint(strings.TrimPrefix(args[1], "s"), 10, 32)
+	n, err := strconv.ParseUint(args[1], 10, 31)
 	if err != nil {
-		return adminapi.Move{}, usage(fmt.Sprintf("%q is not a shard; expected a number or sNUMBER", args[1]))
+		return adminapi.Move{}, usage(fmt.Sprintf("%q is not a shard; expected a number", args[1]))
 	}
-	return adminapi.Move{Service: args[0], Shard: uint32(n), Target: args[2]}, nil
+	return adminapi.Move{Service: args[0], Shard: int(n), Target: args[2]}, nil
 }
 
 // requestMove asks the first daemon that answers. A request without an answer
@@ -103,9 +102,9 @@
 // awaitMoved waits until the target owns the shard and returns the last known
 // owner.
 func (c *client) awaitMoved(ctx context.Context, m adminapi.Move, last adminapi.Owner) (adminapi.Owner, bool) {
-	query := url.Values{"service": {m.Service}, "shard": {strconv.FormatUint(uint64(m.Shard), 10)}}
+	query := url.Values{"service": {m.Service}, "shard": {strconv.Itoa(m.Shard)}}
 	for {
-		if last.Target == m.Target && last.MovingTo == "" {
+		if last.Target == m.Target && last.Whole {
 			return last, true
 		}
 		pause(ctx)
--- a/internal/ctl/owner.go
+++ b/internal/ctl/owner.go
@@ -9,7 +9,6 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/jackdawloom/jackdawloom/internal/protocol/adminapi"
-	"github.com/jackdawloom/jackdawloom/internal/state/table"
 )
 
 func ownerCommand() *cli.Command {
@@ -25,8 +24,7 @@
 
 // ownership is the result of owner for scripts.
 type ownership struct {
-	Key  string `json:"key"`
-	Hash string `json:"hash"`
+	Key string `json:"key"`
 	adminapi.Owner
 }
 
@@ -39,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	o := ownership{Key: args[1], Hash: fmt.Sprintf("%016x", table.KeyHash(args[1]))}
+	o := ownership{Key: args[1]}
 	query := url.Values{"service": {args[0]}, "key": {args[1]}}
 	if err := c.get(ctx, adminapi.PathOwner+"?"+query.Encode(), &o.Owner); err != nil {
 		return err
@@ -57,17 +55,15 @@
 
 // why explains the owner in sentences.
 func (o ownership) why() string {
-	s := fmt.Sprintf("The key's xxHash64 is %s, which falls into unit %s at unit epoch %d (table revision %d).\n",
-		o.Hash, o.Unit, o.UnitEpoch, o.Revision)
+	s := fmt.Sprintf("The key falls on point %d in shard %d (table revision %d).\n", o.Point, o.Shard, o.Revision)
 	if o.Target == "" {
-		return s + "The unit has no owner: its requests are refused as not run."
+		return s + "The point has no owner: its requests are refused as not run."
 	}
-	s += fmt.Sprintf("Target %s is %s; its front is %s with epoch %d, its standby %s.\n",
-		o.Target, o.State, orNone(o.Front), o.Epoch, orNone(o.Standby))
-	if o.MovingTo == "" {
-		return s + "The unit is not moving."
+	s += fmt.Sprintf("Target %s owns it under fence %d and is %s.", o.Target, o.Fence, o.State)
+	if !o.Whole {
+		s += "\nOther points of the shard have another owner: their keys are busy enough to be moved apart."
 	}
-	return s + fmt.Sprintf("The unit is moving to %s.", o.MovingTo)
+	return s
 }
 
 func orNone(s string) string {
--- a/internal/ctl/targets.go
+++ b/internal/ctl/targets.go
@@ -8,15 +8,14 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/jackdawloom/jackdawloom/internal/protocol/adminapi"
-	"github.com/jackdawloom/jackdawloom/internal/state/table"
 )
 
 func targetsCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "targets",
-		Usage: "list the targets with their state, front, standby, shards and load",
-		Description: `Running, Queued and Limit are read from the target's front; ? means that it did
-not answer. Limit is the number of requests that the front now admits at once.
+		Usage: "list the targets with their state, shards and load",
+		Description: `Running and Connections are summed up over the daemons, and Time is the longest
+that one of them measured for a request; ? means that no daemon sent any.
 
 Example:
    jackdawctl targets`,
@@ -28,7 +27,7 @@
 type targetRow struct {
 	Service string `json:"service"`
 	adminapi.Target
-	Load *adminapi.Front `json:"load,omitempty"`
+	Load *adminapi.TargetLoad `json:"load,omitempty"`
 }
 
 func showTargets(ctx context.Context, cmd *cli.Command) error {
@@ -43,40 +42,31 @@
 	rows := []targetRow{}
 	for _, s := range f.Table.Services {
 		for _, t := range s.Targets {
-			rows = append(rows, targetRow{Service: s.Name, Target: t, Load: f.front(s.Name, t)})
+			row := targetRow{Service: s.Name, Target: t}
+			if load, known := f.target(s.Name, t.Name); known {
+				row.Load = &load
+			}
+			rows = append(rows, row)
 		}
 	}
 	return emit(cmd, rows, func(w io.Writer) error { return f.printTargets(w, rows) })
 }
 
 func (f fleet) printTargets(w io.Writer, rows []targetRow) error {
-	t := newTable(w, "Service", "Target", "State", "Front", "Standby", "Shards", "Running", "Queued", "Limit")
+	t := newTable(w, "Service", "Target", "Domain", "State", "Shards", "Spans", "Running", "Connections", "Time (ms)")
 	for _, r := range rows {
-		running, queued, limit := "?", "?", "?"
+		running, connections, took := "?", "?", "?"
 		if r.Load != nil {
-			running, queued = fmt.Sprint(r.Load.Running), fmt.Sprint(r.Load.Queued)
-			limit = fmt.Sprintf("%.1f/%d", r.Load.Limit, r.Load.Slots)
+			running, connections = fmt.Sprintf("%d/%d", r.Load.Running, r.Load.Slots), fmt.Sprint(r.Load.Connections)
+			took = fmt.Sprintf("%.1f", r.Load.TimeMs)
 		}
-		t.AppendRow([]any{r.Service, r.Name, r.State, f.daemonOf(r.Front), f.daemonOf(r.Standby), r.Shards, running, queued, limit})
+		t.AppendRow([]any{r.Service, r.Name, r.Domain, r.State, r.Shards, r.Spans, running, connections, took})
 	}
 	t.Render()
 	for _, s := range f.Table.Services {
-		if s.Unowned > 0 || s.Moves > 0 {
-			_, _ = fmt.Fprintf(w, "%s: %d of %d shards without an owner, %d moving\n", s.Name, s.Unowned, s.Shards, s.Moves)
+		if s.Unowned > 0 {
+			_, _ = fmt.Fprintf(w, "%s: %d of %d shards without a usable owner\n", s.Name, s.Unowned, s.Shards)
 		}
 	}
 	return nil
 }
-
-// daemonOf returns the daemon of a member, which is shorter than its id.
-func (f fleet) daemonOf(member string) string {
-	for _, m := range f.Table.Members {
-		if m.ID == member {
-			return m.Daemon
-		}
-	}
-	if member == "" {
-		return "none"
-	}
-	return string(table.MemberID(member).Run())
-}
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -52,6 +52,6 @@
 	if m.State == nil {
 		return b, true
 	}
-	b.Config = m.State.InForce.Config
+	b.Config = m.State.Config
 	return b, b.Config < revision
 }
--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -28,6 +28,8 @@
 	idleEvery = 500 * time.Millisecond
 	// grantTimeout is far above the time of a call without load.
 	grantTimeout = 600 * time.Millisecond
+	// resignTimeout bounds the end of the lease when the daemon stops.
+	resignTimeout = 600 * time.Millisecond
 	// releaseTimeout covers the running requests of the keys. Grants have run out
 	// by then.
 	releaseTimeout = 4 * time.Second
@@ -59,7 +61,13 @@
 	Views   *view.Keeper
 	Calls   Calls
 	Targets Targets
-	MaxHold time.Duration
+	// Grants holds the times of grants.
+	Grants ownership.Config
+	// LeaseTTL bounds how long nobody coordinates after a loss; zero means two
+	// seconds.
+	LeaseTTL time.Duration
+	// GrantTimeout is the time limit of a grant; zero means 600 ms.
+	GrantTimeout time.Duration
 	// Weakness is 0 for the strongest instances and nears 1 for the weakest.
 	Weakness func() float64
 	// HandOver tells successors how long the grants of this coordinator last.
@@ -79,6 +87,7 @@
 	known    map[target.Life]address
 	keepAt   time.Duration
 	keeping  bool
+	keptAt   time.Duration // when the last renewal was sent
 	writes   int
 	told     told
 }
@@ -111,9 +120,15 @@
 
 // New returns a Coordinator that does not hold the lease.
 func New(c Config) *Coordinator {
+	if c.LeaseTTL == 0 {
+		c.LeaseTTL = leaseTTL
+	}
+	if c.GrantTimeout == 0 {
+		c.GrantTimeout = grantTimeout
+	}
 	return &Coordinator{
 		config:   c,
-		election: election{store: c.Store, self: c.Self, log: c.Log},
+		election: election{store: c.Store, self: c.Self, ttl: c.LeaseTTL, log: c.Log},
 		engines:  make(map[string]*engine),
 		results:  ring.New[func()](resultRing),
 		loads:    ring.New[peers.Sample](loadRing),
@@ -219,7 +234,7 @@
 	if t == nil {
 		return
 	}
-	c.term, c.keepAt, c.keeping = t, clock.Now()+keepEvery, false
+	c.term, c.keepAt, c.keeping = t, clock.Now()+c.election.keepEvery(), false
 	c.engines = make(map[string]*engine)
 	c.config.Log.Info("coordinator's lease won", "term", t.rev, "lease", int64(t.lease))
 }
@@ -285,7 +300,7 @@
 	if t := v.Tables[name]; t != nil {
 		table, e.rev = t.Table, t.Rev
 	}
-	e.Engine = ownership.New(ownership.Config{MaxHold: c.config.MaxHold}, table, now)
+	e.Engine = ownership.New(c.config.Grants, table, now)
 	e.NoteEnds(c.told.left(name, now), now)
 	c.engines[name] = e
 	c.config.Log.Info("assigning keys", "service", name, "term", c.term.rev, "table_revision", e.rev, "spans", len(table.Spans))
@@ -311,7 +326,7 @@
 	}
 	out := make([]ownership.Target, 0, len(records))
 	for _, r := range records {
-		t := ownership.Target{Life: r.Life(), Capacity: float64(r.Slots), Leaving: r.State == target.Draining}
+		t := ownership.Target{Life: r.Life(), Capacity: float64(r.Slots), Leaving: r.State != target.Ready}
 		if s := speeds[r.ID]; s > 0 && n > 0 {
 			t.Capacity *= min(max(float64(sum)/float64(n)/float64(s), leastSpeed), mostSpeed)
 		}
@@ -347,7 +362,7 @@
 		if t.valid(clock.Now()) {
 			req, err := c.config.Calls.Grant(g)
 			if err == nil {
-				result, _, err = c.call(ctx, known, req, grantTimeout)
+				result, _, err = c.call(ctx, known, req, c.config.GrantTimeout)
 			}
 			cause = err
 		}
--- a/internal/edge/coordinator/election.go
+++ b/internal/edge/coordinator/election.go
@@ -21,8 +21,12 @@
 	// leaseTTL bounds how long nobody coordinates after a loss. It is below the
 	// duration of grants, so that keys stay served meanwhile.
 	leaseTTL = 2 * time.Second
-	// keepEvery leaves two more attempts before the lease runs out.
-	keepEvery = 600 * time.Millisecond
+	// keepTenths is the part of the lease, in tenths, after which it is renewed. It
+	// leaves two more attempts before the lease runs out.
+	keepTenths = 3
+	// slowTenths is the part of the lease after which a renewal without an answer
+	// makes grants longer.
+	slowTenths = 2
 	// leaseMargin is kept to the end of the lease, for a grant on its way.
 	leaseMargin = 150 * time.Millisecond
 	// rankDelay spreads the candidates, so that few of them write.
@@ -66,9 +70,17 @@
 type election struct {
 	store topo.Store
 	self  Identity
+	ttl   time.Duration
 	log   *slog.Logger
 }
 
+// keepEvery is the pause between renewals of the lease.
+func (e *election) keepEvery() time.Duration { return e.ttl * keepTenths / 10 }
+
+// slowKeep is the time without an answer to a renewal from which the store counts as
+// not reached. A store that is slow but up answers within 240 ms.
+func (e *election) slowKeep() time.Duration { return e.ttl * slowTenths / 10 }
+
 // rank returns this daemon's place among the candidates.
 func (e *election) rank(rev int64) time.Duration {
 	h := fnv.New32a()
@@ -94,7 +106,7 @@
 // another daemon was first.
 func (e *election) campaign(ctx context.Context, rev int64) (*term, error) {
 	sent := clock.Now()
-	lease, err := e.store.GrantLease(ctx, leaseTTL)
+	lease, err := e.store.GrantLease(ctx, e.ttl)
 	if err != nil {
 		return nil, err
 	}
@@ -119,7 +131,7 @@
 		e.end(ctx, lease)
 		return nil, nil
 	}
-	return &term{lease: lease, rev: res.Rev, until: sent + leaseTTL}, nil
+	return &term{lease: lease, rev: res.Rev, until: sent + e.ttl}, nil
 }
 
 // keep renews the lease and returns when it will run out.
@@ -128,7 +140,7 @@
 	if err := e.store.KeepAlive(ctx, t.lease); err != nil {
 		return 0, err
 	}
-	return sent + leaseTTL, nil
+	return sent + e.ttl, nil
 }
 
 // confirm renews a lease that may have run out. A store can take a lease's keys away
--- a/internal/edge/coordinator/term.go
+++ b/internal/edge/coordinator/term.go
@@ -27,10 +27,14 @@
 // renew keeps the lease without waiting for the store. Grants become as long as
 // possible while that fails, so that keys stay served through an outage.
 func (c *Coordinator) renew(ctx context.Context, now time.Duration) {
+	if c.keeping && now-c.keptAt > c.election.slowKeep() && !c.term.dormant {
+		// The answer may come too late to extend grants before the lease is over.
+		c.extend(true, now)
+	}
 	if c.keeping || now < c.keepAt {
 		return
 	}
-	c.keeping = true
+	c.keeping, c.keptAt = true, now
 	t := c.term
 	keep := c.election.keep
 	if t.dormant {
@@ -53,17 +57,22 @@
 		c.lost("store ended it")
 		return
 	case err != nil && t.dormant:
-		c.keepAt = now + keepEvery
+		c.keepAt = now + c.election.keepEvery()
 		return
 	case err != nil:
-		c.keepAt = now + keepEvery/4
+		c.keepAt = now + c.election.keepEvery()/4
 		c.config.Log.Warn("coordinator's lease not renewed; extending grants", "term", t.rev, "left_ms", (t.until - now).Milliseconds(), "error", err)
 	default:
 		t.until = max(t.until, until)
-		c.keepAt = now + keepEvery
+		c.keepAt = now + c.election.keepEvery()
 	}
+	c.extend(err != nil, now)
+}
+
+// extend makes all grants as long as targets accept, or ends that.
+func (c *Coordinator) extend(on bool, now time.Duration) {
 	for _, e := range c.engines {
-		e.ExtendHolds(err != nil, now)
+		e.ExtendHolds(on, now)
 	}
 }
 
@@ -78,7 +87,7 @@
 		return
 	}
 	c.handOver()
-	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
 	c.election.end(ctx, c.term.lease)
 	c.config.Log.Info("coordinator's lease given back", "term", c.term.rev)
--- a/internal/edge/coordinator/write.go
+++ b/internal/edge/coordinator/write.go
@@ -58,7 +58,8 @@
 		e.Written(false, e.Table(), now)
 		return
 	}
-	if !stored.Exists() {
+	if !stored.Exists() || stored.ModRev < e.rev {
+		c.config.Log.Warn("store answered from an earlier state", "service", service, "revision", stored.ModRev, "known", e.rev)
 		e.Written(false, e.Table(), now)
 		return
 	}
--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -32,6 +32,9 @@
 	if t.sends > 0 && (t.last.Reason == NotHolding || t.last.Reason == Unreachable && d.keyed(t.req.Service)) {
 		d.waitMove(ctx, t)
 	}
+	if t.sends > 0 && t.last.Reason == Full && d.sheds(t.req.Service) && !d.hold(ctx, t) {
+		return nil, &Refusal{Reason: Full}
+	}
 	for {
 		if ctx.Err() != nil {
 			return nil, &Refusal{Reason: CallerLeft}
@@ -52,6 +55,9 @@
 		if reason == "" {
 			return ep, nil
 		}
+		if reason == Full && d.hold(ctx, t) {
+			continue
+		}
 		waited := clock.Now() - t.req.Arrived
 		if reason != NoOwner || waited >= ownerWait {
 			return nil, &Refusal{Reason: reason}
@@ -60,6 +66,33 @@
 	}
 }
 
+// holdTick bounds the wait for a slot that another daemon's request leaves.
+const holdTick = 10 * time.Millisecond
+
+// hold waits for a slot at targets that do not queue. It reports whether to look
+// again; otherwise the request would not end in time.
+func (d *Dispatcher) hold(ctx context.Context, t *try) bool {
+	d.mu.Lock()
+	s := d.service(t.req.Service)
+	if s.freed == nil {
+		s.freed = make(chan struct{})
+	}
+	freed, usual := s.freed, s.usual
+	d.mu.Unlock()
+	now := clock.Now()
+	if !d.sheds(t.req.Service) || now+usual > t.req.Arrived+holdTime(t.req) || ctx.Err() != nil {
+		return false
+	}
+	wait(ctx, freed, holdTick)
+	return true
+}
+
+// holdTime is how long a request may wait for a slot from its arrival.
+func holdTime(r *Request) time.Duration {
+	share := max(timeShare-priorityStep*float64(r.Route.Priority), leastShare)
+	return time.Duration(share * float64(r.Deadline-r.Arrived))
+}
+
 // waitMove waits until the key has another owner than the one that did not hold it,
 // or might have got its grant by now.
 func (d *Dispatcher) waitMove(ctx context.Context, t *try) {
@@ -202,7 +235,7 @@
 	slots := max(ep.record.Slots, 1)
 	load := ep.estimate.Load()
 	expected := ep.estimate.Completion(now, d.service(ep.record.Service).usual)
-	queued := load >= slots && expected > queueTime(t.req, now)
+	queued := load >= slots && (expected > queueTime(t.req, now) || ep.sheds)
 	if queued || ep.estimate.Running >= ep.limit || load >= queueFactor*slots {
 		t.inputs.Load, t.inputs.Slots, t.inputs.Expected = load, slots, expected
 		return nil, Full
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -140,6 +140,8 @@
 type service struct {
 	budget *budget.Budget
 	usual  time.Duration
+	// freed is closed when a request of the service ends, if somebody waits.
+	freed chan struct{}
 }
 
 // SetBudget changes the bound of repeats.
@@ -168,8 +170,10 @@
 	mayHaveRun bool
 	failure    *upstream.Answer // the last failure that a target answered
 	last       Refusal
-	inputs     Inputs
-	fence      uint64 // that of the key's owner at the last choice
+	// uncertain is the last send after which the request may have run.
+	uncertain Refusal
+	inputs    Inputs
+	fence     uint64 // that of the key's owner at the last choice
 }
 
 // Do returns the answer of a target, or why there is none.
@@ -186,7 +190,7 @@
 		}
 		if t.sends > 0 && !d.takeBudget(req.Service) {
 			d.unreserve(ep)
-			return d.end(t, &Refusal{Reason: OverBudget, Target: ep.record.ID})
+			return d.end(t, &Refusal{Reason: OverBudget, Target: ep.id})
 		}
 		answer, again := d.sendOnce(ctx, t, ep)
 		if answer != nil {
@@ -201,14 +205,14 @@
 // end returns the final result of a request that no target answered well.
 func (d *Dispatcher) end(t *try, r *Refusal) (*upstream.Answer, *Refusal) {
 	if t.failure != nil {
+		d.passOn(t, r)
 		return t.failure, nil
 	}
-	if r == nil || t.mayHaveRun {
-		last := t.last
-		if r != nil && last.Reason == "" {
-			last.Reason = r.Reason
-		}
-		r = &last
+	switch {
+	case t.mayHaveRun:
+		r = &t.uncertain
+	case r == nil:
+		r = &t.last
 	}
 	r.MayHaveRun = t.mayHaveRun
 	r.Sends = t.sends
@@ -219,6 +223,17 @@
 	return nil, r
 }
 
+// passOn tells that the caller gets a target's own failure, and why the request was
+// not sent again; r is nil if it was not to be.
+func (d *Dispatcher) passOn(t *try, r *Refusal) {
+	why := "no further send allowed"
+	if r != nil {
+		why = string(r.Reason)
+	}
+	d.config.Log.Info("target's failure passed on", "request", t.req.ID, "service", t.req.Service, "target", t.uncertain.Target,
+		"status", t.failure.Status, "sends", t.sends, "may_have_run", true, "not_sent_again", why)
+}
+
 // Pauses that refused callers are asked for.
 const (
 	comeBackMoved = 250 * time.Millisecond
@@ -246,17 +261,25 @@
 		// The target may have begun; its answer decides, not the caller's leaving.
 		sendCtx = context.WithoutCancel(ctx)
 	}
-	sendCtx, cancel := context.WithTimeout(sendCtx, left+answerSlack)
+	limit := left + answerSlack
+	attempt := req.Route.Idempotent && req.Route.AttemptTimeout > 0 && req.Route.AttemptTimeout < limit
+	if attempt {
+		limit = req.Route.AttemptTimeout
+	}
+	sendCtx, cancel := context.WithTimeout(sendCtx, limit)
 	defer cancel()
 	t.sends++
-	t.targets[ep.record.ID] = true
+	t.targets[ep.id] = true
 	load := d.loadOf(ep)
 	answer, err := ep.pool.Send(sendCtx, &upstream.Request{
 		Names: d.config.Names, ID: req.ID, Method: req.Method, URI: req.URI, Host: req.Host,
-		Header: req.Header, Body: req.Body, Target: ep.record.ID, Left: left,
+		Header: req.Header, Body: req.Body, Target: ep.id, Left: left,
 	})
 	took := clock.Now() - now
 	verdict := d.judge(ep, answer, err)
+	if attempt && verdict.reason == Lost && sendCtx.Err() != nil && ctx.Err() == nil {
+		ep.pool.Reset()
+	}
 	if ctx.Err() != nil && verdict.reason == Lost {
 		verdict = judgement{kind: unknown, reason: CallerLeft}
 	}
@@ -271,10 +294,10 @@
 	if v.kind == served {
 		return answer, false
 	}
-	t.last = Refusal{Reason: v.reason, Target: ep.record.ID, Cause: err}
+	t.last = Refusal{Reason: v.reason, Target: ep.id, Cause: err}
 	again := v.kind == notRun || req.Route.Idempotent
 	if v.kind != notRun {
-		t.mayHaveRun = true
+		t.mayHaveRun, t.uncertain = true, t.last
 	}
 	if v.kind == failed {
 		t.failure = answer
@@ -282,7 +305,7 @@
 	if v.reason == CallerLeft || t.sends >= maxSends || !d.moreTargets(t, v) {
 		again = false
 	}
-	d.config.Log.Info("send without success", "request", req.ID, "service", req.Service, "target", ep.record.ID,
+	d.config.Log.Info("send without success", "request", req.ID, "service", req.Service, "target", ep.id,
 		"send", t.sends, "reason", string(v.reason), "may_have_run", v.kind != notRun, "took_ms", took.Milliseconds(),
 		"left_ms", (req.Deadline - clock.Now()).Milliseconds(), "status", status(answer), "again", again, "error", err)
 	return nil, again
@@ -303,8 +326,12 @@
 	if v.reason == NotHolding && t.sends >= ownerSends {
 		return false
 	}
-	// There is one owner. While it is full, callers come back later.
-	return v.reason != Full && (len(t.targets) < t.req.Route.MaxAttempts || v.kind == notRun)
+	if v.reason == Full {
+		// There is one owner. While it is full, callers come back later, unless the
+		// request can be held here.
+		return d.sheds(t.req.Service)
+	}
+	return (len(t.targets) < t.req.Route.MaxAttempts || v.kind == notRun)
 }
 
 func (d *Dispatcher) keyed(name string) bool {
@@ -312,6 +339,12 @@
 	return c != nil && c.Services[name].Keyed
 }
 
+// sheds reports whether the service's targets refuse requests beyond their slots.
+func (d *Dispatcher) sheds(name string) bool {
+	c := d.config.Views.Current().Config
+	return c != nil && c.Services[name].Sheds
+}
+
 func (d *Dispatcher) countRequest(name string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/edge/dispatch/endpoint.go
+++ b/internal/edge/dispatch/endpoint.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
@@ -24,10 +26,13 @@
 // endpoint is a target with the connections to it. Its estimate is guarded by
 // the dispatcher's mutex.
 type endpoint struct {
+	id       string // never changes
 	record   target.Record
 	pool     *upstream.Pool
 	estimate balance.Estimate
 	limit    int
+	// sheds is that of route.Service.
+	sheds bool
 	// replaced tells that another target answered at the address. What is sent
 	// there counts as a repeat at that target's service.
 	replaced bool
@@ -38,15 +43,16 @@
 func (d *Dispatcher) endpoint(v *view.View, r target.Record) *endpoint {
 	ep := d.targets[r.Life()]
 	limit := connectionLimit(v, r.Service)
+	sheds := v.Config.Services[r.Service].Sheds
 	if ep != nil && ep.pool.Address() == r.Address {
-		ep.record = r
+		ep.record, ep.sheds = r, sheds
 		if ep.limit != limit {
 			ep.limit = limit
 			ep.pool.SetLimit(limit)
 		}
 		return ep
 	}
-	ep = &endpoint{record: r, limit: limit, hash: peers.HashTarget(r.ID), pool: upstream.NewPool(r.Address, limit)}
+	ep = &endpoint{id: r.ID, record: r, limit: limit, sheds: sheds, hash: peers.HashTarget(r.ID), pool: upstream.NewPool(r.Address, limit)}
 	ep.estimate.Slots = r.Slots
 	ep.estimate.Local = r.Domain == d.config.Domain
 	ep.estimate.ColdUntil = clock.Now() + r.ColdFor
@@ -111,6 +117,35 @@
 	}
 }
 
+// TargetLoad is what a daemon knows of a target that it has sent to.
+type TargetLoad struct {
+	ID, Service string
+	// Running and Elsewhere are the requests of this daemon and of the others.
+	Running, Elsewhere int
+	Slots, Connections int
+	// Suspect tells that the target is avoided after failures.
+	Suspect bool
+	// Time is the measured time of one request; 0 before any was measured.
+	Time time.Duration
+}
+
+// Loads returns what is known of each target.
+func (d *Dispatcher) Loads() []TargetLoad {
+	now := clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]TargetLoad, 0, len(d.targets))
+	for _, ep := range d.targets {
+		open, _ := ep.pool.Counts()
+		out = append(out, TargetLoad{
+			ID: ep.record.ID, Service: ep.record.Service, Running: ep.estimate.Running, Elsewhere: ep.estimate.Elsewhere,
+			Slots: ep.record.Slots, Connections: open, Suspect: ep.estimate.Suspect(now), Time: ep.estimate.Service(0),
+		})
+	}
+	slices.SortFunc(out, func(a, b TargetLoad) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
 // Gauges returns the present values of each service.
 func (d *Dispatcher) Gauges() map[string]metrics.ServiceGauges {
 	daemons := len(d.config.Views.Current().Daemons)
--- /dev/null
+++ b/internal/edge/dispatch/hold_test.go
@@ -0,0 +1,146 @@
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
+	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
+	"github.com/jackdawloom/jackdawloom/internal/edge/view"
+	"github.com/jackdawloom/jackdawloom/internal/state/ranges"
+	"github.com/jackdawloom/jackdawloom/internal/state/route"
+	"github.com/jackdawloom/jackdawloom/internal/state/target"
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/topo/mirror"
+	"github.com/jackdawloom/jackdawloom/internal/transport/upstream"
+)
+
+// oneTarget has a service with one target.
+type oneTarget struct {
+	noDocuments
+	service route.Service
+	record  target.Record
+}
+
+func (o oneTarget) Config([]byte) (*route.Config, error) {
+	return route.New(1, nil, []route.Service{o.service}, route.Limits{}), nil
+}
+
+func (o oneTarget) Target(string, []byte) (target.Record, error) { return o.record, nil }
+
+var holdNames = &upstream.Names{RequestID: "Id", TimeLeft: "Left", ExpectTarget: "Expect-Target", NotRun: "Not-Run"}
+
+// dispatcherTo returns a dispatcher to one target with two slots.
+func dispatcherTo(address string, sheds bool) *Dispatcher {
+	docs := oneTarget{
+		service: route.Service{Name: "s", MaxConnections: 100, Sheds: sheds, Keyed: true},
+		record:  target.Record{ID: "t", Service: "s", Address: address, Slots: 2, Born: 1},
+	}
+	log := slog.New(slog.DiscardHandler)
+	views := view.NewKeeper(docs, log, func() mirror.Status { return mirror.Status{Up: true} })
+	table := ranges.Empty()
+	table.Assign(0, ranges.MaxKey, target.Life{ID: "t", Born: 1})
+	value, err := table.Encode()
+	if err != nil {
+		panic(err) // a table of one span can be encoded
+	}
+	views.Apply(mirror.Change{Complete: true, Entries: []topo.Entry{
+		{Key: "config", CreateRev: 1, ModRev: 1}, {Key: "targets/t", CreateRev: 1, ModRev: 1},
+		{Key: view.RangesKey("s"), Value: value, CreateRev: 1, ModRev: 1}, {Key: view.DaemonKey("d"), CreateRev: 1, ModRev: 1},
+	}})
+	return New(Config{
+		Names: holdNames, Views: views, Log: log, Budget: budget.Bound{Ratio: 1, Slack: 100, Window: time.Second},
+		Sent: func(string, string, time.Duration) {}, Keys: func(string, uint16) {}, Ended: func(peers.TargetHash, time.Duration) {},
+	})
+}
+
+func (d *Dispatcher) try(r *route.Route) (*upstream.Answer, *Refusal) {
+	now := clock.Now()
+	return d.Do(context.Background(), &Request{
+		Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, Route: r, Service: "s", Key: 7, HasKey: true,
+		Arrived: now, Deadline: now + 2*time.Second,
+	})
+}
+
+// Guards against a burst that is refused by a target which does not queue, although
+// all of it could end in time.
+func TestHoldsRequestsForATargetThatSheds(t *testing.T) {
+	var running, shed atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		defer running.Add(-1)
+		if running.Add(1) > 2 {
+			shed.Add(1)
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	d := dispatcherTo(address, true)
+	var refused atomic.Int64
+	var wg sync.WaitGroup
+	for range 12 {
+		wg.Go(func() {
+			if a, r := d.try(&route.Route{MaxAttempts: 1}); r != nil || a.Status != http.StatusOK {
+				refused.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if refused.Load() > 0 {
+		t.Errorf("%d of 12 requests refused; the target shed %d", refused.Load(), shed.Load())
+	}
+}
+
+// Guards against an idempotent request that waits until its deadline on a connection
+// that lost its other end without notice, and against one that may not be repeated
+// being sent again.
+func TestSilentConnectionIsGivenUp(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var accepted atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if accepted.Add(1)%2 == 1 {
+					time.Sleep(5 * time.Second) // the first connection is silent
+					return
+				}
+				buf := make([]byte, 1024)
+				if _, err := c.Read(buf); err == nil {
+					_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+				}
+			}()
+		}
+	}()
+	d := dispatcherTo(l.Addr().String(), false)
+	start := time.Now()
+	answer, refusal := d.try(&route.Route{Idempotent: true, MaxAttempts: 3, AttemptTimeout: 200 * time.Millisecond})
+	if took := time.Since(start); refusal != nil || answer.Status != http.StatusOK || took > time.Second {
+		t.Errorf("idempotent: answer %+v, refusal %+v after %v", answer, refusal, took)
+	}
+	before := accepted.Load()
+	answer, refusal = d.try(&route.Route{MaxAttempts: 1, AttemptTimeout: 200 * time.Millisecond})
+	if refusal == nil || !refusal.MayHaveRun || refusal.Sends != 1 || accepted.Load() != before+1 {
+		t.Errorf("not to be repeated: answer %+v, refusal %+v, %d connections", answer, refusal, accepted.Load()-before)
+	}
+}
--- a/internal/edge/dispatch/move_test.go
+++ b/internal/edge/dispatch/move_test.go
@@ -18,6 +18,7 @@
 // noDocuments reads no document of operators and targets.
 type noDocuments struct{}
 
+func (noDocuments) Prefix() string                       { return "" }
 func (noDocuments) ConfigKey() string                    { return "config" }
 func (noDocuments) TargetsPrefix() string                { return "targets/" }
 func (noDocuments) Config([]byte) (*route.Config, error) { return nil, topo.ErrBadReply }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -3,14 +3,17 @@
 package edge
 
 import (
+	"context"
 	"crypto/rand"
 	"log/slog"
+	"net/http"
 	"net/netip"
 	"reflect"
 	"sync/atomic"
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/ownership"
 	"github.com/jackdawloom/jackdawloom/internal/edge/coordinator"
 	"github.com/jackdawloom/jackdawloom/internal/edge/dispatch"
 	"github.com/jackdawloom/jackdawloom/internal/edge/front"
@@ -25,8 +28,12 @@
 // Settings are a daemon's settings.
 type Settings struct {
 	Name, Domain string
-	// Callers, Ready and Peers are the addresses that the daemon listens at.
-	Callers, Ready, Peers string
+	// Callers and Ready are the addresses that the daemon listens at. Ready may be
+	// empty.
+	Callers, Ready string
+	// Peers is where other daemons reach this one, and Admin where operators do;
+	// Admin may be empty.
+	Peers, Admin string
 	// Seeds are peer addresses of daemons that may have a copy of the store when
 	// this one starts and does not reach it.
 	Seeds []netip.AddrPort
@@ -37,8 +44,10 @@
 	Capacity float64
 	// Grace is the time between the signal to stop and the end by force.
 	Grace time.Duration
-	// MaxHold is the longest grant that targets accept.
-	MaxHold time.Duration
+	// Grants holds the times of grants. LeaseTTL and GrantTimeout are those of
+	// coordinator.Config.
+	Grants                 ownership.Config
+	LeaseTTL, GrantTimeout time.Duration
 	// Repeats bounds what all daemons send a second time.
 	Repeats budget.Bound
 }
@@ -54,6 +63,7 @@
 	Settings  Settings
 	Store     Store
 	Documents view.Documents
+	Network   peers.Network
 	Calls     coordinator.Calls
 	Names     *upstream.Names
 	Log       *slog.Logger
@@ -75,6 +85,10 @@
 	teller  *peers.Teller
 	grace   atomic.Int64 // nanoseconds
 	hubs    *peers.Hubs
+	admin   http.Handler
+	duties  []func(context.Context)
+	// observe is told of each request that ended.
+	observe func(front.Result)
 	// peerList is read off a view.
 	peerList atomic.Pointer[peerList]
 }
@@ -90,10 +104,12 @@
 	d := &Daemon{options: o, log: o.Log, self: coordinator.Identity{Name: o.Settings.Name, Run: rand.Text()}}
 	d.views = view.NewKeeper(o.Documents, o.Log, func() mirror.Status { return d.mirror.Status() })
 	d.hubs = peers.NewHubs()
-	feed := peers.NewFeed(o.Settings.Name, o.Settings.Domain, o.Store, d.hubs, d.peers, o.Log)
-	feed.Seeds = o.Settings.Seeds
-	relay := peers.NewRelay(o.Settings.Name, o.Store, d.hubs, d.peers, o.Log)
-	d.mirror = mirror.New(feed, "", o.Log, d.views.Apply)
+	feed := &peers.Feed{
+		Self: o.Settings.Name, Domain: o.Settings.Domain, Store: o.Store, Hubs: d.hubs, Peers: d.peers,
+		Seeds: o.Settings.Seeds, Network: o.Network, Log: o.Log,
+	}
+	relay := peers.NewRelay(o.Settings.Name, o.Store, o.Network, d.hubs, d.peers, o.Log)
+	d.mirror = mirror.New(feed, o.Documents.Prefix(), o.Log, d.views.Apply)
 	d.sender = dispatch.New(dispatch.Config{
 		Names: o.Names, Domain: o.Settings.Domain, Budget: o.Settings.Repeats, Views: d.views, Log: o.Log,
 		Sent:  o.Metrics.Send,
@@ -101,21 +117,30 @@
 		Ended: func(t peers.TargetHash, took time.Duration) { d.teller.Ended(t, took) },
 	})
 	d.teller = peers.New(peers.Config{
-		Name: o.Settings.Name, Domain: o.Settings.Domain, Address: o.Settings.Peers, Log: o.Log, Hubs: d.hubs,
+		Name: o.Settings.Name, Domain: o.Settings.Domain, Network: o.Network, Log: o.Log, Hubs: d.hubs,
 		Peers: d.peers, Running: d.sender.Running, Fleet: d.sender.SetFleet, Measured: d.sender.SetTimes,
 		Sampled: func(s peers.Sample) { d.coord.AddLoad(s) },
 	})
 	d.coord = coordinator.New(coordinator.Config{
 		Store: relay, HandOver: relay.HandOver, Self: d.self, Views: d.views, Calls: o.Calls, Targets: d.sender,
-		MaxHold: o.Settings.MaxHold, Weakness: d.weakness, Log: o.Log,
+		Grants: o.Settings.Grants, LeaseTTL: o.Settings.LeaseTTL, GrantTimeout: o.Settings.GrantTimeout,
+		Weakness: d.weakness, Log: o.Log,
 	})
 	d.handler = &front.Handler{Names: o.Names, Views: d.views, Dispatcher: d.sender, Log: o.Log, Observe: func(r front.Result) {
 		o.Metrics.Request(r.Service, r.Status, string(r.Reason), r.Took)
+		d.observe(r)
 	}}
+	d.observe = func(front.Result) {}
 	d.grace.Store(int64(o.Settings.Grace))
 	return d
 }
 
+// Extend adds what serves operators at Settings.Admin, what is told of each request
+// that ended, and duties that run until the daemon stops. It is called before Run.
+func (d *Daemon) Extend(admin http.Handler, observe func(front.Result), duties ...func(context.Context)) {
+	d.admin, d.observe, d.duties = admin, observe, duties
+}
+
 // Reload applies the settings that can change while the daemon runs: the grace
 // and the bound of repeats.
 func (d *Daemon) Reload(s Settings) {
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -20,26 +20,90 @@
 	Peers  string `cbor:"3,keyasint"`
 	// Capacity is that of the instance.
 	Capacity float64 `cbor:"4,keyasint"`
+	// Admin is where operators reach the daemon; empty if they do not.
+	Admin string `cbor:"5,keyasint,omitempty"`
 }
 
-// announce writes the daemon's address into the store once.
+const (
+	// announceEvery is how often a daemon looks whether it is announced, and the
+	// pause after an announcement that failed. A change is in force everywhere
+	// within that time.
+	announceEvery = 2 * time.Second
+	// goneAfter is the silence after which a hub takes a daemon of its domain for
+	// gone. Daemons tell their hub several times a second.
+	goneAfter = 10 * time.Second
+	// withdrawTimeout bounds the last call of a daemon that stops.
+	withdrawTimeout = 500 * time.Millisecond
+)
+
+// announce keeps the daemon's address in the store until ctx ends, and then takes it
+// away. Calls to the store are charged for, so it is written once and again only if
+// it is missing.
 func (d *Daemon) announce(ctx context.Context) {
 	value, err := cbor.Marshal(announcement{
 		Run: d.self.Run, Domain: d.options.Settings.Domain, Peers: d.options.Settings.Peers, Capacity: d.options.Settings.Capacity,
+		Admin: d.options.Settings.Admin,
 	})
 	if err != nil {
 		d.log.Error("announcement not encoded", "error", err)
 		return
 	}
-	for ctx.Err() == nil {
-		_, err := d.options.Store.Commit(ctx, topo.Txn{Puts: []topo.Put{{Key: view.DaemonKey(d.self.Name), Value: value}}})
-		if err == nil {
+	ticker := time.NewTicker(announceEvery)
+	defer ticker.Stop()
+	for written := false; ; {
+		if !written || d.unannounced() {
+			_, err := d.options.Store.Commit(ctx, topo.Txn{Puts: []topo.Put{{Key: view.DaemonKey(d.self.Name), Value: value}}})
+			if written = err == nil; !written && ctx.Err() == nil {
+				d.log.Warn("daemon not announced", "error", err)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			d.withdraw(d.self.Name, "it stops")
 			return
+		case <-ticker.C:
 		}
-		d.log.Warn("daemon not announced", "error", err)
+	}
+}
+
+// unannounced reports whether the store certainly lacks this daemon's announcement.
+func (d *Daemon) unannounced() bool {
+	v := d.views.Current()
+	_, announced := v.Daemons[d.self.Name]
+	return v.Read && d.mirror.Status().Up && !announced
+}
+
+// withdraw takes a daemon's announcement away, unless it was renewed meanwhile.
+func (d *Daemon) withdraw(name, why string) {
+	entry, known := d.views.Current().Daemons[name]
+	if !known {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+	defer cancel()
+	key := view.DaemonKey(name)
+	_, err := d.options.Store.Commit(ctx, topo.Txn{
+		Compares: []topo.Compare{{Key: key, Field: topo.CompareModRev, Rev: entry.ModRev}}, Deletes: []string{key},
+	})
+	d.log.Info("daemon no longer announced", "daemon", name, "reason", why, "revision", entry.ModRev, "error", err)
+}
+
+// withdrawGone takes the announcements of daemons away that are gone. Each is tried
+// once in a while, as refused calls to the store are charged for.
+func (d *Daemon) withdrawGone(ctx context.Context) {
+	ticker := time.NewTicker(goneAfter / 2)
+	defer ticker.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-		case <-time.After(announceRetry):
+			return
+		case <-ticker.C:
+		}
+		if !d.mirror.Status().Up {
+			continue
+		}
+		for _, name := range d.teller.Silent(goneAfter) {
+			d.withdraw(name, "not heard by its hub")
 		}
 	}
 }
--- a/internal/edge/front/handler.go
+++ b/internal/edge/front/handler.go
@@ -40,15 +40,20 @@
 	Observe func(Result)
 	// Stopping makes callers leave their connections.
 	Stopping atomic.Bool
+	running  atomic.Int64
 }
 
+// Running returns the number of requests that have not ended.
+func (h *Handler) Running() int { return int(h.running.Load()) }
+
 // Result is the end of a request.
 type Result struct {
 	Service string
-	Route   string
-	Status  int
-	Reason  dispatch.Reason
-	Took    time.Duration
+	// Route is nil if none was found.
+	Route  *route.Route
+	Status int
+	Reason dispatch.Reason
+	Took   time.Duration
 }
 
 // hopHeaders concern one connection and are not forwarded.
@@ -71,6 +76,8 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.running.Add(1)
+	defer h.running.Add(-1)
 	arrived := clock.Now()
 	if h.Stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -83,34 +90,69 @@
 		h.refuse(w, r, nil, arrived, &dispatch.Refusal{Reason: dispatch.NoConfig, RetryAfter: defaultRetry})
 		return
 	}
-	rt, found := v.Config.Match(r.Host, r.URL.EscapedPath())
-	if !found {
-		h.Log.Info("no route matches", "request", r.Header.Get(h.Names.RequestID), "host", r.Host, "version", v.Config.Version)
-		h.finish(w, http.StatusNotFound, Result{Status: http.StatusNotFound, Took: clock.Now() - arrived})
+	match, err := v.Config.Match(route.Query{
+		Method: r.Method, Host: r.Host, Path: r.URL.EscapedPath(), RawQuery: r.URL.RawQuery, Header: r.Header,
+	})
+	if err != nil {
+		h.mismatch(w, r, v.Config, err, arrived)
 		return
 	}
-	h.forward(w, r, v.Config, rt, arrived)
+	h.forward(w, r, v.Config, match, arrived)
+}
+
+// mismatch answers a request that no route covers.
+func (h *Handler) mismatch(w http.ResponseWriter, r *http.Request, c *route.Config, err error, arrived time.Duration) {
+	status := http.StatusNotFound
+	var m *route.MismatchError
+	if errors.As(err, &m) {
+		status = m.Status
+	}
+	h.Log.Info("no route matches", "request", r.Header.Get(h.Names.RequestID), "host", r.Host, "status", status,
+		"version", c.Version, "error", err)
+	h.tellOutcome(w, false, err.Error())
+	h.finish(w, status, Result{Status: status, Took: clock.Now() - arrived})
+}
+
+// Values of the outcome that callers are told.
+const (
+	outcomeNotRun  = "not-run"
+	outcomeUnknown = "unknown"
+)
+
+// tellOutcome tells the caller whether a request without an answer ran.
+func (h *Handler) tellOutcome(w http.ResponseWriter, mayHaveRun bool, reason string) {
+	if h.Names.Outcome == "" {
+		return
+	}
+	outcome := outcomeNotRun
+	if mayHaveRun {
+		outcome = outcomeUnknown
+	}
+	w.Header().Set(h.Names.Outcome, outcome)
+	w.Header().Set(h.Names.Reason, reason)
 }
 
 // defaultRetry is asked of callers while no configuration is known.
 const defaultRetry = 300 * time.Millisecond
 
-func (h *Handler) forward(w http.ResponseWriter, r *http.Request, c *route.Config, rt *route.Route, arrived time.Duration) {
+func (h *Handler) forward(w http.ResponseWriter, r *http.Request, c *route.Config, match route.Match, arrived time.Duration) {
+	rt := match.Route
 	body, status := readBody(w, r, c.Limits.BodyBytes)
 	if status != 0 {
+		h.tellOutcome(w, false, "body not accepted")
 		h.Log.Info("body not accepted", "request", r.Header.Get(h.Names.RequestID), "route", rt.Name, "status", status)
 		w.Header().Set("Connection", "close")
-		h.finish(w, status, Result{Route: rt.Name, Status: status, Took: clock.Now() - arrived})
+		h.finish(w, status, Result{Route: rt, Status: status, Took: clock.Now() - arrived})
 		return
 	}
-	req := h.request(r, rt, body, arrived)
+	req := h.request(r, match, body, arrived)
 	answer, refusal := h.Dispatcher.Do(r.Context(), req)
 	if refusal != nil {
 		h.refuse(w, r, req, arrived, refusal)
 		return
 	}
 	h.relay(w, answer)
-	h.Observe(Result{Service: req.Service, Route: rt.Name, Status: answer.Status, Took: clock.Now() - arrived})
+	h.Observe(Result{Service: req.Service, Route: rt, Status: answer.Status, Took: clock.Now() - arrived})
 }
 
 // readBody returns the whole body, or the status to refuse it with.
@@ -133,7 +175,8 @@
 	return body, 0
 }
 
-func (h *Handler) request(r *http.Request, rt *route.Route, body []byte, arrived time.Duration) *dispatch.Request {
+func (h *Handler) request(r *http.Request, match route.Match, body []byte, arrived time.Duration) *dispatch.Request {
+	rt := match.Route
 	timeout := defaultTimeout
 	if rt.Timeout > 0 {
 		timeout = rt.Timeout
@@ -148,6 +191,11 @@
 		Header: header, Body: body, Route: rt, Service: rt.Pick(rand.Float64()),
 		Arrived: arrived, Deadline: arrived + timeout,
 	}
+	if match.HasKey {
+		req.Key, req.HasKey = match.Key, true
+		header.Set(h.Names.Key, strconv.Itoa(int(match.Key)))
+		return req
+	}
 	if key, err := strconv.ParseUint(r.Header.Get(h.Names.Key), 10, 16); err == nil {
 		req.Key, req.HasKey = uint16(key), true
 	}
@@ -161,11 +209,19 @@
 	for name, values := range a.Header {
 		header[name] = values
 	}
-	header.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	if len(a.Trailer) == 0 {
+		header.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
+	for name := range a.Trailer {
+		header.Add("Trailer", name)
+	}
 	w.WriteHeader(a.Status)
 	if _, err := w.Write(a.Body); err != nil {
 		h.Log.Info("answer not delivered", "request", a.Header.Get(h.Names.RequestID), "error", err)
 	}
+	for name, values := range a.Trailer {
+		header[name] = values
+	}
 }
 
 // refuse answers a request that no target answered.
@@ -173,8 +229,9 @@
 	status := statusOf(f)
 	result := Result{Status: status, Reason: f.Reason, Took: clock.Now() - arrived}
 	var left time.Duration
+	name := ""
 	if req != nil {
-		result.Service, result.Route = req.Service, req.Route.Name
+		result.Service, result.Route, name = req.Service, req.Route, req.Route.Name
 		left = req.Deadline - clock.Now()
 	}
 	if status == http.StatusServiceUnavailable && f.RetryAfter > 0 {
@@ -184,12 +241,13 @@
 		}
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
-	h.Log.Info("request refused", "request", r.Header.Get(h.Names.RequestID), "route", result.Route, "service", result.Service,
+	h.Log.Info("request refused", "request", r.Header.Get(h.Names.RequestID), "route", name, "service", result.Service,
 		"status", status, "reason", string(f.Reason), "may_have_run", f.MayHaveRun, "sends", f.Sends, "target", f.Target,
 		"took_ms", result.Took.Milliseconds(), "left_ms", left.Milliseconds(), keyOf(req),
 		"config_version", f.Inputs.ConfigVersion, "table_revision", f.Inputs.TableRev, "copy_age_ms", f.Inputs.CopyAge.Milliseconds(),
 		"ready_targets", f.Inputs.Ready, "load", f.Inputs.Load, "slots", f.Inputs.Slots,
 		"expected_ms", f.Inputs.Expected.Milliseconds(), "error", f.Cause)
+	h.tellOutcome(w, f.MayHaveRun, string(f.Reason))
 	h.finish(w, status, result)
 }
 
--- /dev/null
+++ b/internal/edge/inspect.go
@@ -0,0 +1,77 @@
+package edge
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/edge/coordinator"
+	"github.com/jackdawloom/jackdawloom/internal/edge/dispatch"
+	"github.com/jackdawloom/jackdawloom/internal/edge/view"
+)
+
+// Status is a daemon's present state.
+type Status struct {
+	Name, Run, Domain string
+	// Stopping daemons serve until their requests have ended.
+	Stopping bool
+	Running  int
+	// Coordinator is the daemon that assigns keys; empty if there is none.
+	Coordinator string
+	StoreUp     bool
+	// CopyAge is the age of the copy of the store.
+	CopyAge time.Duration
+	Targets []dispatch.TargetLoad
+}
+
+// Status returns the daemon's state.
+func (d *Daemon) Status() Status {
+	status := d.mirror.Status()
+	return Status{
+		Name: d.self.Name, Run: d.self.Run, Domain: d.options.Settings.Domain, Stopping: d.handler.Stopping.Load(),
+		Running: d.handler.Running(), Coordinator: coordinator.Holder(d.views.Current()),
+		StoreUp: status.Up, CopyAge: clock.Now() - status.Heard, Targets: d.sender.Loads(),
+	}
+}
+
+// View returns what the daemon knows of the fleet.
+func (d *Daemon) View() *view.View { return d.views.Current() }
+
+// Coordinates reports whether this run of the daemon holds the coordinator's lease
+// by what it knows, and the revision of the lease's key.
+func (d *Daemon) Coordinates() (int64, bool) {
+	entry := d.views.Current().Coordinator
+	var holder coordinator.Identity
+	if !entry.Exists() || cbor.Unmarshal(entry.Value, &holder) != nil {
+		return 0, false
+	}
+	return entry.ModRev, holder == d.self
+}
+
+// Move asks the coordinator in this daemon to move keys; see coordinator.Move.
+func (d *Daemon) Move(ctx context.Context, service string, from, to uint16, targetID string) error {
+	return d.coord.Move(ctx, service, from, to, targetID)
+}
+
+// Member is a daemon as it announced itself.
+type Member struct {
+	Name, Run, Domain, Peers, Admin string
+}
+
+// Members returns the announced daemons, ordered by name.
+func (d *Daemon) Members() []Member {
+	v := d.views.Current()
+	out := make([]Member, 0, len(v.Daemons))
+	for _, name := range slices.Sorted(maps.Keys(v.Daemons)) {
+		var a announcement
+		if err := cbor.Unmarshal(v.Daemons[name].Value, &a); err != nil {
+			continue // peers writes a line
+		}
+		out = append(out, Member{Name: name, Run: a.Run, Domain: a.Domain, Peers: a.Peers, Admin: a.Admin})
+	}
+	return out
+}
--- a/internal/edge/peers/call.go
+++ b/internal/edge/peers/call.go
@@ -3,47 +3,50 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/jackdawloom/jackdawloom/internal/transport/once"
 )
 
-// dialTimeout is far above the time of one round trip between failure domains.
-const dialTimeout = 200 * time.Millisecond
-
-// newTransport returns connections to other daemons.
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
+// Network carries calls and hints between daemons.
+type Network interface {
+	// Listen opens the daemon's address.
+	Listen(ctx context.Context) error
+	// Serve passes calls and hints on until ctx ends. A hint is valid until the
+	// function returns.
+	Serve(ctx context.Context, calls http.Handler, hints func([]byte))
+	// RoundTrip sends a call to a daemon once. It sets the scheme and host of the
+	// URL. The error wraps once.ErrNotSent if nothing of the call left this daemon.
+	RoundTrip(address netip.AddrPort, req *http.Request) (*http.Response, error)
+	// Tell sends a hint of at most maxDatagram bytes to a daemon. It may get lost.
+	Tell(address netip.AddrPort, hint []byte) error
 }
 
 // get reads from a daemon. It returns the status and the body, up to a size.
-func get(ctx context.Context, t *http.Transport, address netip.AddrPort, path string, limit int64) (int, []byte, error) {
-	return call(ctx, t, http.MethodGet, address, path, nil, limit)
+func get(ctx context.Context, n Network, address netip.AddrPort, path string, limit int64) (int, []byte, error) {
+	return call(ctx, n, http.MethodGet, address, path, nil, limit)
 }
 
 // post sends a message to a daemon once. It returns the status and the body of the
 // answer, up to a size.
-func post(ctx context.Context, t *http.Transport, address netip.AddrPort, path string, message []byte, limit int64) (int, []byte, error) {
-	return call(ctx, t, http.MethodPost, address, path, message, limit)
+func post(ctx context.Context, n Network, address netip.AddrPort, path string, message []byte, limit int64) (int, []byte, error) {
+	return call(ctx, n, http.MethodPost, address, path, message, limit)
 }
 
-func call(ctx context.Context, t *http.Transport, method string, address netip.AddrPort, path string, message []byte, limit int64) (int, []byte, error) {
+func call(ctx context.Context, n Network, method string, address netip.AddrPort, path string, message []byte, limit int64) (int, []byte, error) {
 	var body io.Reader
 	if message != nil {
 		body = once.Body(message)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address.String()+path, body)
+	req, err := http.NewRequestWithContext(ctx, method, path, body)
 	if err != nil {
 		return 0, nil, err
 	}
 	req.ContentLength = int64(len(message))
-	resp, err := t.RoundTrip(req)
+	resp, err := n.RoundTrip(address, req)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/edge/peers/feed.go
+++ b/internal/edge/peers/feed.go
@@ -57,14 +57,9 @@
 	Hubs         *Hubs
 	Peers        func() []Peer
 	// Seeds are asked for their copy by a daemon that starts without the store.
-	Seeds  []netip.AddrPort
-	Log    *slog.Logger
-	client *http.Transport
-}
-
-// NewFeed returns a Feed of the daemon with the given name.
-func NewFeed(self, domain string, store topo.Feed, hubs *Hubs, peers func() []Peer, log *slog.Logger) *Feed {
-	return &Feed{Self: self, Domain: domain, Store: store, Hubs: hubs, Peers: peers, Log: log, client: newTransport()}
+	Seeds   []netip.AddrPort
+	Network Network
+	Log     *slog.Logger
 }
 
 // source returns the daemon to read from; false means the store.
@@ -154,7 +149,7 @@
 func (f *Feed) call(ctx context.Context, address netip.AddrPort, query string, oldest, timeout time.Duration) (*feedReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	status, body, err := get(ctx, f.client, address, feedPath+query, maxFeedSize)
+	status, body, err := get(ctx, f.Network, address, feedPath+query, maxFeedSize)
 	switch {
 	case err != nil:
 		return nil, err
--- a/internal/edge/peers/handover.go
+++ b/internal/edge/peers/handover.go
@@ -51,7 +51,7 @@
 }
 
 func (r *Relay) tell(ctx context.Context, p Peer, body []byte) error {
-	status, _, err := post(ctx, r.http, p.Address, handOverPath, body, maxHandOverSize)
+	status, _, err := post(ctx, r.net, p.Address, handOverPath, body, maxHandOverSize)
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("daemon answered %d", status)
 	}
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"maps"
 	"math"
-	"net"
 	"sync"
 	"time"
 
@@ -30,9 +28,10 @@
 
 // Config holds what a Teller needs.
 type Config struct {
-	Name, Domain, Address string
-	Log                   *slog.Logger
-	Hubs                  *Hubs
+	Name, Domain string
+	Network      Network
+	Log          *slog.Logger
+	Hubs         *Hubs
 	// Peers returns all daemons, this one included.
 	Peers func() []Peer
 	// Running returns this daemon's requests at each target.
@@ -65,6 +64,10 @@
 	members map[string]*heard
 	domains map[string]*heard
 	fleet   *heard
+	// lastHeard is when each daemon of the domain was last heard, by a hub; hubSince
+	// is when this daemon became one, or 0.
+	lastHeard map[string]time.Duration
+	hubSince  time.Duration
 }
 
 // heard is what was last told by a daemon.
@@ -80,6 +83,7 @@
 	return &Teller{
 		config: c, keys: make(map[string][]uint16), skips: make(map[string]int),
 		members: make(map[string]*heard), domains: make(map[string]*heard), fleet: &heard{}, times: make(estimates),
+		lastHeard: make(map[string]time.Duration),
 	}
 }
 
@@ -135,26 +139,8 @@
 	return out
 }
 
-// Run exchanges messages until ctx ends.
-func (t *Teller) Run(ctx context.Context) error {
-	var config net.ListenConfig
-	conn, err := config.ListenPacket(ctx, "udp4", t.config.Address)
-	if err != nil {
-		return err
-	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		t.listen(conn)
-	}()
-	t.tell(ctx, conn)
-	err = conn.Close()
-	<-done
-	return err
-}
-
-// tell sends messages.
-func (t *Teller) tell(ctx context.Context, conn net.PacketConn) {
+// Run tells the other daemons until ctx ends.
+func (t *Teller) Run(ctx context.Context) {
 	timer := time.NewTimer(tellEvery)
 	defer timer.Stop()
 	for {
@@ -165,7 +151,7 @@
 		}
 		peers := t.config.Peers()
 		hubs := t.config.Hubs.Of(peers)
-		t.round(conn, peers, hubs)
+		t.round(peers, hubs)
 		timer.Reset(t.pause(peers))
 	}
 }
@@ -181,7 +167,7 @@
 }
 
 // round tells whom this daemon is to tell.
-func (t *Teller) round(conn net.PacketConn, peers []Peer, hubs map[string]Peer) {
+func (t *Teller) round(peers []Peer, hubs map[string]Peer) {
 	now := clock.Now()
 	far := now-t.farAt >= farEvery
 	if far {
@@ -192,8 +178,9 @@
 	if !known {
 		return
 	}
+	t.noteHub(hub.Name == t.config.Name, now)
 	if hub.Name == t.config.Name {
-		t.actAsHub(conn, peers, hubs, far, now)
+		t.actAsHub(peers, hubs, far, now)
 		return
 	}
 	t.watchHub(hub, now)
@@ -201,7 +188,40 @@
 	if far {
 		m.Keys, m.Ended = t.samples(), t.takeEnded()
 	}
-	t.send(conn, hub, m)
+	t.send(hub, m)
+}
+
+func (t *Teller) noteHub(self bool, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case !self:
+		t.hubSince = 0
+		clear(t.lastHeard)
+	case t.hubSince == 0:
+		t.hubSince = now
+	}
+}
+
+// Silent returns the daemons of the domain that were not heard for a time, if this
+// daemon is the domain's hub.
+func (t *Teller) Silent(after time.Duration) []string {
+	now := clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.hubSince == 0 {
+		return nil
+	}
+	var out []string
+	for _, p := range t.config.Peers() {
+		if p.Domain != t.config.Domain || p.Name == t.config.Name {
+			continue
+		}
+		if now-max(t.hubSince, t.lastHeard[p.Name]) > after {
+			out = append(out, p.Name)
+		}
+	}
+	return out
 }
 
 // watchHub passes over a hub that does not answer.
@@ -221,7 +241,7 @@
 }
 
 // actAsHub sums up the domain and passes the sums on.
-func (t *Teller) actAsHub(conn net.PacketConn, peers []Peer, hubs map[string]Peer, far bool, now time.Duration) {
+func (t *Teller) actAsHub(peers []Peer, hubs map[string]Peer, far bool, now time.Duration) {
 	domain := t.config.Running()
 	fleet := make(Loads)
 	t.mu.Lock()
@@ -248,21 +268,21 @@
 	}
 	for _, p := range peers {
 		if p.Domain == t.config.Domain && p.Name != t.config.Name {
-			t.send(conn, p, m)
+			t.send(p, m)
 		}
 	}
 	if far {
-		t.tellFar(conn, peers, hubs, domain)
+		t.tellFar(peers, hubs, domain)
 	}
 }
 
 // tellFar tells the other domains' hubs, and the coordinator.
-func (t *Teller) tellFar(conn net.PacketConn, peers []Peer, hubs map[string]Peer, domain Loads) {
+func (t *Teller) tellFar(peers []Peer, hubs map[string]Peer, domain Loads) {
 	m := t.message(scopeDomain, domain)
 	m.Ended = t.takeEnded()
 	for name, hub := range hubs {
 		if name != t.config.Domain {
-			t.send(conn, hub, m)
+			t.send(hub, m)
 		}
 	}
 	for _, p := range peers {
@@ -276,7 +296,7 @@
 			}
 			m := t.message(scopeDomain, domain)
 			m.Keys = []Sample{s}
-			t.send(conn, p, m)
+			t.send(p, m)
 		}
 	}
 }
@@ -285,38 +305,27 @@
 	return message{From: t.config.Name, Domain: t.config.Domain, Scope: s, Number: t.number, Loads: l}
 }
 
-func (t *Teller) send(conn net.PacketConn, p Peer, m message) {
+func (t *Teller) send(p Peer, m message) {
 	for _, part := range m.chunks() {
 		b, err := part.encode()
 		if err != nil || len(b) > maxDatagram {
 			t.config.Log.Warn("message to daemon not encoded", "daemon", p.Name, "bytes", len(b), "error", err)
 			return
 		}
-		if _, err := conn.WriteTo(b, net.UDPAddrFromAddrPort(p.Address)); err != nil && !errors.Is(err, net.ErrClosed) {
+		if err := t.config.Network.Tell(p.Address, b); err != nil {
 			t.config.Log.Debug("message to daemon not sent", "daemon", p.Name, "error", err)
 		}
 	}
 }
 
-// listen receives messages.
-func (t *Teller) listen(conn net.PacketConn) {
-	buf := make([]byte, maxDatagram)
-	for {
-		n, from, err := conn.ReadFrom(buf)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			t.config.Log.Warn("message from daemons not received", "error", err)
-			continue
-		}
-		m, err := decode(buf[:n])
-		if err != nil {
-			t.config.Log.Warn("message from daemon not readable", "from", from.String(), "error", err)
-			continue
-		}
-		t.receive(m)
+// Receive takes a message of another daemon.
+func (t *Teller) Receive(b []byte) {
+	m, err := decode(b)
+	if err != nil {
+		t.config.Log.Warn("message from daemon not readable", "bytes", len(b), "error", err)
+		return
 	}
+	t.receive(m)
 }
 
 func (t *Teller) receive(m message) {
@@ -325,6 +334,7 @@
 	switch m.Scope {
 	case scopeDaemon:
 		t.members[m.From] = take(t.members[m.From], m, now)
+		t.lastHeard[m.From] = now
 	case scopeDomain:
 		t.domains[m.Domain] = take(t.domains[m.Domain], m, now)
 	case scopeFleet:
--- a/internal/edge/peers/relay.go
+++ b/internal/edge/peers/relay.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -17,6 +16,7 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/transport/once"
 )
 
 // Limits of calls to the store through another daemon.
@@ -108,16 +108,16 @@
 	self  string
 	hubs  *Hubs
 	peers func() []Peer
+	net   Network
 	log   *slog.Logger
-	http  *http.Transport
 
 	mu   sync.Mutex
 	away time.Duration // turned away until
 }
 
 // NewRelay returns the store of the daemon with the given name.
-func NewRelay(self string, store topo.Store, hubs *Hubs, peers func() []Peer, log *slog.Logger) *Relay {
-	return &Relay{Store: store, self: self, hubs: hubs, peers: peers, log: log, http: newTransport()}
+func NewRelay(self string, store topo.Store, network Network, hubs *Hubs, peers func() []Peer, log *slog.Logger) *Relay {
+	return &Relay{Store: store, self: self, net: network, hubs: hubs, peers: peers, log: log}
 }
 
 // Get implements topo.Store.
@@ -220,10 +220,9 @@
 	if err != nil {
 		return relayReply{}, fmt.Errorf("%w: %w", topo.ErrRefused, err)
 	}
-	status, answer, err := post(ctx, r.http, p.Address, relayPath, body, maxRelaySize)
-	var dial *net.OpError
+	status, answer, err := post(ctx, r.net, p.Address, relayPath, body, maxRelaySize)
 	switch {
-	case errors.As(err, &dial) && dial.Op == "dial":
+	case errors.Is(err, once.ErrNotSent):
 		return relayReply{}, fmt.Errorf("%w: %w", topo.ErrUnavailable, err)
 	case err != nil:
 		return relayReply{}, fmt.Errorf("%w: %w", topo.ErrUnknownResult, err)
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -24,115 +26,143 @@
 	finishMargin = 400 * time.Millisecond
 	// sweepEvery is how often what has gone is cleared away.
 	sweepEvery = 500 * time.Millisecond
-	// announceRetry is the pause after an announcement that failed.
-	announceRetry = time.Second
 )
 
 // Run serves until ctx ends, and then until all requests have ended or the grace
 // is over.
 func (d *Daemon) Run(ctx context.Context) error {
-	listeners, err := listen(ctx, d.options.Settings.Callers, d.options.Settings.Ready, d.options.Settings.Peers)
+	callers, err := d.listen(ctx, d.options.Settings.Callers)
 	if err != nil {
 		return err
 	}
-	callers, ready, among := listeners[0], listeners[1], listeners[2]
+	if err := d.options.Network.Listen(ctx); err != nil {
+		return errors.Join(err, callers.Close())
+	}
+	readiness, err := d.openServer(ctx, d.options.Settings.Ready, http.HandlerFunc(d.ready))
+	if err != nil {
+		return errors.Join(err, callers.Close())
+	}
+	admin, err := d.openServer(ctx, d.options.Settings.Admin, d.admin)
+	if err != nil {
+		return errors.Join(err, callers.Close(), readiness.close())
+	}
 	d.log.Info("daemon started", "name", d.self.Name, "run", d.self.Run, "domain", d.options.Settings.Domain, "callers", callers.Addr().String())
 
 	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
 	defer endDuties()
-	coordinating, endCoordinating := context.WithCancel(duties)
-	defer endCoordinating()
+	// A daemon that stops leaves the fleet at once and serves on.
+	membership, leaveFleet := context.WithCancel(duties)
+	defer leaveFleet()
 	var wg sync.WaitGroup
 	wg.Go(func() { d.mirror.Run(duties) })
-	wg.Go(func() { d.coord.Run(coordinating) })
-	wg.Go(func() { d.announce(duties) })
-	wg.Go(func() {
-		if err := d.teller.Run(duties); err != nil {
-			d.log.Error("daemons not told of running requests", "error", err)
-		}
-	})
+	wg.Go(func() { d.coord.Run(membership) })
+	wg.Go(func() { d.announce(membership) })
+	wg.Go(func() { d.withdrawGone(duties) })
+	wg.Go(func() { d.teller.Run(duties) })
 	wg.Go(func() { d.sweep(duties) })
-	feed := &http.Server{
-		Handler: peers.NewHandler(
-			&peers.FeedHandler{Mirror: d.mirror, Log: d.log}, &peers.RelayHandler{Store: d.options.Store, Log: d.log},
-			&peers.HandOverHandler{Take: d.coord.TakeOver, Log: d.log}),
-		ReadHeaderTimeout: time.Second,
-	}
-	wg.Go(func() { d.serve(feed, among) })
-	if address := d.options.Settings.Metrics; address != "" {
-		wg.Go(func() { d.serveMetrics(duties, address) })
+	calls := peers.NewHandler(
+		&peers.FeedHandler{Mirror: d.mirror, Log: d.log}, &peers.RelayHandler{Store: d.options.Store, Log: d.log},
+		&peers.HandOverHandler{Take: d.coord.TakeOver, Log: d.log})
+	wg.Go(func() { d.options.Network.Serve(duties, calls, d.teller.Receive) })
+	for _, duty := range d.duties {
+		wg.Go(func() { duty(duties) })
 	}
+	wg.Go(func() { d.serveMetrics(duties) })
 	front := front.NewServer(d.handler, d.views, d.log)
-	readiness := &http.Server{Handler: http.HandlerFunc(d.ready), ReadHeaderTimeout: time.Second}
 	wg.Go(func() {
 		if err := front.Serve(callers); !errors.Is(err, net.ErrClosed) {
 			d.log.Error("listener failed", "address", callers.Addr().String(), "error", err)
 		}
 	})
-	wg.Go(func() { d.serve(readiness, ready) })
+	wg.Go(func() { readiness.serve(d.log) })
+	wg.Go(func() { admin.serve(d.log) })
 
 	<-ctx.Done()
-	d.stop(front, callers, readiness, endCoordinating)
+	d.stop(front, callers, leaveFleet)
+	_ = readiness.close()
+	_ = admin.close()
 	endDuties()
-	_ = feed.Close()
 	wg.Wait()
 	d.log.Info("daemon stopped", "name", d.self.Name, "run", d.self.Run)
 	return nil
 }
 
-// listen opens listeners at all addresses, or at none.
-func listen(ctx context.Context, addresses ...string) ([]net.Listener, error) {
+func (d *Daemon) listen(ctx context.Context, address string) (net.Listener, error) {
 	var config net.ListenConfig
-	var open []net.Listener
-	for _, address := range addresses {
-		l, err := config.Listen(ctx, "tcp4", address)
-		if err != nil {
-			errs := []error{err}
-			for _, l := range open {
-				errs = append(errs, l.Close())
-			}
-			return nil, errors.Join(errs...)
-		}
-		open = append(open, l)
+	l, err := config.Listen(ctx, "tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen at %s: %w", address, err)
 	}
-	return open, nil
+	return l, nil
 }
 
-func (d *Daemon) serve(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		d.log.Error("listener failed", "address", l.Addr().String(), "error", err)
+// side is a server beside that of callers. Without an address it does nothing.
+type side struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+// openServer opens the listener of a server.
+func (d *Daemon) openServer(ctx context.Context, address string, h http.Handler) (*side, error) {
+	if address == "" {
+		return &side{}, nil
 	}
+	l, err := d.listen(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &side{l, &http.Server{Handler: h, ReadHeaderTimeout: time.Second}}, nil
+}
+
+func (s *side) serve(log *slog.Logger) {
+	if s.listener == nil {
+		return
+	}
+	if err := s.server.Serve(s.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		log.Error("listener failed", "address", s.listener.Addr().String(), "error", err)
+	}
+}
+
+func (s *side) close() error {
+	if s.listener == nil {
+		return nil
+	}
+	return s.server.Close()
 }
 
 // serveMetrics serves the metrics until ctx ends. A daemon without metrics still
 // serves callers.
-func (d *Daemon) serveMetrics(ctx context.Context, address string) {
-	listeners, err := listen(ctx, address)
+func (d *Daemon) serveMetrics(ctx context.Context) {
+	s, err := d.openServer(ctx, d.options.Settings.Metrics, d.options.Metrics.Handler())
 	if err != nil {
-		d.log.Error("metrics not served", "address", address, "error", err)
+		d.log.Error("metrics not served", "address", d.options.Settings.Metrics, "error", err)
 		return
 	}
-	s := &http.Server{Handler: d.options.Metrics.Handler(), ReadHeaderTimeout: time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = s.close() })
 	defer stop()
-	d.serve(s, listeners[0])
+	s.serve(d.log)
 }
 
 // ready reports whether the daemon can serve callers.
 func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
-	v := d.views.Current()
-	if d.handler.Stopping.Load() || v.Config == nil || !v.Read {
+	if !d.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// Ready reports whether the daemon can serve callers.
+func (d *Daemon) Ready() bool {
+	v := d.views.Current()
+	return !d.handler.Stopping.Load() && v.Config != nil && v.Read
+}
+
 // stop leaves the balancer, then waits for the running requests.
-func (d *Daemon) stop(callers *front.Server, listener net.Listener, readiness *http.Server, endCoordinating func()) {
+func (d *Daemon) stop(callers *front.Server, listener net.Listener, leaveFleet func()) {
 	start := time.Now()
 	grace := time.Duration(d.grace.Load())
 	d.log.Info("stopping", "grace_ms", grace.Milliseconds())
 	d.handler.Stopping.Store(true)
-	endCoordinating()
+	leaveFleet()
 	leave := min(leaveTime, grace/2)
 	time.Sleep(leave)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-finishMargin-time.Since(start))
@@ -143,7 +173,6 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		d.log.Warn("requests cut by the end of the grace", "error", err)
 	}
-	_ = readiness.Close()
 }
 
 func (d *Daemon) gauges() metrics.Gauges {
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -36,6 +36,8 @@
 
 // Documents reads the documents of operators and targets.
 type Documents interface {
+	// Prefix is that of all keys that daemons read.
+	Prefix() string
 	ConfigKey() string
 	TargetsPrefix() string
 	Config(b []byte) (*route.Config, error)
@@ -203,7 +205,7 @@
 		return
 	}
 	k.config = c
-	k.log.Info("configuration in force", "version", c.Version, "revision", e.ModRev, "routes", len(c.Routes()))
+	k.log.Info("configuration in force", "version", c.Version, "revision", e.ModRev, "routes", c.Routes)
 }
 
 func (k *Keeper) applyTarget(e topo.Entry) {
@@ -228,7 +230,7 @@
 	case !had || known.record.Life() != r.Life():
 		k.log.Info("target registered", "target", id, "service", r.Service, "address", r.Address,
 			"domain", r.Domain, "revision", e.ModRev, "replaces_life", had)
-	case known.record.State != r.State && r.State == target.Draining:
+	case known.record.State != r.State && r.State != target.Ready:
 		k.log.Info("target draining", "target", id, "service", r.Service, "revision", e.ModRev)
 	}
 }
--- a/internal/embedded/embedded.go
+++ b/internal/embedded/embedded.go
@@ -83,11 +83,10 @@
 // Settings returns the settings of an embedded daemon.
 func Settings(caller, peer, admin netip.AddrPort) *settings.Settings {
 	return &settings.Settings{
-		Daemon:    settings.Daemon{ID: "embedded", Domain: "a", DrainTimeout: 10 * time.Second},
-		Listen:    settings.Listen{Caller: caller, Peer: peer, Admin: admin},
-		Store:     settings.Store{Embedded: true},
-		Instances: settings.Instances{Poll: time.Second},
-		Limits:    settings.Limits{MaxBody: 8 << 20, MaxHeader: 32 << 10, HeldBody: 64 << 10, MaxKey: manifest.MaxKeyBytes},
+		Daemon: settings.Daemon{ID: "embedded", Domain: "a", DrainTimeout: 10 * time.Second},
+		Listen: settings.Listen{Caller: caller, Peer: peer, Admin: admin},
+		Store:  settings.Store{Embedded: true},
+		Limits: settings.Limits{MaxBody: 8 << 20, MaxHeader: 32 << 10, MaxKey: manifest.MaxKeyBytes},
 	}
 }
 
@@ -111,10 +110,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(daemon.Options{Settings: set, Store: store, Certificate: cert, Authorities: pool, Log: log})
-	if err != nil {
-		return err
-	}
+	d := daemon.New(daemon.Options{Settings: set, Store: store, Certificate: cert, Authorities: pool, Log: log})
 	ready(d)
 	return d.Run(ctx)
 }
--- a/internal/embedded/fleet.go
+++ b/internal/embedded/fleet.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/daemon"
+	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/pki"
 	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
 	"github.com/jackdawloom/jackdawloom/internal/topo/memstore"
@@ -20,6 +22,8 @@
 type Fleet struct {
 	Store   *memstore.Store
 	Daemons []*daemon.Daemon
+	// Callers are the daemons' addresses for callers.
+	Callers []string
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -53,8 +57,11 @@
 }
 
 func (f *Fleet) start(ctx context.Context, i int, authority *pki.Authority, log *slog.Logger) error {
-	any := netip.MustParseAddrPort("127.0.0.1:0")
-	set := Settings(any, any, any)
+	addresses, err := freeAddresses(ctx)
+	if err != nil {
+		return err
+	}
+	set := Settings(addresses[0], addresses[1], addresses[2])
 	set.Daemon.ID = fmt.Sprintf("loom-%d", i+1)
 	set.Daemon.Domain = string(rune('a' + i%3))
 	set.Daemon.DrainTimeout = 100 * time.Millisecond
@@ -62,11 +69,9 @@
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(daemon.Options{Settings: set, Store: f.Store, Certificate: cert, Authorities: authority.Pool(), Log: log})
-	if err != nil {
-		return err
-	}
+	d := daemon.New(daemon.Options{Settings: set, Store: f.Store, Certificate: cert, Authorities: authority.Pool(), Log: log})
 	f.Daemons = append(f.Daemons, d)
+	f.Callers = append(f.Callers, addresses[0].String())
 	f.done.Add(1)
 	go func() {
 		defer f.done.Done()
@@ -75,14 +80,32 @@
 	return nil
 }
 
+// freeAddresses returns loopback addresses for callers, daemons and operators that
+// were free a moment ago.
+func freeAddresses(ctx context.Context) ([3]netip.AddrPort, error) {
+	var out [3]netip.AddrPort
+	var config net.ListenConfig
+	for i := range out {
+		l, err := config.Listen(ctx, "tcp4", "127.0.0.1:0")
+		if err != nil {
+			return out, err
+		}
+		defer func() { _ = l.Close() }()
+		if out[i], err = netip.ParseAddrPort(l.Addr().String()); err != nil {
+			return out, err
+		}
+	}
+	return out, nil
+}
+
 func (f *Fleet) note(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.errs = append(f.errs, err)
 }
 
-// AwaitReady waits until every daemon has authority and documents in force and
-// every shard has an owner.
+// AwaitReady waits until every daemon has the configuration in force and a usable
+// owner for every key.
 func (f *Fleet) AwaitReady(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if f.ready() {
@@ -97,13 +120,30 @@
 
 func (f *Fleet) ready() bool {
 	for _, d := range f.Daemons {
-		if !d.Ready() {
+		if !d.Ready() || !owned(d.View()) {
 			return false
 		}
 	}
 	return true
 }
 
+// owned reports whether every key of every service has a usable owner.
+func owned(v *view.View) bool {
+	for name := range v.Config.Services {
+		t := v.Tables[name]
+		if t == nil {
+			return false
+		}
+		for _, s := range t.Spans {
+			r, known := v.Targets.Get(s.Owner)
+			if !known || r.Life() != s.Life() {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Stop ends all daemons.
 func (f *Fleet) Stop() {
 	f.cancel()
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -36,6 +36,7 @@
 
 // Log is the state that all handlers of one log share.
 type Log struct {
+	format  Format
 	ring    *ring.Ring[[]byte]
 	dropped atomic.Uint64
 	omitted atomic.Uint64
@@ -51,9 +52,18 @@
 	omitted int
 }
 
+// Format makes a handler of the log's lines.
+type Format func(io.Writer, *slog.HandlerOptions) slog.Handler
+
+// JSON formats lines as JSON objects.
+func JSON(w io.Writer, o *slog.HandlerOptions) slog.Handler { return slog.NewJSONHandler(w, o) }
+
+// Text formats lines as key=value pairs.
+func Text(w io.Writer, o *slog.HandlerOptions) slog.Handler { return slog.NewTextHandler(w, o) }
+
 // New returns an empty log.
-func New() *Log {
-	return &Log{ring: ring.New[[]byte](ringLines), kinds: make(map[kind]*limit)}
+func New(f Format) *Log {
+	return &Log{format: f, ring: ring.New[[]byte](ringLines), kinds: make(map[kind]*limit)}
 }
 
 // Counts returns the lines that were dropped because the reader was slow, and
@@ -88,7 +98,7 @@
 // write writes a line, and before it how many were dropped since the last one.
 func (l *Log) write(w io.Writer, line []byte, reported uint64) uint64 {
 	if dropped := l.dropped.Load(); dropped > reported {
-		slog.New(slog.NewJSONHandler(w, nil)).Warn("log lines dropped; the reader is slow", "lines", dropped-reported)
+		slog.New(l.format(w, nil)).Warn("log lines dropped; the reader is slow", "lines", dropped-reported)
 		reported = dropped
 	}
 	// Nothing can be done about a standard output that cannot be written to.
@@ -165,7 +175,7 @@
 		r.AddAttrs(slog.Int(omittedKey, omitted))
 	}
 	var b bytes.Buffer
-	var inner slog.Handler = slog.NewJSONHandler(&b, &slog.HandlerOptions{Level: h.level})
+	inner := h.log.format(&b, &slog.HandlerOptions{Level: h.level})
 	for _, f := range h.with {
 		inner = f(inner)
 	}
--- a/internal/experiment/report_write.go
+++ b/internal/experiment/report_write.go
@@ -36,7 +36,7 @@
 }
 
 func cells(r Row) table.Row {
-	row := table.Row{r.Measure, r.Case, r.Unit, r.Note}
+	row := table.Row{r.Measure, r.Case, r.Unit, ""}
 	if r.Policy != nil {
 		row[3] = r.Policy.String()
 	}
--- /dev/null
+++ b/internal/native/admin/admin.go
@@ -0,0 +1,230 @@
+// Package admin serves operators: the state of a daemon, the assignment of keys, and
+// changes of the configuration.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+
+	"github.com/jackdawloom/jackdawloom/internal/burn"
+	"github.com/jackdawloom/jackdawloom/internal/edge"
+	"github.com/jackdawloom/jackdawloom/internal/edge/view"
+	"github.com/jackdawloom/jackdawloom/internal/native"
+	"github.com/jackdawloom/jackdawloom/internal/native/levels"
+	"github.com/jackdawloom/jackdawloom/internal/protocol/adminapi"
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+)
+
+// callTimeout bounds the store calls of one administrative request.
+const callTimeout = 3 * time.Second
+
+// Daemon is what the interface shows.
+type Daemon interface {
+	Ready() bool
+	Status() edge.Status
+	View() *view.View
+	Members() []edge.Member
+	Coordinates() (int64, bool)
+	Move(ctx context.Context, service string, from, to uint16, targetID string) error
+}
+
+// Config holds what the interface is made of.
+type Config struct {
+	Daemon  Daemon
+	Store   topo.Store
+	Levels  *levels.Levels
+	Metrics http.Handler
+	// Callers, Peers and Admin are the daemon's addresses.
+	Callers, Peers, Admin string
+}
+
+// server implements the endpoints.
+type server struct {
+	Config
+	client *http.Client
+}
+
+// New returns the interface.
+func New(c Config) http.Handler {
+	s := &server{Config: c, client: &http.Client{Timeout: callTimeout}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+adminapi.PathHealth, s.health)
+	mux.Handle("GET "+adminapi.PathMetrics, c.Metrics)
+	mux.Handle("GET "+adminapi.PathState, kit(s.state, decodeNothing))
+	mux.Handle("GET "+adminapi.PathTable, kit(s.table, decodeNothing))
+	mux.Handle("GET "+adminapi.PathConfig, kit(s.config, decodeNothing))
+	mux.Handle("PUT "+adminapi.PathConfig, kit(s.apply, decodeApply))
+	mux.Handle("GET "+adminapi.PathOwner, kit(s.owner, decodeOwner))
+	mux.Handle("POST "+adminapi.PathMoves, kit(s.move, decodeMove))
+	mux.Handle("GET "+adminapi.PathServiceLevels, kit(s.serviceLevels, decodeNothing))
+	mux.Handle("GET "+adminapi.PathBurn, kit(s.burn, decodeNothing))
+	return mux
+}
+
+// kit makes an HTTP handler of an endpoint.
+func kit(e endpoint.Endpoint, decode kithttp.DecodeRequestFunc) http.Handler {
+	return kithttp.NewServer(withTimeout(e), decode, kithttp.EncodeJSONResponse, kithttp.ServerErrorEncoder(encodeError))
+}
+
+func withTimeout(next endpoint.Endpoint) endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return next(ctx, request)
+	}
+}
+
+// health tells a balancer whether to send callers here. A daemon without a
+// configuration would refuse everything.
+func (s *server) health(w http.ResponseWriter, _ *http.Request) {
+	if !s.Daemon.Ready() {
+		http.Error(w, "not ready, or stopping", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+func decodeNothing(context.Context, *http.Request) (any, error) { return nil, nil }
+
+func (s *server) state(context.Context, any) (any, error) {
+	now := s.Daemon.Status()
+	_, coordinates := s.Daemon.Coordinates()
+	out := adminapi.State{
+		Daemon: now.Name, Domain: now.Domain, Run: now.Run, Started: s.Levels.Started(), Callers: s.Callers, Peers: s.Peers, Admin: s.Admin,
+		Stopping: now.Stopping, InFlight: now.Running, Coordinator: now.Coordinator, IsCoordinator: coordinates,
+		StoreUp: now.StoreUp, CopyAgeMs: now.CopyAge.Milliseconds(), Targets: []adminapi.TargetLoad{},
+	}
+	if c := s.Daemon.View().Config; c != nil {
+		out.Config = c.Version
+	}
+	for _, t := range now.Targets {
+		out.Targets = append(out.Targets, adminapi.TargetLoad{
+			Service: t.Service, Target: nameOf(t.ID), Running: t.Running, Elsewhere: t.Elsewhere, Slots: t.Slots,
+			Connections: t.Connections, Suspect: t.Suspect, TimeMs: float64(t.Time) / float64(time.Millisecond),
+		})
+	}
+	return out, nil
+}
+
+func noConfig() error { return notYet.New("no configuration yet") }
+
+func (s *server) config(ctx context.Context, _ any) (any, error) {
+	entry, err := s.Store.Get(ctx, topo.KeyConfig)
+	if err != nil {
+		// The configuration in force is shown while the store is unavailable.
+		if held, known := native.ManifestOf(s.Daemon.View().Config); known {
+			return held, nil
+		}
+		return nil, notYet.Wrap(err, "no configuration yet")
+	}
+	if !entry.Exists() {
+		return manifest.Accepted{}, nil
+	}
+	return manifest.DecodeAccepted(entry.Value)
+}
+
+func decodeApply(_ context.Context, r *http.Request) (any, error) {
+	var a adminapi.Apply
+	if err := json.NewDecoder(http.MaxBytesReader(nil, r.Body, 2*manifest.MaxBytes)).Decode(&a); err != nil {
+		return nil, badRequest.Wrap(err, "request not readable")
+	}
+	return a, nil
+}
+
+func (s *server) apply(ctx context.Context, request any) (any, error) {
+	a := request.(adminapi.Apply)
+	m, err := manifest.Parse("manifest", a.Manifest)
+	if err != nil {
+		return nil, err
+	}
+	accepted, err := apply(ctx, s.Store, a.BasedOn, *m, a.Operation, a.Author)
+	if err == nil {
+		s.awaitInForce(ctx, accepted.Revision)
+	}
+	return accepted, err
+}
+
+func decodeOwner(_ context.Context, r *http.Request) (any, error) {
+	q := r.URL.Query()
+	request := adminapi.OwnerRequest{Service: q.Get("service"), Key: q.Get("key")}
+	if text := q.Get("shard"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 31)
+		if err != nil {
+			return nil, badRequest.Wrap(err, "shard is not a number")
+		}
+		shard := int(n)
+		request.Shard = &shard
+	}
+	if request.Service == "" || (request.Key == "" && request.Shard == nil) {
+		return nil, badRequest.New("service, and key or shard, are required")
+	}
+	return request, nil
+}
+
+func (s *server) owner(_ context.Context, request any) (any, error) {
+	q := request.(adminapi.OwnerRequest)
+	v := s.Daemon.View()
+	declared, err := declaredService(v, q.Service)
+	if err != nil {
+		return nil, err
+	}
+	if q.Shard == nil {
+		return ownerOf(v, declared, declared.Point(q.Key))
+	}
+	if *q.Shard >= declared.Shards {
+		return nil, noShard(*q.Shard, declared)
+	}
+	from, _ := declared.ShardSpan(*q.Shard)
+	return ownerOf(v, declared, from)
+}
+
+func noShard(shard int, s *manifest.Service) error {
+	return badRequest.New("shard %d of %d; they count from 0", shard, s.Shards)
+}
+
+func decodeMove(_ context.Context, r *http.Request) (any, error) {
+	var m adminapi.Move
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxMove)).Decode(&m); err != nil {
+		return nil, badRequest.Wrap(err, "request not readable")
+	}
+	return m, nil
+}
+
+// maxMove bounds a request for a move, in bytes.
+const maxMove = 4 << 10
+
+func (s *server) serviceLevels(context.Context, any) (any, error) {
+	out := adminapi.ServiceLevels{Daemon: s.Daemon.Status().Name, Started: s.Levels.Started(), At: time.Now(), Classes: []adminapi.ClassLevel{}}
+	accepted, known := native.ManifestOf(s.Daemon.View().Config)
+	if !known {
+		return nil, noConfig()
+	}
+	totals := s.Levels.Totals()
+	for _, service := range accepted.Manifest.Services {
+		for _, c := range service.Classes {
+			n := totals[burn.ClassID{Service: service.Name, Class: c.Name}]
+			out.Classes = append(out.Classes, adminapi.ClassLevel{
+				Service: service.Name, Class: c.Name, Total: n.Total, Good: n.Good,
+				LatencyMs: c.Objective.LatencyMs, Ratio: c.Objective.Ratio,
+			})
+		}
+	}
+	return out, nil
+}
+
+func (s *server) burn(context.Context, any) (any, error) {
+	accepted, known := native.ManifestOf(s.Daemon.View().Config)
+	if !known {
+		return nil, noConfig()
+	}
+	from := burn.Source{Daemon: s.Daemon.Status().Run, Revision: accepted.Revision}
+	return s.Levels.Snapshot(from, &accepted.Manifest), nil
+}
--- /dev/null
+++ b/internal/native/admin/table.go
@@ -0,0 +1,207 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/jackdawloom/jackdawloom/internal/edge/coordinator"
+	"github.com/jackdawloom/jackdawloom/internal/edge/view"
+	"github.com/jackdawloom/jackdawloom/internal/native"
+	"github.com/jackdawloom/jackdawloom/internal/protocol/adminapi"
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+	"github.com/jackdawloom/jackdawloom/internal/state/ranges"
+	"github.com/jackdawloom/jackdawloom/internal/state/target"
+)
+
+func noTable() error { return notYet.New("no assignment of keys yet") }
+
+// nameOf returns a target's name in the manifest.
+func nameOf(id string) string {
+	_, name, _ := strings.Cut(id, "/")
+	return name
+}
+
+func declaredService(v *view.View, name string) (*manifest.Service, error) {
+	accepted, known := native.ManifestOf(v.Config)
+	if !known {
+		return nil, noConfig()
+	}
+	s := accepted.Manifest.ServiceNamed(name)
+	if s == nil {
+		return nil, manifest.ErrUnknownService
+	}
+	return s, nil
+}
+
+func (s *server) table(context.Context, any) (any, error) {
+	v := s.Daemon.View()
+	accepted, known := native.ManifestOf(v.Config)
+	if !known {
+		return nil, noTable()
+	}
+	out := adminapi.Table{
+		Config: accepted.Revision, Coordinator: s.Daemon.Status().Coordinator, Members: []adminapi.Member{}, Services: []adminapi.Service{},
+	}
+	for _, m := range s.Daemon.Members() {
+		out.Members = append(out.Members, adminapi.Member{Daemon: m.Name, Run: m.Run, Domain: m.Domain, Peers: m.Peers, Admin: m.Admin})
+	}
+	for i := range accepted.Manifest.Services {
+		out.Services = append(out.Services, serviceOf(v, &accepted.Manifest.Services[i]))
+	}
+	return out, nil
+}
+
+// usable reports whether a span's owner serves its keys.
+func usable(v *view.View, s ranges.Span) bool {
+	t, known := v.Targets.Get(s.Owner)
+	return s.Owned() && known && t.Life() == s.Life()
+}
+
+func serviceOf(v *view.View, declared *manifest.Service) adminapi.Service {
+	out := adminapi.Service{Name: declared.Name, Shards: declared.Shards, Targets: []adminapi.Target{}}
+	shards, spans := make(map[string]int), make(map[string]int)
+	if t := v.Tables[declared.Name]; t != nil {
+		out.Revision, out.Spans = t.Rev, len(t.Spans)
+		unowned := make(map[int]bool)
+		for _, s := range t.Spans {
+			spans[s.Owner]++
+			if usable(v, s) {
+				continue
+			}
+			for shard := declared.ShardOf(s.From); shard <= declared.ShardOf(s.To); shard++ {
+				unowned[shard] = true
+			}
+		}
+		out.Unowned = len(unowned)
+		for shard := range declared.Shards {
+			from, _ := declared.ShardSpan(shard)
+			shards[t.Lookup(from).Owner]++
+		}
+	} else {
+		out.Unowned = declared.Shards
+	}
+	for _, d := range declared.Targets {
+		id := native.TargetID(declared.Name, d.Name)
+		row := adminapi.Target{
+			Name: d.Name, Address: d.Address, Domain: d.Domain, State: stateOf(v, id), Shards: shards[id], Spans: spans[id],
+		}
+		out.Targets = append(out.Targets, row)
+	}
+	return out
+}
+
+func stateOf(v *view.View, id string) string {
+	t, known := v.Targets.Get(id)
+	switch {
+	case !known:
+		return adminapi.TargetMissing
+	case t.State == target.Ready:
+		return adminapi.TargetActive
+	}
+	return adminapi.TargetLeaving
+}
+
+// ownerOf tells who owns a point.
+func ownerOf(v *view.View, declared *manifest.Service, point uint16) (adminapi.Owner, error) {
+	t := v.Tables[declared.Name]
+	if t == nil {
+		return adminapi.Owner{}, noTable()
+	}
+	s := t.Lookup(point)
+	shard := declared.ShardOf(point)
+	from, to := declared.ShardSpan(shard)
+	out := adminapi.Owner{
+		Service: declared.Name, Shard: shard, Point: point, Fence: s.Fence, Revision: t.Rev, State: adminapi.TargetMissing,
+		Whole: wholly(t, from, to),
+	}
+	if s.Owned() {
+		out.Target = nameOf(s.Owner)
+	}
+	if usable(v, s) {
+		out.State = stateOf(v, s.Owner)
+	}
+	return out, nil
+}
+
+// wholly reports whether all points from one to another have the same owner.
+func wholly(t *view.Table, from, to uint16) bool {
+	owner := t.Lookup(from).Owner
+	for _, s := range t.Spans {
+		if s.From <= to && from <= s.To && s.Owner != owner {
+			return false
+		}
+	}
+	return true
+}
+
+// move asks the coordinator for a move, which may be another daemon.
+func (s *server) move(ctx context.Context, request any) (any, error) {
+	m := request.(adminapi.Move)
+	v := s.Daemon.View()
+	declared, err := declaredService(v, m.Service)
+	if err != nil {
+		return nil, err
+	}
+	if m.Shard < 0 || m.Shard >= declared.Shards {
+		return nil, noShard(m.Shard, declared)
+	}
+	if _, here := s.Daemon.Coordinates(); !here {
+		return s.passOn(ctx, m)
+	}
+	from, to := declared.ShardSpan(m.Shard)
+	if err := s.Daemon.Move(ctx, m.Service, from, to, native.TargetID(m.Service, m.Target)); err != nil {
+		return nil, err
+	}
+	return ownerOf(s.Daemon.View(), declared, from)
+}
+
+// passOn sends a request for a move to the coordinator.
+func (s *server) passOn(ctx context.Context, m adminapi.Move) (any, error) {
+	address := ""
+	name := s.Daemon.Status().Coordinator
+	for _, member := range s.Daemon.Members() {
+		if member.Name == name {
+			address = member.Admin
+		}
+	}
+	if address == "" || address == s.Admin {
+		return nil, fmt.Errorf("%w: none is known", coordinator.ErrNotCoordinator)
+	}
+	body, err := json.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+adminapi.PathMoves, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", coordinator.ErrNotCoordinator, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, refusalOf(resp)
+	}
+	var owner adminapi.Owner
+	if err := json.NewDecoder(resp.Body).Decode(&owner); err != nil {
+		return nil, fmt.Errorf("coordinator's answer: %w", err)
+	}
+	return owner, nil
+}
+
+// refusalOf returns the error that the coordinator answered.
+func refusalOf(resp *http.Response) error {
+	var body adminapi.Error
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+		body.Message = resp.Status
+	}
+	if resp.StatusCode == http.StatusUnprocessableEntity {
+		return fmt.Errorf("%w (%s)", coordinator.ErrNotMovable, body.Message)
+	}
+	return fmt.Errorf("%w: %s", coordinator.ErrNotCoordinator, body.Message)
+}
--- /dev/null
+++ b/internal/native/levels/levels.go
@@ -0,0 +1,102 @@
+// Package levels counts how the requests of each class met their objective, for the
+// service-level reports.
+package levels
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/burn"
+	"github.com/jackdawloom/jackdawloom/internal/edge/front"
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+)
+
+// Levels are the counters of one run of a daemon. They are safe for concurrent use.
+type Levels struct {
+	started time.Time
+	log     *slog.Logger
+
+	mu      sync.Mutex
+	classes map[burn.ClassID]burn.Counter
+	history *burn.History
+}
+
+// New returns counters that begin now.
+func New(log *slog.Logger) *Levels {
+	started := time.Now()
+	return &Levels{started: started, log: log, classes: make(map[burn.ClassID]burn.Counter), history: burn.NewHistory(started)}
+}
+
+// Started returns when the counters began.
+func (l *Levels) Started() time.Time { return l.started }
+
+// Observe counts a request that ended. Good ones were answered well by a target
+// within the class's objective.
+func (l *Levels) Observe(r front.Result) {
+	if r.Route == nil {
+		return
+	}
+	id := burn.ClassID{Service: r.Route.Parts[0].Service, Class: r.Route.Name}
+	good := r.Reason == "" && r.Status < http.StatusInternalServerError && r.Took <= r.Route.Objective
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.classes[id]
+	c.Total++
+	if good {
+		c.Good++
+	}
+	l.classes[id] = c
+}
+
+// Run samples the counters until ctx ends.
+func (l *Levels) Run(ctx context.Context) {
+	ticker := time.NewTicker(burn.SampleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if err := l.sample(time.Now()); err != nil {
+			l.log.Warn("burn sample incomplete", "error", err)
+		}
+	}
+}
+
+func (l *Levels) sample(at time.Time) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sample := burn.Sample{At: at, Classes: make(map[burn.ClassID]burn.Counter, len(l.classes))}
+	for id, c := range l.classes {
+		sample.Classes[id] = c
+	}
+	return l.history.Add(sample)
+}
+
+// Snapshot returns this daemon's part of the burn report.
+func (l *Levels) Snapshot(from burn.Source, m *manifest.Manifest) burn.Snapshot {
+	objectives := make(map[burn.ClassID]manifest.Objective)
+	for _, s := range m.Services {
+		for _, c := range s.Classes {
+			objectives[burn.ClassID{Service: s.Name, Class: c.Name}] = c.Objective
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.history.Snapshot(from, objectives)
+}
+
+// Totals returns the counters of each class.
+func (l *Levels) Totals() map[burn.ClassID]burn.Counter {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[burn.ClassID]burn.Counter, len(l.classes))
+	for id, c := range l.classes {
+		out[id] = c
+	}
+	return out
+}
--- /dev/null
+++ b/internal/native/native_test.go
@@ -0,0 +1,157 @@
+package native
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/jackdawloom/jackdawloom/internal/coordination/ownership"
+	"github.com/jackdawloom/jackdawloom/internal/protocol/grant"
+	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
+	"github.com/jackdawloom/jackdawloom/internal/state/ranges"
+	"github.com/jackdawloom/jackdawloom/internal/state/route"
+	"github.com/jackdawloom/jackdawloom/internal/state/target"
+	"github.com/jackdawloom/jackdawloom/internal/transport/upstream"
+)
+
+func stored(t *testing.T) []byte {
+	t.Helper()
+	m := manifest.Manifest{Schema: manifest.Schema, Name: "m", Services: []manifest.Service{{
+		Name: "display", PathPrefix: "/display", Shards: 16, Key: manifest.KeySource{From: manifest.KeyFromPath},
+		Classes: []manifest.Class{
+			{Name: "read", Methods: []string{"GET"}, Repeat: manifest.RepeatIdempotent, DeadlineMs: 500, Objective: manifest.Objective{LatencyMs: 50, Ratio: 0.99}},
+			{Name: "book", Methods: []string{"POST"}, Repeat: manifest.RepeatNever, DeadlineMs: 900, Objective: manifest.Objective{LatencyMs: 200, Ratio: 0.99}},
+		},
+		Targets: []manifest.Target{
+			{Name: "a", Address: "127.0.0.1:1", Domain: "x", Slots: 3, Connections: 40, ChecksGrants: true},
+			{Name: "b", Address: "127.0.0.1:2", Domain: "x", Slots: 3, Connections: 20, ChecksGrants: true},
+		},
+	}}}
+	b, err := manifest.EncodeAccepted(manifest.Accepted{Revision: 7, Operation: "op", Manifest: m})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// Guards against requests of a class that may not be repeated being sent again, and
+// against a request that fits no class reaching a target.
+func TestConfigOfAManifest(t *testing.T) {
+	c, err := Documents{Limits: Limits{Header: 1 << 10, MaxKey: 8, Body: 1 << 10}}.Config(stored(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s := c.Services["display"]; c.Version != 7 || !s.Keyed || !s.Sheds || s.MaxConnections != 20 {
+		t.Errorf("version %d, service %+v", c.Version, s)
+	}
+	read, err := c.Match(route.Query{Method: http.MethodGet, Path: "/display/k1"})
+	if err != nil || !read.HasKey || !read.Route.Idempotent || read.Route.Timeout != 500*time.Millisecond || read.Route.AttemptTimeout != leastAttempt {
+		t.Errorf("read: %+v, %+v, %v", read, read.Route, err)
+	}
+	book, err := c.Match(route.Query{Method: http.MethodPost, Path: "/display/k1"})
+	if err != nil || book.Route.Idempotent || book.Route.AttemptTimeout != 0 || book.Route.MaxAttempts != 1 || book.Key != read.Key {
+		t.Errorf("book: %+v, %+v, %v", book, book.Route, err)
+	}
+	for _, q := range []struct {
+		route.Query
+		status int
+		reason string
+	}{
+		{route.Query{Method: "GET", Path: "/other/k"}, http.StatusNotFound, "unknown-service"},
+		{route.Query{Method: "DELETE", Path: "/display/k"}, http.StatusMethodNotAllowed, "no-class"},
+		{route.Query{Method: "GET", Path: "/display"}, http.StatusBadRequest, "missing-key"},
+		{route.Query{Method: "GET", Path: "/display/longer-than-8"}, http.StatusBadRequest, "key-too-long"},
+		{route.Query{Method: "GET", Path: "/display/a/../b"}, http.StatusBadRequest, "bad-path"},
+	} {
+		_, err := c.Match(q.Query)
+		var m *route.MismatchError
+		if !errors.As(err, &m) || m.Status != q.status || m.Reason != q.reason {
+			t.Errorf("%s %s: %v", q.Method, q.Path, err)
+		}
+	}
+}
+
+// Guards against an entry of another writer that names a target, and against two
+// runs of a target that look alike.
+func TestRegistrations(t *testing.T) {
+	encode := func(r Registration) []byte {
+		b, err := cbor.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	whole := Registration{Address: "127.0.0.1:1", Domain: "x", Slots: 3, Boot: "one"}
+	first, err := Documents{}.Target(TargetKey("s/a"), encode(whole))
+	if err != nil || first.ID != "s/a" || first.Service != "s" || first.State != target.Ready {
+		t.Errorf("%+v, %v", first, err)
+	}
+	again := whole
+	again.Boot, again.Leaving = "two", true
+	second, err := Documents{}.Target(TargetKey("s/a"), encode(again))
+	if err != nil || second.Life() == first.Life() || second.State != target.Leaving {
+		t.Errorf("%+v, %v", second, err)
+	}
+	for name, b := range map[string][]byte{"s/a": []byte("x"), "s/": encode(whole), "a": encode(whole), "s/b": encode(Registration{Boot: "b"})} {
+		if _, err := (Documents{}).Target(TargetKey(name), b); !errors.Is(err, errRegistration) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// Guards against a grant that lasts longer on the target's clock than the
+// coordinator counts on, that another run of the target takes, or that is made from
+// an old reading.
+func TestGrantEndsOnTheTargetsClock(t *testing.T) {
+	readings := NewReadings()
+	keys := Keys{Readings: readings}
+	span := ranges.Span{From: 3, To: 9, Owner: "s/a", Born: bornOf("one"), Fence: 4}
+	g := ownership.Grant{Span: span, Hold: time.Second}
+	if _, err := keys.Grant(g); !errors.Is(err, errNoReading) {
+		t.Errorf("without a reading: %v", err)
+	}
+	readings.Note("s/a", grant.Reply{Boot: "one", NowMs: 5000})
+	time.Sleep(50 * time.Millisecond)
+	req, err := keys.Grant(g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r grant.Request
+	if err := json.Unmarshal(req.Body, &r); err != nil {
+		t.Fatal(err)
+	}
+	// The target's clock shows at least 5,050 now, less the drift of the reading.
+	if r.Service != "s" || r.Target != "a" || r.Boot != "one" || r.From != 3 || r.To != 9 || r.Fence != 4 || r.ExpiresMs < 6045 || r.ExpiresMs > 6500 {
+		t.Errorf("%+v", r)
+	}
+	other := g
+	other.Span.Born = bornOf("two")
+	if _, err := keys.Grant(other); !errors.Is(err, errNoReading) {
+		t.Errorf("for another run: %v", err)
+	}
+}
+
+// Guards against an answer that is taken for a grant: the keys of a target that has
+// not confirmed them must not be counted as served.
+func TestResultOfACall(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		body   string
+		want   ownership.Result
+	}{
+		{http.StatusOK, `{"outcome":"done"}`, ownership.OK},
+		{http.StatusOK, `{"outcome":"fenced"}`, ownership.Fenced},
+		{http.StatusOK, `{"outcome":"other-run"}`, ownership.NotSent},
+		{http.StatusOK, `{"outcome":"later"}`, ownership.Failed},
+		{http.StatusOK, `done`, ownership.Failed},
+		{http.StatusNotFound, `{"outcome":"done"}`, ownership.Failed},
+	} {
+		if got, _ := (Keys{}).Result(&upstream.Answer{Status: c.status, Body: []byte(c.body)}); got != c.want {
+			t.Errorf("%d %s: result %d, want %d", c.status, c.body, got, c.want)
+		}
+	}
+}
--- a/internal/protocol/adminapi/adminapi.go
+++ b/internal/protocol/adminapi/adminapi.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/state/finding"
-	"github.com/jackdawloom/jackdawloom/internal/state/table"
 )
 
 // Paths of the interface.
@@ -24,12 +23,6 @@
 	PathBurn = "/v1/burn"
 )
 
-// Revisions are document revisions; 0 stands for none.
-type Revisions struct {
-	Config uint64 `json:"config"`
-	Table  uint64 `json:"table"`
-}
-
 // State describes a daemon.
 type State struct {
 	Daemon  string    `json:"daemon"`
@@ -39,38 +32,32 @@
 	Callers string    `json:"callers"`
 	Peers   string    `json:"peers"`
 	Admin   string    `json:"admin"`
-	// Held are the documents the daemon has; InForce those its fronts follow.
-	Held          Revisions    `json:"held"`
-	InForce       Revisions    `json:"in_force"`
-	Stopping      bool         `json:"stopping"`
-	InFlight      int64        `json:"in_flight"`
-	Coordinator   string       `json:"coordinator"`
-	Term          int64        `json:"term"`
-	IsCoordinator bool         `json:"is_coordinator"`
-	Memberships   []Membership `json:"memberships"`
-	Fronts        []Front      `json:"fronts"`
-}
-
-// Membership is one incarnation of a daemon.
-type Membership struct {
-	ID          string   `json:"id"`
-	Leaving     bool     `json:"leaving"`
-	AuthorityMs int64    `json:"authority_ms"`
-	Voters      []string `json:"voters"`
-}
-
-// Front is the state of one fronted target.
-type Front struct {
-	Service     string  `json:"service"`
-	Target      string  `json:"target"`
-	Epoch       uint64  `json:"epoch"`
-	Health      int     `json:"health"`
-	Running     int     `json:"running"`
-	Queued      int     `json:"queued"`
-	Limit       float64 `json:"limit"`
-	Slots       int     `json:"slots"`
-	Connections int     `json:"connections"`
-	Dialed      uint64  `json:"dialed"`
+	// Config is the revision of the configuration in force; 0 for none.
+	Config   uint64 `json:"config"`
+	Stopping bool   `json:"stopping"`
+	InFlight int    `json:"in_flight"`
+	// Coordinator is the daemon that assigns keys; empty if there is none.
+	Coordinator   string `json:"coordinator"`
+	IsCoordinator bool   `json:"is_coordinator"`
+	// StoreUp tells whether the last reading of the store succeeded, and CopyAgeMs
+	// how old the daemon's copy of it is.
+	StoreUp   bool         `json:"store_up"`
+	CopyAgeMs int64        `json:"copy_age_ms"`
+	Targets   []TargetLoad `json:"targets"`
+}
+
+// TargetLoad is the load of a target as a daemon knows it.
+type TargetLoad struct {
+	Service string `json:"service"`
+	Target  string `json:"target"`
+	// Running are this daemon's requests, Elsewhere those of the others.
+	Running     int `json:"running"`
+	Elsewhere   int `json:"elsewhere"`
+	Slots       int `json:"slots"`
+	Connections int `json:"connections"`
+	// Suspect tells that the target is avoided after failures.
+	Suspect bool    `json:"suspect"`
+	TimeMs  float64 `json:"time_ms"`
 }
 
 // Apply asks to store a manifest as the successor of revision BasedOn. The same
@@ -85,122 +72,83 @@
 // OwnerRequest asks for the owner of a key, or of a shard if Shard is set.
 type OwnerRequest struct {
 	Service, Key string
-	Shard        *uint32
+	Shard        *int
 }
 
 // Move asks the coordinator to move a shard to a target. The answer is the
 // shard's present Owner; the move follows. It may be repeated.
 type Move struct {
 	Service string `json:"service"`
-	Shard   uint32 `json:"shard"`
+	Shard   int    `json:"shard"`
 	Target  string `json:"target"`
 }
 
-// Owner tells where a key belongs and why.
+// Owner tells where a key belongs and why. For a shard it is the owner of the
+// shard's first point.
 type Owner struct {
-	Service   string `json:"service"`
-	Unit      string `json:"unit"`
-	UnitEpoch uint32 `json:"unit_epoch"`
-	Target    string `json:"target"`
-	State     string `json:"target_state"`
-	Front     string `json:"front"`
-	Standby   string `json:"standby"`
-	Epoch     uint64 `json:"front_epoch"`
-	MovingTo  string `json:"moving_to,omitempty"`
-	Revision  uint64 `json:"table_revision"`
-}
-
-// OwnerOf fills an Owner from a placement.
-func OwnerOf(t *table.Table, s *table.Service, p table.Placement) Owner {
-	o := Owner{Service: s.Name, Unit: p.Unit.String(), UnitEpoch: p.Epoch, Revision: t.Revision}
-	if p.Owner != table.NoOwner {
-		target := s.Targets[p.Owner]
-		o.Target, o.State, o.Epoch = target.Name, target.State.String(), target.Epoch
-		o.Front, o.Standby = string(target.Front), string(target.Standby)
-	}
-	if p.To != table.NoOwner {
-		o.MovingTo = s.Targets[p.To].Name
-	}
-	return o
-}
-
-// Table is the assignment table in a form for people and scripts.
+	Service string `json:"service"`
+	Shard   int    `json:"shard"`
+	// Point is that of the key, from 0 to 65535.
+	Point  uint16 `json:"point"`
+	Target string `json:"target"`
+	State  string `json:"target_state"`
+	// Fence is the number of the assignment; a higher one replaces a lower one.
+	Fence uint64 `json:"fence"`
+	// Whole tells that all points of the shard have the same owner.
+	Whole    bool  `json:"whole"`
+	Revision int64 `json:"table_revision"`
+}
+
+// Table is the assignment of keys in a form for people and scripts.
 type Table struct {
-	Revision uint64    `json:"revision"`
-	Term     int64     `json:"term"`
-	Config   uint64    `json:"config"`
-	Members  []Member  `json:"members"`
-	Services []Service `json:"services"`
+	// Config is the revision of the configuration in force.
+	Config      uint64    `json:"config"`
+	Coordinator string    `json:"coordinator"`
+	Members     []Member  `json:"members"`
+	Services    []Service `json:"services"`
 }
 
-// Member is a member of the table.
+// Member is a daemon of the fleet.
 type Member struct {
-	ID       string   `json:"id"`
-	Daemon   string   `json:"daemon"`
-	Address  string   `json:"address"`
-	Admin    string   `json:"admin"`
-	Domain   string   `json:"domain"`
-	Voters   []string `json:"voters"`
-	Draining bool     `json:"draining"`
+	Daemon string `json:"daemon"`
+	Run    string `json:"run"`
+	Domain string `json:"domain"`
+	Peers  string `json:"peers"`
+	Admin  string `json:"admin"`
 }
 
 // Service is the assignment of one service.
 type Service struct {
-	Name      string   `json:"name"`
-	Shards    int      `json:"shards"`
-	Unowned   int      `json:"unowned"`
-	Moves     int      `json:"moves"`
-	Overrides int      `json:"overrides"`
-	Targets   []Target `json:"targets"`
+	Name string `json:"name"`
+	// Revision is the store's revision of the service's table.
+	Revision int64 `json:"revision"`
+	Shards   int   `json:"shards"`
+	// Unowned is the number of shards of which some point has no usable owner.
+	Unowned int      `json:"unowned"`
+	Spans   int      `json:"spans"`
+	Targets []Target `json:"targets"`
 }
 
 // Target is the assignment of one target.
 type Target struct {
 	Name    string `json:"name"`
-	State   string `json:"state"`
-	Front   string `json:"front"`
-	Standby string `json:"standby"`
-	Epoch   uint64 `json:"epoch"`
-	Shards  int    `json:"shards"`
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+	// State is active, leaving or missing.
+	State string `json:"state"`
+	// Shards is the number of shards whose first point the target owns, and Spans
+	// the number of runs of neighbouring points.
+	Shards int `json:"shards"`
+	Spans  int `json:"spans"`
 }
 
-// TableOf converts a table.
-func TableOf(t *table.Table) Table {
-	out := Table{Revision: t.Revision, Term: t.Term, Config: t.Config}
-	for _, m := range t.Members {
-		member := Member{
-			ID: string(m.ID), Daemon: m.Daemon, Address: m.Address, Admin: m.Admin,
-			Domain: m.Domain, Draining: m.Draining,
-		}
-		for _, v := range m.Voters {
-			member.Voters = append(member.Voters, string(v))
-		}
-		out.Members = append(out.Members, member)
-	}
-	for i := range t.Services {
-		out.Services = append(out.Services, serviceOf(&t.Services[i]))
-	}
-	return out
-}
-
-func serviceOf(s *table.Service) Service {
-	out := Service{Name: s.Name, Shards: len(s.Owners), Moves: len(s.Moves), Overrides: len(s.Overrides)}
-	counts := make([]int, len(s.Targets))
-	for _, o := range s.Owners {
-		if o == table.NoOwner {
-			out.Unowned++
-			continue
-		}
-		counts[o]++
-	}
-	for i, t := range s.Targets {
-		out.Targets = append(out.Targets, Target{
-			Name: t.Name, State: t.State.String(), Front: string(t.Front), Standby: string(t.Standby),
-			Epoch: t.Epoch, Shards: counts[i],
-		})
-	}
-	return out
-}
+// States of a target.
+const (
+	TargetActive  = "active"
+	TargetLeaving = "leaving"
+	// TargetMissing is a target of the manifest that does not answer.
+	TargetMissing = "missing"
+)
 
 // ServiceLevels are a daemon's totals per service and class since it started.
 type ServiceLevels struct {
--- a/internal/protocol/grant/grant.go
+++ b/internal/protocol/grant/grant.go
@@ -1,52 +1,55 @@
-// Package grant defines the messages by which a front grants a target its
-// units of assignment. They travel as JSON over HTTP, since targets are not
-// part of the router.
+// Package grant defines the messages by which a coordinator gives keys to a target
+// and takes them back. They travel as JSON over HTTP, since targets are not part of
+// the router.
 package grant
 
 // Path is the target's endpoint for grants (POST).
 const Path = "/jackdawloom/grant"
 
-// Shard is one granted shard with its epoch.
-type Shard struct {
-	Shard uint32 `json:"shard"`
-	Epoch uint32 `json:"epoch"`
+// Request gives the keys From to To, both included, to a target until ExpiresMs, or
+// takes them back if Release is set. One with neither asks for a reading of the
+// target's clock.
+//
+// A target refuses a fence lower than one that it has seen for any of the keys, and
+// after a release also that of the release. It answers a release once no request
+// for the keys runs.
+type Request struct {
+	Service string `json:"service"`
+	Target  string `json:"target"`
+	// Boot is the run of the target whose clock ExpiresMs was read from. A target
+	// refuses a grant that names another run: its clock started anew, so the expiry
+	// would have another meaning. A reading needs no boot.
+	Boot    string `json:"boot,omitempty"`
+	From    uint16 `json:"from"`
+	To      uint16 `json:"to"`
+	Fence   uint64 `json:"fence"`
+	Release bool   `json:"release,omitempty"`
+	// ExpiresMs is on the target's own monotonic clock. Zero grants nothing.
+	ExpiresMs int64 `json:"expires_ms,omitempty"`
 }
 
-// HotKey is one granted override with its epoch. Hash is 16 hex digits.
-type HotKey struct {
-	Hash  string `json:"hash"`
-	Epoch uint32 `json:"epoch"`
-}
+// Outcome says what a target did with a request.
+type Outcome string
 
-// Request is a grant. A request with Renew set keeps the units of the stated
-// version and only moves the expiry; Shards and HotKeys are then empty.
-type Request struct {
-	Service    string `json:"service"`
-	Target     string `json:"target"`
-	FrontEpoch uint64 `json:"front_epoch"`
-	Version    uint64 `json:"version"`
-	// Boot is the run of the target whose clock ExpiresMs was read from. A
-	// target refuses a grant that names another run: its clock started anew, so
-	// the expiry would have another meaning. A reading needs no boot.
-	Boot  string `json:"boot,omitempty"`
-	Renew bool   `json:"renew,omitempty"`
-	// ExpiresMs is on the target's own monotonic clock. Zero asks for a
-	// reading of that clock and grants nothing.
-	ExpiresMs int64    `json:"expires_ms"`
-	Shards    []Shard  `json:"shards,omitempty"`
-	HotKeys   []HotKey `json:"hot_keys,omitempty"`
-}
+// Values of Outcome.
+const (
+	// Done: the keys are granted or released; for a reading, that it is one.
+	Done Outcome = "done"
+	// Fenced: a higher fence was seen on one of the keys.
+	Fenced Outcome = "fenced"
+	// OtherRun: the request names another target or another run of it.
+	OtherRun Outcome = "other-run"
+)
 
-// Reply answers a grant. Accepted false means that nothing changed.
+// Reply answers a request. If Outcome is not Done, nothing changed.
 type Reply struct {
-	Accepted   bool   `json:"accepted"`
-	FrontEpoch uint64 `json:"front_epoch"`
-	Version    uint64 `json:"version"`
-	// NowMs is the target's monotonic clock.
-	NowMs int64 `json:"now_ms"`
+	Outcome Outcome `json:"outcome"`
+	Target  string  `json:"target"`
 	// Boot identifies the run of the target's process. A change means that its
 	// clock and its grants started anew.
 	Boot string `json:"boot"`
+	// NowMs is the target's monotonic clock.
+	NowMs int64 `json:"now_ms"`
 	// Draining is set when the target is leaving.
 	Draining bool `json:"draining,omitempty"`
 	// Running is the number of requests that run at the target.
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -1,19 +1,21 @@
-// Package header names the HTTP headers of the router and the values of the
-// outcome header.
+// Package header names the HTTP headers that callers, daemons and targets exchange,
+// and the values of the outcome header.
 package header
 
-// Headers on requests to targets and between daemons.
+// Headers on requests to targets.
 const (
-	// FrontEpoch is the epoch of the front that sends the request.
-	FrontEpoch = "Jackdawloom-Front-Epoch"
-	// Unit is the unit of assignment of the request's key, such as s17.
-	Unit = "Jackdawloom-Shard"
-	// UnitEpoch is the epoch of the unit's assignment.
-	UnitEpoch = "Jackdawloom-Shard-Epoch"
-	// RequestID identifies one request of one caller through all hops.
+	// Target is SERVICE/NAME of the only target that may run the request. Another
+	// one answers 421 Misdirected Request and its own name.
+	Target = "Jackdawloom-Target"
+	// Key is the request's key as a point of the service's key space, from 0 to
+	// 65535. A target that was not granted it answers 421.
+	Key = "Jackdawloom-Key"
+	// RequestID identifies a request; a target returns it.
 	RequestID = "Jackdawloom-Request-Id"
 	// DeadlineMs is the time left for the request in milliseconds.
 	DeadlineMs = "Jackdawloom-Deadline-Ms"
+	// Handover is what a target that gives keys up has to say to the next owner.
+	Handover = "Jackdawloom-Handover"
 )
 
 // Outcome is the header that says whether a refused request ran.
@@ -25,6 +27,5 @@
 // Values of Outcome.
 const (
 	NotRun  = "not-run"
-	Ran     = "ran"
 	Unknown = "unknown"
 )
--- a/internal/reference/settings.go
+++ b/internal/reference/settings.go
@@ -25,7 +25,6 @@
   when the settings are loaded; files that cannot be used are reported together
   with all other problems.
 - ` + "`listen.caller`" + ` and ` + "`listen.admin`" + ` do not share a port.
-- ` + "`limits.held_body`" + ` is at most ` + "`limits.max_body`" + `.
 `
 
 func writeSettings(b *strings.Builder) error {
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -40,10 +40,10 @@
 		set:     name(func(s *Settings) *string { return &s.Daemon.Domain })},
 	{section: "daemon", key: "log_level", unit: "word", wrong: `verbose`, preset: "info", form: "debug, info, warn or error",
 		meaning: "Lowest level of log lines that are written.", set: logLevel},
-	{section: "daemon", key: "log_format", unit: "word", wrong: `xml`, preset: "text", form: "text or json",
-		meaning: "Form of log lines.", set: logFormat},
+	{section: "daemon", key: "log_format", unit: "word", wrong: `xml`, preset: "json", form: "text or json",
+		meaning: "Form of log lines. `jackdawctl explain` reads JSON.", set: logFormat},
 	{section: "daemon", key: "drain_timeout", unit: "duration", wrong: `1h`, preset: "30s", form: durationForm(minDrain, maxDrain),
-		meaning: "Time that a stopping daemon has to hand its targets over and finish its requests.",
+		meaning: "Time that a stopping daemon has to finish its requests.",
 		set:     duration(minDrain, maxDrain, func(s *Settings) *time.Duration { return &s.Daemon.DrainTimeout })},
 
 	{section: "listen", key: "caller", unit: "ip:port", wrong: `localhost:8080`, required: true, form: "ip:port; may be the unspecified address",
@@ -70,28 +70,18 @@
 	{section: "store", key: "urls", unit: "URL list", wrong: `https://store`, form: "http://ip:port, comma separated, at most 16",
 		meaning: "Addresses of the platform's store. Required unless `store.embedded` is true.", set: storeURLs},
 	{section: "store", key: "timeout", unit: "duration", wrong: `5`, preset: "500ms", form: durationForm(minStoreTimeout, maxStoreTimeout),
-		meaning: "Time limit of one call to the store. It stays below the coordinator's lease of 2 s, so that a lost call can be repeated in time.",
+		meaning: "Time limit of one call to the store. It stays below the coordinator's lease of 1 s, so that a lost call can be repeated in time.",
 		set:     duration(minStoreTimeout, maxStoreTimeout, func(s *Settings) *time.Duration { return &s.Store.Timeout })},
 	{section: "store", key: "embedded", unit: "boolean", wrong: `yes`, preset: "false", form: "true or false",
 		meaning: "Keep the store in the daemon's memory. For a trial with one daemon: nothing survives its end.",
 		set:     storeEmbedded},
 
-	{section: "instances", key: "url", unit: "URL", wrong: `10.0.0.1:80`, form: "http://ip:port",
-		meaning: "Address of the platform's instance list. Without it, instances that are about to leave are not drained early.",
-		set:     instancesURL},
-	{section: "instances", key: "poll", unit: "duration", wrong: `100ms`, preset: "1s", form: durationForm(minPoll, maxPoll),
-		meaning: "Interval between reads of the instance list.",
-		set:     duration(minPoll, maxPoll, func(s *Settings) *time.Duration { return &s.Instances.Poll })},
-
 	{section: "limits", key: "max_body", unit: "size", wrong: `2GiB`, preset: "8MiB", form: sizeForm(0, gib),
 		meaning: "Largest request body.",
 		set:     size(0, gib, func(s *Settings) *int64 { return &s.Limits.MaxBody })},
 	{section: "limits", key: "max_header", unit: "size", wrong: `512`, preset: "32KiB", form: sizeForm(kib, mib),
 		meaning: "Largest request header block.",
 		set:     size(kib, mib, func(s *Settings) *int64 { return &s.Limits.MaxHeader })},
-	{section: "limits", key: "held_body", unit: "size", wrong: `64kB`, preset: "64KiB", form: sizeForm(0, mib) + "; at most max_body, to which the default is lowered",
-		meaning: "Largest body that is kept in memory, so that a request that did not run can be sent again.",
-		set:     size(0, mib, func(s *Settings) *int64 { return &s.Limits.HeldBody })},
 	{section: "limits", key: "max_key", unit: "size", wrong: `513`, preset: fmt.Sprint(manifest.MaxKeyBytes), form: sizeForm(1, manifest.MaxKeyBytes),
 		meaning: "Largest key.",
 		set:     size(1, manifest.MaxKeyBytes, func(s *Settings) *int64 { return &s.Limits.MaxKey })},
@@ -101,11 +91,9 @@
 const (
 	minDrain = time.Second
 	maxDrain = 10 * time.Minute
-	// The coordinator's store lease lasts 2 s; two calls must fit into it.
+	// The coordinator's store lease lasts 1 s; two calls must fit into it.
 	minStoreTimeout = 50 * time.Millisecond
-	maxStoreTimeout = time.Second
-	minPoll         = 250 * time.Millisecond
-	maxPoll         = 30 * time.Second
+	maxStoreTimeout = 500 * time.Millisecond
 )
 
 // Option documents one key of the settings file.
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -53,9 +53,6 @@
 	r.at, scanned = scan(name, b)
 	r.found.Append(scanned)
 	r.read(b)
-	if !r.set["limits.held_body"] {
-		r.settings.Limits.HeldBody = min(r.settings.Limits.HeldBody, r.settings.Limits.MaxBody)
-	}
 	r.found.Append(r.settings.validate(r.at, r.set))
 	return r.settings, r.found, r.at
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,14 +12,13 @@
 // working directory of the daemon or absolute.
 type Settings struct {
 	// File is the name of the file that the settings were read from.
-	File      string
-	Daemon    Daemon
-	Listen    Listen
-	TLS       TLS
-	Peers     Peers
-	Store     Store
-	Instances Instances
-	Limits    Limits
+	File   string
+	Daemon Daemon
+	Listen Listen
+	TLS    TLS
+	Peers  Peers
+	Store  Store
+	Limits Limits
 }
 
 // Daemon identifies the daemon and sets its logging and stopping.
@@ -70,21 +69,12 @@
 	Embedded bool
 }
 
-// Instances says where the platform's instance list is. An empty URL means that
-// there is none.
-type Instances struct {
-	URL  string
-	Poll time.Duration
-}
-
 // Limits bounds requests. All values are in bytes.
 type Limits struct {
 	// MaxBody is the largest request body.
 	MaxBody int64
 	// MaxHeader is the largest request header block.
 	MaxHeader int64
-	// HeldBody is the largest body that is kept for another attempt.
-	HeldBody int64
 	// MaxKey is the largest key.
 	MaxKey int64
 }
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -31,9 +31,6 @@
 	c.store()
 	c.tls()
 	c.addresses()
-	if s.Limits.HeldBody > s.Limits.MaxBody {
-		c.add("limits", "held_body", "larger than max_body", "")
-	}
 	return c.found
 }
 
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -246,11 +246,3 @@
 	}
 	return nil
 }
-
-func instancesURL(s *Settings, value string) (err error) {
-	if value == "" {
-		return nil
-	}
-	s.Instances.URL, err = parseURL(value)
-	return err
-}
