--- a/internal/standin/targetsrv/runs.go
+++ b/internal/standin/targetsrv/runs.go
@@ -26,13 +26,12 @@
 	Seq       int    `json:"seq"`
 	RequestID string `json:"request_id"`
 	// Tag is the caller's own name for the request, from its tag parameter.
-	Tag        string   `json:"tag,omitempty"`
-	Unit       string   `json:"unit"`
-	FrontEpoch string   `json:"front_epoch"`
-	UnitEpoch  string   `json:"unit_epoch"`
-	StartMs    float64  `json:"start_ms"`
-	EndMs      float64  `json:"end_ms,omitempty"`
-	State      RunState `json:"state"`
+	Tag     string   `json:"tag,omitempty"`
+	Key     string   `json:"key"`
+	Fence   uint64   `json:"fence"`
+	StartMs float64  `json:"start_ms"`
+	EndMs   float64  `json:"end_ms,omitempty"`
+	State   RunState `json:"state"`
 	// Draining tells that the run started after the target began to drain.
 	Draining bool `json:"draining,omitempty"`
 }
--- /dev/null
+++ b/internal/state/manifest/points.go
@@ -0,0 +1,25 @@
+package manifest
+
+import "github.com/cespare/xxhash/v2"
+
+// Points is the number of points of a service's key space. Every key falls on one,
+// and a shard is a run of neighbouring points.
+const Points = 1 << 16
+
+// Point returns the point of a key.
+func (s *Service) Point(key string) uint16 {
+	hash := xxhash.Sum64String(key)
+	shards := uint64(s.Shards)
+	from, to := s.ShardSpan(int(hash % shards))
+	width := uint64(to) - uint64(from) + 1
+	return from + uint16(hash/shards%width)
+}
+
+// ShardSpan returns the first and the last point of a shard.
+func (s *Service) ShardSpan(shard int) (from, to uint16) {
+	first := func(n int) int { return (n*Points + s.Shards - 1) / s.Shards }
+	return uint16(first(shard)), uint16(first(shard+1) - 1)
+}
+
+// ShardOf returns the shard of a point.
+func (s *Service) ShardOf(point uint16) int { return int(point) * s.Shards / Points }
--- a/internal/state/manifest/validate_service.go
+++ b/internal/state/manifest/validate_service.go
@@ -177,25 +177,18 @@
 	v.name(path+".domain", t.Domain)
 	v.within(path+".slots", t.Slots, 1, MaxSlots, "")
 	v.within(path+".connections", t.Connections, 1, MaxConnections, "")
-	// Grants travel on a connection of their own.
-	need := t.Slots
-	if t.ChecksGrants {
-		need++
-	}
-	if t.Slots >= 1 && t.Connections >= 1 && t.Connections < need {
-		v.add(path+".connections", fmt.Sprintf("%d connections cannot carry %d slots%s", t.Connections, t.Slots, grantNote(t)), "")
+	if !t.ChecksGrants {
+		v.add(path+".checks_grants", "must be true: requests go straight to the owner of their key, which has to refuse what it was not granted",
+			"serve the key space with targets that check grants")
 	}
-}
-
-func grantNote(t *Target) string {
-	if t.ChecksGrants {
-		return " and the connection for grants"
+	// Grants travel on a connection of their own.
+	if t.Slots >= 1 && t.Connections >= 1 && t.Connections <= t.Slots {
+		v.add(path+".connections", fmt.Sprintf("%d connections cannot carry %d slots and the connection for grants", t.Connections, t.Slots), "")
 	}
-	return ""
 }
 
-// address checks ip:port. Two targets with one address would have two fronts,
-// and its slots would be counted twice.
+// address checks ip:port. The slots of two targets with one address would be
+// counted twice.
 func (v *validator) address(path, address string) {
 	if address == "" {
 		v.add(path, "missing", "give ip:port")
--- a/internal/state/route/route.go
+++ b/internal/state/route/route.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -26,6 +27,9 @@
 	Objective time.Duration
 	// MaxAttempts is the number of targets that one request may be sent to.
 	MaxAttempts int
+	// AttemptTimeout is the time after which an idempotent request that got no
+	// answer is sent again; zero waits until the end of the request.
+	AttemptTimeout time.Duration
 	// Priority orders requests under overload; 0 goes first.
 	Priority int
 	// Parts share the route's requests by weight. There is at least one.
@@ -41,6 +45,9 @@
 	Keyed bool
 	// Warmup is how long keys are slow that arrive without a handover.
 	Warmup time.Duration
+	// Sheds tells that targets refuse requests beyond their slots in place of
+	// queueing them. Daemons then hold requests until a slot is free.
+	Sheds bool
 }
 
 // Limits bound what a caller may send.
@@ -51,50 +58,99 @@
 	IdleTimeout   time.Duration
 }
 
+// Query is what a request is matched by. Path is the escaped path.
+type Query struct {
+	Method, Host, Path, RawQuery string
+	Header                       http.Header
+}
+
+// Match is the result of a Query.
+type Match struct {
+	Route *Route
+	// Key is the request's key if HasKey is set. Otherwise the caller states it in
+	// a header of its own.
+	Key    uint16
+	HasKey bool
+}
+
+// MismatchError tells why a request has no route. Such a request does not run.
+type MismatchError struct {
+	// Status is the HTTP status of the answer.
+	Status int
+	Reason string
+}
+
+// Error implements error.
+func (m *MismatchError) Error() string { return m.Reason }
+
+// ErrNoRoute is returned for a host and path that no route covers.
+var ErrNoRoute = &MismatchError{Status: http.StatusNotFound, Reason: "no route"}
+
+// Matcher finds the route of requests.
+type Matcher interface {
+	// Match returns the route of a request, or a MismatchError.
+	Match(q Query) (Match, error)
+}
+
 // Config is one version of the operators' configuration. It is immutable.
 type Config struct {
 	Version  uint64
 	Services map[string]Service
 	Limits   Limits
+	// Routes is the number of routes.
+	Routes int
 
-	routes []Route
-	hosts  map[string][]*Route
+	matcher Matcher
 }
 
-// New returns the configuration of the routes and services.
+// New returns the configuration whose routes are found by host and prefix.
 func New(version uint64, routes []Route, services []Service, limits Limits) *Config {
-	c := &Config{
-		Version: version, Limits: limits, routes: routes,
-		Services: make(map[string]Service, len(services)),
-		hosts:    make(map[string][]*Route),
-	}
+	return NewMatching(version, newPrefixes(routes), len(routes), services, limits)
+}
+
+// NewMatching returns the configuration whose routes a Matcher finds.
+func NewMatching(version uint64, m Matcher, routes int, services []Service, limits Limits) *Config {
+	c := &Config{Version: version, Limits: limits, Routes: routes, matcher: m, Services: make(map[string]Service, len(services))}
 	for _, s := range services {
 		c.Services[s.Name] = s
 	}
+	return c
+}
+
+// Matcher returns what finds the routes.
+func (c *Config) Matcher() Matcher { return c.matcher }
+
+// Match implements Matcher.
+func (c *Config) Match(q Query) (Match, error) { return c.matcher.Match(q) }
+
+// prefixes are the routes of each host, those with longer prefixes first.
+type prefixes map[string][]*Route
+
+func newPrefixes(routes []Route) prefixes {
+	hosts := make(prefixes)
 	for i := range routes {
 		host := strings.ToLower(routes[i].Host)
-		c.hosts[host] = append(c.hosts[host], &routes[i])
+		hosts[host] = append(hosts[host], &routes[i])
 	}
-	for _, list := range c.hosts {
+	for _, list := range hosts {
 		slices.SortFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	return c
+	return hosts
 }
 
-// Routes returns all routes. The slice must not be changed.
-func (c *Config) Routes() []Route { return c.routes }
-
-// Match returns the route of the host with the longest prefix of the path.
-func (c *Config) Match(host, path string) (*Route, bool) {
+// Match implements Matcher: the route of the host with the longest prefix of the
+// path.
+func (p prefixes) Match(q Query) (Match, error) {
+	host := q.Host
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
 	}
-	for _, r := range c.hosts[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r, true
+	for _, r := range p[strings.ToLower(host)] {
+		if strings.HasPrefix(q.Path, r.Prefix) {
+			return Match{Route: r}, nil
 		}
 	}
-	return nil, false
+	return Match{}, ErrNoRoute
 }
 
 // Pick returns the part at a point in [0, 1) of the route's total weight.
--- a/internal/state/target/target.go
+++ b/internal/state/target/target.go
@@ -15,6 +15,8 @@
 	Ready State = iota
 	// Draining targets finish what they run and must receive nothing new.
 	Draining
+	// Leaving targets give up their keys and serve them until then.
+	Leaving
 )
 
 // Record is the registration of one target.
--- a/internal/topo/etcdgw/client.go
+++ b/internal/topo/etcdgw/client.go
@@ -1,6 +1,5 @@
 // Package etcdgw is a client of the platform's store through the JSON gateway
-// of etcd's v3 API, and of the platform's instance list. It implements
-// topo.Store and topo.InstanceList.
+// of etcd's v3 API. It implements topo.Store.
 //
 // A call that may change the store is sent at most once. If its result cannot
 // be known, it returns topo.ErrUnknownResult; the caller must read back. A read
@@ -52,8 +51,8 @@
 }
 
 var (
-	_ topo.Store        = (*Client)(nil)
-	_ topo.InstanceList = (*Client)(nil)
+	_ topo.Store  = (*Client)(nil)
+	_ topo.Lister = (*Client)(nil)
 )
 
 // New returns a client of the store at base, such as http://192.0.2.1:2379. It
--- a/internal/topo/etcdgw/kv.go
+++ b/internal/topo/etcdgw/kv.go
@@ -13,7 +13,7 @@
 
 // Get implements topo.Store.
 func (c *Client) Get(ctx context.Context, key string) (topo.Entry, error) {
-	list, err := c.list(ctx, keyrange.One(key))
+	list, _, err := c.list(ctx, keyrange.One(key))
 	if err != nil {
 		return topo.Entry{}, err
 	}
@@ -25,20 +25,26 @@
 
 // List implements topo.Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]topo.Entry, error) {
+	list, _, err := c.list(ctx, keyrange.Prefix(prefix))
+	return list, err
+}
+
+// ListAt implements topo.Lister.
+func (c *Client) ListAt(ctx context.Context, prefix string) ([]topo.Entry, int64, error) {
 	return c.list(ctx, keyrange.Prefix(prefix))
 }
 
-func (c *Client) list(ctx context.Context, r keyrange.Range) ([]topo.Entry, error) {
+func (c *Client) list(ctx context.Context, r keyrange.Range) ([]topo.Entry, int64, error) {
 	req := etcdwire.RangeRequest{Key: []byte(r.Key), RangeEnd: []byte(r.End)}
 	res := rangeReply{r: r}
 	if err := c.readCall(ctx, http.MethodPost, etcdwire.PathRange, req, &res); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	list := make([]topo.Entry, len(res.Kvs))
 	for i, kv := range res.Kvs {
 		list[i] = entry(kv)
 	}
-	return list, nil
+	return list, int64(res.Header.Revision), nil
 }
 
 // Commit implements topo.Store.
--- a/internal/topo/etcdwire/wire.go
+++ b/internal/topo/etcdwire/wire.go
@@ -21,10 +21,6 @@
 	PathWatch       = "/v3/watch"
 )
 
-// PathInstances is the path of the platform's instance list, which is not part
-// of etcd's API.
-const PathInstances = "/instances"
-
 // Int64 is a 64-bit integer that is written as a string and read from a string
 // or a number, as protocol buffers' JSON mapping requires.
 type Int64 int64
--- a/internal/topo/failover/failover.go
+++ b/internal/topo/failover/failover.go
@@ -10,19 +10,25 @@
 	"github.com/jackdawloom/jackdawloom/internal/topo"
 )
 
+// Client is a client of one address of the store.
+type Client interface {
+	topo.Store
+	topo.Lister
+}
+
 // Store passes each call to one of several clients of the same store. A call
 // that certainly had no effect, because its address was unavailable, is passed
 // to the next client; any other result is final.
 type Store struct {
-	clients []topo.Store
+	clients []Client
 	present atomic.Uint32
 }
 
 // New returns a store with at least one client.
-func New(clients ...topo.Store) *Store { return &Store{clients: clients} }
+func New(clients ...Client) *Store { return &Store{clients: clients} }
 
 // try makes the call with each client in turn, the last good one first.
-func try[T any](s *Store, call func(topo.Store) (T, error)) (T, error) {
+func try[T any](s *Store, call func(Client) (T, error)) (T, error) {
 	first := s.present.Load()
 	var result T
 	var errs []error
@@ -40,37 +46,50 @@
 
 // Get implements topo.Store.
 func (s *Store) Get(ctx context.Context, key string) (topo.Entry, error) {
-	return try(s, func(c topo.Store) (topo.Entry, error) { return c.Get(ctx, key) })
+	return try(s, func(c Client) (topo.Entry, error) { return c.Get(ctx, key) })
 }
 
 // List implements topo.Store.
 func (s *Store) List(ctx context.Context, prefix string) ([]topo.Entry, error) {
-	return try(s, func(c topo.Store) ([]topo.Entry, error) { return c.List(ctx, prefix) })
+	return try(s, func(c Client) ([]topo.Entry, error) { return c.List(ctx, prefix) })
+}
+
+// ListAt implements topo.Lister.
+func (s *Store) ListAt(ctx context.Context, prefix string) ([]topo.Entry, int64, error) {
+	type listing struct {
+		entries []topo.Entry
+		rev     int64
+	}
+	l, err := try(s, func(c Client) (listing, error) {
+		entries, rev, err := c.ListAt(ctx, prefix)
+		return listing{entries, rev}, err
+	})
+	return l.entries, l.rev, err
 }
 
 // Commit implements topo.Store.
 func (s *Store) Commit(ctx context.Context, txn topo.Txn) (topo.TxnResult, error) {
-	return try(s, func(c topo.Store) (topo.TxnResult, error) { return c.Commit(ctx, txn) })
+	return try(s, func(c Client) (topo.TxnResult, error) { return c.Commit(ctx, txn) })
 }
 
 // GrantLease implements topo.Store.
 func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (topo.LeaseID, error) {
-	return try(s, func(c topo.Store) (topo.LeaseID, error) { return c.GrantLease(ctx, ttl) })
+	return try(s, func(c Client) (topo.LeaseID, error) { return c.GrantLease(ctx, ttl) })
 }
 
 // KeepAlive implements topo.Store.
 func (s *Store) KeepAlive(ctx context.Context, id topo.LeaseID) error {
-	_, err := try(s, func(c topo.Store) (struct{}, error) { return struct{}{}, c.KeepAlive(ctx, id) })
+	_, err := try(s, func(c Client) (struct{}, error) { return struct{}{}, c.KeepAlive(ctx, id) })
 	return err
 }
 
 // RevokeLease implements topo.Store.
 func (s *Store) RevokeLease(ctx context.Context, id topo.LeaseID) error {
-	_, err := try(s, func(c topo.Store) (struct{}, error) { return struct{}{}, c.RevokeLease(ctx, id) })
+	_, err := try(s, func(c Client) (struct{}, error) { return struct{}{}, c.RevokeLease(ctx, id) })
 	return err
 }
 
 // Watch implements topo.Store.
 func (s *Store) Watch(ctx context.Context, prefix string, fromRev int64) (<-chan topo.Event, error) {
-	return try(s, func(c topo.Store) (<-chan topo.Event, error) { return c.Watch(ctx, prefix, fromRev) })
+	return try(s, func(c Client) (<-chan topo.Event, error) { return c.Watch(ctx, prefix, fromRev) })
 }
--- a/internal/topo/memstore/counters.go
+++ b/internal/topo/memstore/counters.go
@@ -15,7 +15,6 @@
 	CallKeepAlive   Call = "lease_keepalive"
 	CallRevoke      Call = "lease_revoke"
 	CallWatch       Call = "watch"
-	CallInstances   Call = "instances"
 )
 
 func (c Call) writes() bool {
--- a/internal/topo/memstore/shared.go
+++ b/internal/topo/memstore/shared.go
@@ -2,29 +2,25 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
-
-	"github.com/jackdawloom/jackdawloom/internal/topo"
 )
 
 // Shared guards a State for concurrent use, ends its leases on time, wakes its
 // watches, and holds the injected faults, the call counters and the instance
 // list. Close ends its timer.
 type Shared struct {
-	mu        sync.Mutex
-	state     *State
-	past      *State // serves reads while RollbackTo is set
-	faults    Faults
-	outages   int           // how often Down has been set
-	replaced  chan struct{} // closed when faults are replaced or the store is closed
-	counters  Counters
-	instances []topo.Instance
-	skew      time.Duration
-	changed   chan struct{} // closed and replaced at each change
-	expiry    *time.Timer
-	closed    bool
+	mu       sync.Mutex
+	state    *State
+	past     *State // serves reads while RollbackTo is set
+	faults   Faults
+	outages  int           // how often Down has been set
+	replaced chan struct{} // closed when faults are replaced or the store is closed
+	counters Counters
+	skew     time.Duration
+	changed  chan struct{} // closed and replaced at each change
+	expiry   *time.Timer
+	closed   bool
 }
 
 // NewShared returns an empty store.
@@ -172,20 +168,6 @@
 	return s.counters.clone()
 }
 
-// Instances returns a copy of the instance list.
-func (s *Shared) Instances() []topo.Instance {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Clone(s.instances)
-}
-
-// SetInstances replaces the instance list.
-func (s *Shared) SetInstances(list []topo.Instance) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.instances = slices.Clone(list)
-}
-
 // wake wakes all watches.
 func (s *Shared) wake() {
 	close(s.changed)
--- a/internal/topo/memstore/store.go
+++ b/internal/topo/memstore/store.go
@@ -10,7 +10,7 @@
 	"github.com/jackdawloom/jackdawloom/internal/topo/keyrange"
 )
 
-// Store is an in-process implementation of topo.Store and topo.InstanceList.
+// Store is an in-process implementation of topo.Store.
 // Faults injected into its Shared appear as the errors that a remote store's
 // client would return.
 type Store struct {
@@ -18,8 +18,8 @@
 }
 
 var (
-	_ topo.Store        = (*Store)(nil)
-	_ topo.InstanceList = (*Store)(nil)
+	_ topo.Store  = (*Store)(nil)
+	_ topo.Lister = (*Store)(nil)
 )
 
 // New returns a store on top of shared.
@@ -30,7 +30,7 @@
 
 // Get implements topo.Store.
 func (s *Store) Get(ctx context.Context, key string) (topo.Entry, error) {
-	list, err := s.read(ctx, keyrange.One(key))
+	list, _, err := s.read(ctx, keyrange.One(key))
 	if err != nil {
 		return topo.Entry{}, err
 	}
@@ -42,21 +42,33 @@
 
 // List implements topo.Store.
 func (s *Store) List(ctx context.Context, prefix string) ([]topo.Entry, error) {
+	list, _, err := s.read(ctx, keyrange.Prefix(prefix))
+	return list, err
+}
+
+// ListAt implements topo.Lister.
+func (s *Store) ListAt(ctx context.Context, prefix string) ([]topo.Entry, int64, error) {
 	return s.read(ctx, keyrange.Prefix(prefix))
 }
 
-func (s *Store) read(ctx context.Context, r keyrange.Range) ([]topo.Entry, error) {
+func (s *Store) read(ctx context.Context, r keyrange.Range) ([]topo.Entry, int64, error) {
 	if r.Key == "" {
-		return nil, refused(ErrEmptyKey)
+		return nil, 0, refused(ErrEmptyKey)
 	}
-	return run(ctx, s, CallRange, func() (list []topo.Entry, err error) {
+	var rev int64
+	list, err := run(ctx, s, CallRange, func() (list []topo.Entry, err error) {
 		s.shared.Read(func(st *State) {
+			rev = st.Rev()
 			for _, kv := range st.Range(r) {
 				list = append(list, entry(kv))
 			}
 		})
 		return list, nil
 	})
+	if err != nil {
+		return nil, 0, err
+	}
+	return list, rev, nil
 }
 
 // Commit implements topo.Store.
@@ -101,13 +113,6 @@
 	return err
 }
 
-// Instances implements topo.InstanceList.
-func (s *Store) Instances(ctx context.Context) ([]topo.Instance, error) {
-	return run(ctx, s, CallInstances, func() ([]topo.Instance, error) {
-		return s.shared.Instances(), nil
-	})
-}
-
 // Watch implements topo.Store. The watch sees every change after Watch has
 // returned, or from fromRev on if that is not 0. The channel is closed if the
 // revision has been compacted.
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -1,6 +1,5 @@
-// Package topo defines the interfaces to the platform: the key-value store
-// that keeps what must last, and the list of instances. Back ends live in
-// sub-packages.
+// Package topo defines the interface to the platform's key-value store, which
+// keeps what must last. Back ends live in sub-packages.
 package topo
 
 import (
@@ -115,6 +114,13 @@
 	Watch(ctx context.Context, prefix string, fromRev int64) (<-chan Event, error)
 }
 
+// Lister reads a prefix together with the revision of the store.
+type Lister interface {
+	// ListAt returns all entries whose key has the prefix, and the revision of the
+	// store that they are of.
+	ListAt(ctx context.Context, prefix string) ([]Entry, int64, error)
+}
+
 // Feed reads changes by revision, for readers that keep a copy of the store.
 type Feed interface {
 	// Snapshot returns the entries with the prefix. Changes continues from its
@@ -134,32 +140,10 @@
 	Age time.Duration
 }
 
-// InstanceState is the state of an instance in the platform's list.
-type InstanceState string
-
-// States of an instance.
-const (
-	InstanceLive    InstanceState = "live"
-	InstanceLeaving InstanceState = "leaving"
-)
-
-// Instance is an entry of the platform's list.
-type Instance struct {
-	ID      string        `json:"id"`
-	Address string        `json:"address"`
-	State   InstanceState `json:"state"`
-}
-
-// InstanceList reads the platform's list of instances, which lags behind.
-type InstanceList interface {
-	Instances(ctx context.Context) ([]Instance, error)
-}
-
 // Keys in the store.
 const (
 	Prefix         = "/jackdawloom/"
 	KeyConfig      = Prefix + "config"
 	KeyCoordinator = Prefix + "coordinator"
-	KeyTable       = Prefix + "table"
-	PrefixPresence = Prefix + "presence/"
+	PrefixTargets  = Prefix + "targets/"
 )
--- a/internal/topo/topotest/faults.go
+++ b/internal/topo/topotest/faults.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/topo"
@@ -121,8 +120,8 @@
 		if _, err := f.Store.Watch(f.ctx, "k", 0); !errors.Is(err, topo.ErrUnavailable) {
 			f.Errorf("%s: watch: %v", down, err)
 		}
-		if _, err := f.Instances.Instances(f.ctx); !errors.Is(err, topo.ErrUnavailable) {
-			f.Errorf("%s: instances: %v", down, err)
+		if _, _, err := f.Store.ListAt(f.ctx, "k"); !errors.Is(err, topo.ErrUnavailable) {
+			f.Errorf("%s: listing: %v", down, err)
 		}
 		f.faults(memstore.Faults{})
 		f.wantValue("k", "0")
@@ -174,8 +173,8 @@
 		if _, err := f.Store.Get(f.ctx, "k"); !errors.Is(err, topo.ErrBadReply) {
 			f.Errorf("%s: read: %v", kind, err)
 		}
-		if _, err := f.Instances.Instances(f.ctx); !errors.Is(err, topo.ErrBadReply) {
-			f.Errorf("%s: instances: %v", kind, err)
+		if _, _, err := f.Store.ListAt(f.ctx, "k"); !errors.Is(err, topo.ErrBadReply) {
+			f.Errorf("%s: listing: %v", kind, err)
 		}
 		if _, err := f.Store.Watch(f.ctx, "k", 0); !errors.Is(err, topo.ErrBadReply) {
 			f.Errorf("%s: watch: %v", kind, err)
@@ -194,22 +193,3 @@
 		f.wantValue("k", string(kind))
 	}
 }
-
-// Guards against instances that are lost or changed on the way.
-func testInstances(f *fixture) {
-	list, err := f.Instances.Instances(f.ctx)
-	f.must(err)
-	if len(list) != 0 {
-		f.Fatalf("new store lists %+v", list)
-	}
-	want := []topo.Instance{
-		{ID: "i-1", Address: "127.0.0.1", State: topo.InstanceLive},
-		{ID: "i-2", Address: "127.0.0.2", State: topo.InstanceLeaving},
-	}
-	f.Shared.SetInstances(want)
-	list, err = f.Instances.Instances(f.ctx)
-	f.must(err)
-	if !slices.Equal(list, want) {
-		f.Fatalf("instances %+v, want %+v", list, want)
-	}
-}
--- a/internal/topo/topotest/topotest.go
+++ b/internal/topo/topotest/topotest.go
@@ -1,4 +1,4 @@
-// Package topotest is the contract test of topo.Store and topo.InstanceList.
+// Package topotest is the contract test of topo.Store and topo.Lister.
 // Every implementation runs it against a store whose faults it can inject.
 package topotest
 
@@ -17,8 +17,10 @@
 
 // Backend is a fresh store under test. Shared is the state behind it.
 type Backend struct {
-	Store     topo.Store
-	Instances topo.InstanceList
+	Store interface {
+		topo.Store
+		topo.Lister
+	}
 	Shared    *memstore.Shared
 	SetFaults func(memstore.Faults) error
 }
@@ -43,7 +45,6 @@
 		{"Rollback", testRollback},
 		{"Nonsense", testNonsense},
 		{"ValueSize", testValueSize},
-		{"Instances", testInstances},
 	}
 	for _, p := range parts {
 		t.Run(p.name, func(t *testing.T) {
--- a/internal/transport/once/once.go
+++ b/internal/transport/once/once.go
@@ -1,8 +1,9 @@
-// Package once makes request bodies that net/http sends at most once.
+// Package once holds what is common to requests that are sent at most once.
 package once
 
 import (
 	"bytes"
+	"errors"
 	"io"
 )
 
@@ -15,3 +16,6 @@
 
 // Body returns a body with the given bytes.
 func Body(b []byte) io.ReadCloser { return body{bytes.NewReader(b)} }
+
+// ErrNotSent reports a request of which certainly no byte left this process.
+var ErrNotSent = errors.New("request not sent")
--- /dev/null
+++ b/internal/transport/plainnet/plainnet.go
@@ -0,0 +1,122 @@
+// Package plainnet carries calls and hints between daemons without encryption:
+// calls over HTTP/1.1, hints in datagrams. It is for networks whose platform
+// keeps others out.
+package plainnet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/transport/once"
+)
+
+const (
+	// dialTimeout is far above the time of one round trip between failure domains.
+	dialTimeout = 200 * time.Millisecond
+	// headerTimeout bounds the header of a call.
+	headerTimeout = time.Second
+	// MaxHint is the largest hint: it fits one packet of the usual size.
+	MaxHint = 1400
+)
+
+// Net sends to and serves other daemons at one address.
+type Net struct {
+	address string
+	log     *slog.Logger
+	client  *http.Transport
+
+	mu    sync.Mutex
+	calls net.Listener
+	hints net.PacketConn
+}
+
+// New returns a network that listens at an address once Listen was called.
+func New(address string, log *slog.Logger) *Net {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Net{address: address, log: log, client: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}}
+}
+
+// Listen opens the address for calls and hints.
+func (n *Net) Listen(ctx context.Context) error {
+	var config net.ListenConfig
+	calls, err := config.Listen(ctx, "tcp4", n.address)
+	if err != nil {
+		return fmt.Errorf("listen for daemons: %w", err)
+	}
+	hints, err := config.ListenPacket(ctx, "udp4", n.address)
+	if err != nil {
+		return errors.Join(fmt.Errorf("listen for daemons: %w", err), calls.Close())
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.calls, n.hints = calls, hints
+	return nil
+}
+
+// Serve passes calls and hints on until ctx ends. Listen must have succeeded.
+func (n *Net) Serve(ctx context.Context, calls http.Handler, hints func([]byte)) {
+	n.mu.Lock()
+	listener, packets := n.calls, n.hints
+	n.mu.Unlock()
+	server := &http.Server{Handler: calls, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() {
+		_ = server.Close()
+		_ = packets.Close()
+	})
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			n.log.Error("listener failed", "address", listener.Addr().String(), "error", err)
+		}
+	})
+	wg.Go(func() { n.receive(packets, hints) })
+	wg.Wait()
+	n.client.CloseIdleConnections()
+}
+
+func (n *Net) receive(packets net.PacketConn, hints func([]byte)) {
+	buf := make([]byte, MaxHint)
+	for {
+		size, _, err := packets.ReadFrom(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			n.log.Warn("message from daemons not received", "error", err)
+			continue
+		}
+		hints(buf[:size])
+	}
+}
+
+// RoundTrip sends a call to a daemon once. The error wraps once.ErrNotSent if no
+// connection was made.
+func (n *Net) RoundTrip(address netip.AddrPort, req *http.Request) (*http.Response, error) {
+	req.URL.Scheme, req.URL.Host = "http", address.String()
+	resp, err := n.client.RoundTrip(req)
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return nil, fmt.Errorf("%w: %w", once.ErrNotSent, err)
+	}
+	return resp, err
+}
+
+// Tell sends a hint to a daemon. It may get lost.
+func (n *Net) Tell(address netip.AddrPort, hint []byte) error {
+	n.mu.Lock()
+	packets := n.hints
+	n.mu.Unlock()
+	if packets == nil {
+		return net.ErrClosed
+	}
+	_, err := packets.WriteTo(hint, net.UDPAddrFromAddrPort(address))
+	return err
+}
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -138,7 +138,7 @@
 	}
 	keep = wrote() && !resp.Close && c.in.Buffered() == 0 && c.net.SetDeadline(time.Time{}) == nil
 	c.noteIdle(resp.Header)
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, keep, nil
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Trailer: resp.Trailer}, keep, nil
 }
 
 func (c *conn) unsent(err error) error {
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -126,6 +126,14 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
+	p.mu.Unlock()
+	p.Reset()
+}
+
+// Reset closes the idle connections. Where one has lost its other end without
+// notice, those that were idle as long are likely to have.
+func (p *Pool) Reset() {
+	p.mu.Lock()
 	idle := p.idle
 	p.idle = nil
 	p.mu.Unlock()
--- a/internal/transport/upstream/request.go
+++ b/internal/transport/upstream/request.go
@@ -17,16 +17,27 @@
 	TimeLeft string
 	// ExpectTarget is the ID of the only target that may run the request.
 	ExpectTarget string
-	// NotRun marks an answer to a request that the target did not run.
-	NotRun string
+	// NotRun marks an answer to a request that the target did not run, by its
+	// presence or, if NotRunValue is set, by that value.
+	NotRun, NotRunValue string
 	// TargetID is the ID of the answering target.
 	TargetID string
 	// Key is the key of a request to a keyed service.
 	Key string
-	// Stamp is the target's signature of an answer.
+	// Stamp is the target's signature of an answer. If it is empty, targets sign
+	// none.
 	Stamp string
 	// Handover accompanies keys from one owner to the next.
 	Handover string
+	// Outcome and Reason tell callers of a refusal whether the request ran, and why
+	// it was refused. If they are empty, the status tells the former.
+	Outcome, Reason string
+}
+
+// Refused reports whether an answer says that the target did not run the request.
+func (n *Names) Refused(h http.Header) bool {
+	value := h.Get(n.NotRun)
+	return value != "" && (n.NotRunValue == "" || value == n.NotRunValue)
 }
 
 // Request is a request to one target.
@@ -75,4 +86,6 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Trailer are the fields after the body; nil if there are none.
+	Trailer http.Header
 }
