--- a/internal/ctl/embedded_test.go
+++ b/internal/ctl/embedded_test.go
@@ -19,6 +19,7 @@
 	"github.com/jackdawloom/jackdawloom/internal/daemon"
 	"github.com/jackdawloom/jackdawloom/internal/embedded"
 	"github.com/jackdawloom/jackdawloom/internal/loadgen"
+	"github.com/jackdawloom/jackdawloom/internal/protocol/header"
 	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
 )
 
@@ -62,6 +63,10 @@
 		resp, err := http.Get("http://" + callers + "/display/ready")
 		if err == nil {
 			resp.Body.Close()
+			// Without an id nobody can look a request up in the logs.
+			if resp.Header.Get(header.RequestID) == "" {
+				t.Error("a request without an id got none")
+			}
 			if resp.StatusCode == http.StatusOK {
 				return m, callers, admin
 			}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -131,6 +131,7 @@
 		d.observe(r)
 	}}
 	d.observe = func(front.Result) {}
+	o.Metrics.ReadTargets(d.targetMetrics)
 	d.grace.Store(int64(o.Settings.Grace))
 	return d
 }
--- a/internal/edge/front/handler.go
+++ b/internal/edge/front/handler.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	cryptorand "crypto/rand"
 	"errors"
 	"io"
 	"log/slog"
@@ -82,7 +83,12 @@
 	if h.Stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if id := r.Header.Get(h.Names.RequestID); id != "" {
+	id := r.Header.Get(h.Names.RequestID)
+	if id == "" && h.Names.AssignID {
+		id = cryptorand.Text()
+		r.Header.Set(h.Names.RequestID, id)
+	}
+	if id != "" {
 		w.Header().Set(h.Names.RequestID, id)
 	}
 	v := h.Views.Current()
--- a/internal/edge/inspect.go
+++ b/internal/edge/inspect.go
@@ -11,6 +11,7 @@
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/edge/coordinator"
 	"github.com/jackdawloom/jackdawloom/internal/edge/dispatch"
+	"github.com/jackdawloom/jackdawloom/internal/edge/metrics"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 )
 
@@ -38,6 +39,18 @@
 	}
 }
 
+func (d *Daemon) targetMetrics() []metrics.Target {
+	loads := d.sender.Loads()
+	out := make([]metrics.Target, len(loads))
+	for i, l := range loads {
+		out[i] = metrics.Target{
+			Service: l.Service, ID: l.ID, Running: l.Running, Elsewhere: l.Elsewhere, Slots: l.Slots,
+			Connections: l.Connections, Suspect: l.Suspect, Time: l.Time,
+		}
+	}
+	return out
+}
+
 // View returns what the daemon knows of the fleet.
 func (d *Daemon) View() *view.View { return d.views.Current() }
 
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -21,6 +21,7 @@
 
 // Metrics are a daemon's counters, gauges and histograms.
 type Metrics struct {
+	registry *client.Registry
 	scope    tally.Scope
 	reporter prometheus.Reporter
 
@@ -32,6 +33,61 @@
 // series names one counter or histogram with the values of its labels.
 type series struct{ name, a, b, c string }
 
+// Target are the values of one target.
+type Target struct {
+	Service, ID string
+	// Running and Elsewhere are the requests of this daemon and of the others.
+	Running, Elsewhere int
+	Slots, Connections int
+	Suspect            bool
+	Time               time.Duration
+}
+
+// targets collects the values of targets when the metrics are read. There may be
+// hundreds, which are not worth keeping up to date in between.
+type targets struct {
+	read func() []Target
+	// descriptions are in the order of the values in Collect.
+	descriptions []*client.Desc
+}
+
+func newTargets(read func() []Target) *targets {
+	t := &targets{read: read}
+	for _, d := range [][2]string{
+		{"target_running", "Requests of this daemon at the target."},
+		{"target_elsewhere", "Requests of the other daemons at the target."},
+		{"target_slot_count", "Slots of the target."},
+		{"target_open_connections", "Open connections of this daemon to the target."},
+		{"target_suspect", "1 while the target is avoided after failures."},
+		{"target_time_seconds", "Measured time of a request at the target."},
+	} {
+		t.descriptions = append(t.descriptions, client.NewDesc("jackdawloom_"+d[0], d[1], []string{"service", "target"}, nil))
+	}
+	return t
+}
+
+// Describe implements prometheus.Collector.
+func (t *targets) Describe(ch chan<- *client.Desc) {
+	for _, d := range t.descriptions {
+		ch <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (t *targets) Collect(ch chan<- client.Metric) {
+	for _, x := range t.read() {
+		values := []float64{
+			float64(x.Running), float64(x.Elsewhere), float64(x.Slots), float64(x.Connections), flag(x.Suspect), x.Time.Seconds(),
+		}
+		for i, d := range t.descriptions {
+			ch <- client.MustNewConstMetric(d, client.GaugeValue, values[i], x.Service, x.ID)
+		}
+	}
+}
+
+// ReadTargets makes the values of targets part of the metrics. It is called once.
+func (m *Metrics) ReadTargets(read func() []Target) { m.registry.MustRegister(newTargets(read)) }
+
 // New returns metrics without values.
 func New() *Metrics {
 	registry := client.NewRegistry()
@@ -41,7 +97,7 @@
 		Prefix: "jackdawloom", Separator: prometheus.DefaultSeparator, CachedReporter: reporter,
 	}, interval)
 	return &Metrics{
-		scope: scope, reporter: reporter,
+		registry: registry, scope: scope, reporter: reporter,
 		counters: make(map[series]tally.Counter), histograms: make(map[series]tally.Histogram),
 	}
 }
--- a/internal/native/documents.go
+++ b/internal/native/documents.go
@@ -24,6 +24,7 @@
 // HeaderNames are the headers that callers, daemons and targets exchange.
 var HeaderNames = upstream.Names{
 	RequestID:    header.RequestID,
+	AssignID:     true,
 	TimeLeft:     header.DeadlineMs,
 	ExpectTarget: header.Target,
 	TargetID:     header.Target,
--- a/internal/state/manifest/manifest.go
+++ b/internal/state/manifest/manifest.go
@@ -132,12 +132,3 @@
 	}
 	return nil
 }
-
-// LongestDeadline returns the longest deadline of the service's classes.
-func (s *Service) LongestDeadline() time.Duration {
-	var longest time.Duration
-	for _, c := range s.Classes {
-		longest = max(longest, c.Deadline())
-	}
-	return longest
-}
--- a/internal/state/manifest/parse_test.go
+++ b/internal/state/manifest/parse_test.go
@@ -166,13 +166,21 @@
 				got.slots, got.connections = target.Slots, target.Connections
 				domains[target.Domain] = true
 			}
-			if got != services[s.Name] || len(domains) != 3 || s.LongestDeadline() > time.Second {
+			if got != services[s.Name] || len(domains) != 3 || longestDeadline(s) > time.Second {
 				t.Errorf("%s %s: %+v in %d domains; want %+v in 3", name, s.Name, got, len(domains), services[s.Name])
 			}
 		}
 	}
 }
 
+func longestDeadline(s Service) time.Duration {
+	var longest time.Duration
+	for _, c := range s.Classes {
+		longest = max(longest, c.Deadline())
+	}
+	return longest
+}
+
 // Guards against a document of the largest size that takes the validator
 // quadratic time or gives a report nobody can read.
 func TestParseLargest(t *testing.T) {
--- a/internal/transport/upstream/request.go
+++ b/internal/transport/upstream/request.go
@@ -13,6 +13,8 @@
 type Names struct {
 	// RequestID names a request; targets return it.
 	RequestID string
+	// AssignID makes daemons name requests that their callers did not.
+	AssignID bool
 	// TimeLeft is the time in milliseconds after which a target stops work.
 	TimeLeft string
 	// ExpectTarget is the ID of the only target that may run the request.
