Count the silence of a daemon from when its hub first lists it

Cause: a hub takes away the announcement of a daemon that it has not heard for ten seconds. For one that it never heard, the time counted from when it became hub, so a daemon that announced itself and was looked at before its first message lost its announcement, and with it its place among the daemons until it announced itself again. Found by reading. One that was listed again under its name after an absence was judged by what was heard before.

Change: the time of a daemon that was never heard starts with the first call that finds it listed; one that is no longer listed is forgotten.

Before: TestSilentCountsFromTheFirstListing fails where the daemon is listed again (d1 counts as silent at once). After: 3 of 3 runs pass with the race detector.

Announcements of daemons that are gone are still taken away, ten seconds after the hub first listed them.

--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -64,10 +64,10 @@
 	members map[string]*heard
 	domains map[string]*heard
 	fleet   *heard
-	// lastHeard is when each daemon of the domain was last heard, by a hub; hubSince
-	// is when this daemon became one, or 0.
+	// isHub says whether this daemon is its domain's hub. A hub notes in lastHeard
+	// when each daemon of the domain was last heard, or first listed.
+	isHub     bool
 	lastHeard map[string]time.Duration
-	hubSince  time.Duration
 }
 
 // heard is what was last told by a daemon.
@@ -178,7 +178,7 @@
 	if !known {
 		return
 	}
-	t.noteHub(hub.Name == t.config.Name, now)
+	t.noteHub(hub.Name == t.config.Name)
 	if hub.Name == t.config.Name {
 		t.actAsHub(peers, hubs, far, now)
 		return
@@ -191,36 +191,42 @@
 	t.send(hub, m)
 }
 
-func (t *Teller) noteHub(self bool, now time.Duration) {
+func (t *Teller) noteHub(self bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch {
-	case !self:
-		t.hubSince = 0
+	t.isHub = self
+	if !self {
 		clear(t.lastHeard)
-	case t.hubSince == 0:
-		t.hubSince = now
 	}
 }
 
 // Silent returns the daemons of the domain that were not heard for a time, if this
-// daemon is the domain's hub.
+// daemon is the domain's hub. The time of a daemon that was never heard starts with
+// the first call that finds it listed.
 func (t *Teller) Silent(after time.Duration) []string {
 	now := clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.hubSince == 0 {
+	if !t.isHub {
 		return nil
 	}
 	var out []string
+	listed := make(map[string]time.Duration)
 	for _, p := range t.config.Peers() {
 		if p.Domain != t.config.Domain || p.Name == t.config.Name {
 			continue
 		}
-		if now-max(t.hubSince, t.lastHeard[p.Name]) > after {
+		at, known := t.lastHeard[p.Name]
+		if !known {
+			at = now
+		}
+		listed[p.Name] = at
+		if now-at > after {
 			out = append(out, p.Name)
 		}
 	}
+	// A daemon that is listed again later starts anew.
+	t.lastHeard = listed
 	return out
 }
 
--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -184,3 +185,36 @@
 		t.Fatal("loads are told while the mutex is held")
 	}
 }
+
+// Guards against the announcement of a daemon that is taken away because its hub did
+// not hear it yet, after it started or was listed again, and against one that stays
+// although the daemon is gone.
+func TestSilentCountsFromTheFirstListing(t *testing.T) {
+	list := []Peer{{Name: "d0", Domain: "z0"}, {Name: "d1", Domain: "z0"}, {Name: "d2", Domain: "z1"}}
+	teller := New(Config{Name: "d0", Domain: "z0", Log: slog.New(slog.DiscardHandler), Peers: func() []Peer { return list }})
+	const after = 20 * time.Millisecond
+	expect := func(what string, want ...string) {
+		t.Helper()
+		if got := teller.Silent(after); !slices.Equal(got, want) {
+			t.Errorf("%s: %v count as silent, want %v", what, got, want)
+		}
+	}
+	time.Sleep(2 * after)
+	expect("before this daemon is the hub")
+	teller.noteHub(true)
+	expect("first listing")
+	time.Sleep(2 * after)
+	expect("nothing heard since the first listing", "d1")
+	teller.receive(message{From: "d1", Domain: "z0", Scope: scopeDaemon, Number: 1})
+	expect("just heard")
+	all := list
+	list = list[:1]
+	expect("not listed")
+	time.Sleep(2 * after)
+	list = all
+	expect("listed again")
+	time.Sleep(2 * after)
+	teller.noteHub(false)
+	teller.noteHub(true)
+	expect("hub again")
+}
