Catch hangups and changes of the settings file from the start

SIGHUP was caught only once the settings were read and the store client made, and until then the system ends the process. Between reading the file and watching it a change was lost, too.

Change: the watch of the settings is created before they are loaded; it keeps a hangup or a change until it runs, and still catches hangups while the process stops.

Before: TestHangupWhileStartingIsKept and TestChangeWhileStartingIsNoticed have no way to pass: the watch took its first look at the file when it was run. After: both pass with the race detector.

--- a/cmd/jackdawloomd/platform.go
+++ b/cmd/jackdawloomd/platform.go
@@ -28,6 +28,7 @@
 }
 
 func runEdge(ctx context.Context, cmd *cli.Command) error {
+	watch := platform.NewSettingsWatch(cmd.String("settings"))
 	set, err := platform.LoadSettings(cmd.String("settings"))
 	if err != nil {
 		return err
@@ -44,7 +45,7 @@
 	})
 	watching, endWatching := context.WithCancel(context.WithoutCancel(ctx))
 	defer endWatching()
-	go platform.WatchSettings(watching, cmd.String("settings"), log, func(s *platform.Settings) { d.Reload(s.Edge) })
+	go watch.Run(watching, log, func(s *platform.Settings) { d.Reload(s.Edge) })
 	return d.Run(ctx)
 }
 
