Let the coordinator take changes and results together

Cause: the coordinator looked at all targets and their speeds after each change of the store and each result of a call: on the grown sites 400 calls and some changes end within a second, and each look reads up to 189 targets. Found by reading; the coordinator was the busiest process.

Change: a look follows ten milliseconds after the one before at the earliest; results and changes meanwhile are taken up by it.

--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -23,6 +23,9 @@
 const (
 	// tickEvery is how often the coordinator looks at its spans.
 	tickEvery = 50 * time.Millisecond
+	// stepPause is the least time between two looks. Each look reads all targets, and
+	// hundreds of calls may end within a second.
+	stepPause = 10 * time.Millisecond
 	// idleEvery is how often a candidate looks whether it is needed, besides
 	// after each change.
 	idleEvery = 500 * time.Millisecond
@@ -85,6 +88,7 @@
 	results  *ring.Ring[func()]
 	loads    *ring.Ring[peers.Sample]
 	known    map[target.Life]address
+	stepped  time.Duration // when the last step began
 	keepAt   time.Duration
 	keeping  bool
 	keptAt   time.Duration // when the last renewal was sent
@@ -152,19 +156,24 @@
 			return
 		case f := <-c.results.Out():
 			f()
-			c.step(ctx)
-			continue
+			timer.Reset(c.untilStep())
 		case l := <-c.loads.Out():
 			c.takeLoad(l)
-			continue
 		case <-changed:
+			timer.Reset(c.untilStep())
 		case <-timer.C:
+			c.stepped = clock.Now()
+			c.step(ctx)
+			timer.Reset(c.pause())
 		}
-		c.step(ctx)
-		timer.Reset(c.pause())
 	}
 }
 
+// untilStep returns how long to wait with a step for which there is a cause.
+func (c *Coordinator) untilStep() time.Duration {
+	return max(c.stepped+stepPause-clock.Now(), 0)
+}
+
 func (c *Coordinator) pause() time.Duration {
 	if c.term != nil {
 		return tickEvery
--- a/internal/edge/coordinator/coordinator_test.go
+++ b/internal/edge/coordinator/coordinator_test.go
@@ -142,9 +142,13 @@
 func (plainCalls) Release(ownership.Release) (*upstream.Request, error) { return call("/release") }
 func (plainCalls) Result(*upstream.Answer) (ownership.Result, string)   { return ownership.OK, "" }
 
-type noSpeeds struct{}
+// noSpeeds knows no speeds, and counts how often it is asked.
+type noSpeeds struct{ asked *atomic.Int64 }
 
-func (noSpeeds) Speeds() map[string]time.Duration { return nil }
+func (s noSpeeds) Speeds() map[string]time.Duration {
+	s.asked.Add(1)
+	return nil
+}
 
 // fixture is a coordinator with a store and a target that counts its grants.
 type fixture struct {
@@ -153,6 +157,7 @@
 	views  *view.Keeper
 	grants atomic.Int64
 	hold   atomic.Int64 // duration of the last grant
+	looks  atomic.Int64 // looks at the speeds of all targets
 	stop   func()       // stops the coordinator and waits for its end
 	told   peers.HandOver
 }
@@ -174,7 +179,7 @@
 	}})
 	f.store = &pausingStore{views: f.views, rev: 1, entries: make(map[string]topo.Entry)}
 	f.coord = New(Config{
-		Store: f.store, Self: Identity{Name: "d1", Run: "run"}, Views: f.views, Calls: plainCalls{&f.hold}, Targets: noSpeeds{},
+		Store: f.store, Self: Identity{Name: "d1", Run: "run"}, Views: f.views, Calls: plainCalls{&f.hold}, Targets: noSpeeds{&f.looks},
 		Grants: ownership.Config{MaxHold: 10 * time.Second}, Weakness: func() float64 { return 0 }, Log: log,
 		HandOver: func(_ context.Context, h peers.HandOver) { f.told = h },
 	})
@@ -294,3 +299,19 @@
 		t.Errorf("grants were extended %v after the store fell silent; the lease lasts %v", took, leaseTTL)
 	}
 }
+
+// Guards against a look at all targets for each single change or result: on a grown
+// site hundreds of them come within a second.
+func TestChangesAreTakenTogether(t *testing.T) {
+	f := start(t)
+	before, start := f.looks.Load(), time.Now()
+	for i := range 300 {
+		entry := topo.Entry{Key: "targets/t2", CreateRev: 1, ModRev: int64(10 + i)}
+		f.views.Apply(mirror.Change{Entries: []topo.Entry{entry}})
+		time.Sleep(time.Millisecond)
+	}
+	took := time.Since(start)
+	if looks, most := f.looks.Load()-before, int64(took/stepPause)+2; looks > most {
+		t.Errorf("%d looks at all targets in %v, want at most %d", looks, took, most)
+	}
+}
