Bench the cost of logs at three times the load

Change: BenchmarkLogsUnderOverload sends three times what the targets can serve and gives the processor time of the whole process for one request, without a log, with it, and with a reader that never reads.

--- a/internal/embedded/bench_test.go
+++ b/internal/embedded/bench_test.go
@@ -5,11 +5,16 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/jackdawloom/jackdawloom/internal/eventlog"
 	"github.com/jackdawloom/jackdawloom/internal/standin/targetsrv"
 	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
 )
@@ -39,17 +44,16 @@
 	return &manifest.Manifest{Schema: manifest.Schema, Name: "bench", Services: []manifest.Service{s}}
 }
 
-func startBench(b *testing.B, daemons, targets int) *Fleet {
+func startBench(b *testing.B, m *manifest.Manifest, daemons int, work targetsrv.ServiceTime, log *slog.Logger) *Fleet {
 	b.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	m := benchManifest(b, targets)
-	t, err := StartTargets(context.Background(), m, nil)
+	t, err := StartTargets(context.Background(), m, work)
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.Cleanup(t.Close)
-	f, err := StartFleet(context.Background(), m, daemons, slog.New(slog.DiscardHandler))
+	f, err := StartFleet(context.Background(), m, daemons, log)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -81,7 +85,7 @@
 // BenchmarkPath compares one request straight to the target with one through a
 // daemon.
 func BenchmarkPath(b *testing.B) {
-	f := startBench(b, 3, 1)
+	f := startBench(b, benchManifest(b, 1), 3, nil, slog.New(slog.DiscardHandler))
 	// The direct path needs a target that does not check grants.
 	direct := targetsrv.New(targetsrv.Config{Name: "direct", Slots: 64})
 	address, err := direct.Listen(context.Background(), "127.0.0.1:0")
@@ -112,3 +116,75 @@
 		})
 	}
 }
+
+// BenchmarkLogsUnderOverload gives the processor time of the whole process, callers
+// and targets included, for one request at three times the load that the targets can
+// serve, with the log written, with a reader that has stalled, and without a log.
+func BenchmarkLogsUnderOverload(b *testing.B) {
+	const (
+		slots = 2
+		work  = 5 * time.Millisecond
+		pause = work / slots / 3 // between requests
+	)
+	for _, mode := range []struct {
+		name   string
+		writer io.Writer // nil for none
+	}{{"off", nil}, {"on", io.Discard}, {"stalled reader", stalled{}}} {
+		b.Run(mode.name, func(b *testing.B) {
+			log := slog.New(slog.DiscardHandler)
+			counts := func() (dropped, omitted uint64) { return 0, 0 }
+			if mode.writer != nil {
+				lines := eventlog.New(eventlog.JSON)
+				go lines.Run(b.Context(), mode.writer)
+				log, counts = slog.New(lines.Handler(slog.LevelInfo)), lines.Counts
+			}
+			m := benchManifest(b, 1)
+			m.Services[0].Targets[0].Slots = slots
+			m.Services[0].Classes[0].DeadlineMs, m.Services[0].Classes[0].Objective.LatencyMs = 60, 40
+			f := startBench(b, m, 1, func(*rand.Rand) time.Duration { return work }, log)
+			client, url := benchClient(), "http://"+f.Callers[0]+"/display/k"
+			var served, refused atomic.Int64
+			var wg sync.WaitGroup
+			before, next := processorTime(b), time.Now()
+			for b.Loop() {
+				wg.Go(func() { count(b, client, url, &served, &refused) })
+				next = next.Add(pause)
+				time.Sleep(time.Until(next))
+			}
+			wg.Wait()
+			dropped, omitted := counts()
+			b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "cpu-µs/op")
+			b.ReportMetric(float64(refused.Load())/float64(b.N), "refused/op")
+			b.ReportMetric(float64(dropped+omitted)/float64(b.N), "lines-left-out/op")
+		})
+	}
+}
+
+// stalled is a reader of the log that has stopped reading.
+type stalled struct{}
+
+func (stalled) Write([]byte) (int, error) { select {} }
+
+func count(b *testing.B, client *http.Client, url string, served, refused *atomic.Int64) {
+	resp, err := client.Get(url)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	if resp.StatusCode == http.StatusOK {
+		served.Add(1)
+		return
+	}
+	refused.Add(1)
+}
+
+// processorTime returns what the process has used so far.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
