Let explain doubt contradicting lines, and tell of targets

Cause: explain was tried on failures that the soak found with two defects put into scratch copies of the daemon. Where a lost request was called not run, it repeated that ("it did not run"); that a request was sent again it did not say, as the attribute was read nowhere; and for a request that reached a leaving target it had nothing, since requests that succeed leave no line.

Change: a send that ended without an answer and is marked as not run raises a doubt; repeats are listed; the ID of a target shows what befell it at each daemon.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -22,8 +23,9 @@
 		ArgsUsage: "REQUEST-ID FILE...",
 		Description: `Reads the log lines of jackdawloomd edge, one file for each daemon or several in
 one, and shows the lines about the request, the events around it that may explain
-them, and the cause. Text before the JSON object of a line names its source. A line
-that cannot be read is named on the standard error; the others hold.
+them, and the cause. In place of a request's ID, that of a target shows what befell
+it. Text before the JSON object of a line names its source. A line that cannot be
+read is named on the standard error; the others hold.
 
 Examples:
    jackdawctl explain 9c41d07be2a35f68 edge-*.log
@@ -82,20 +84,39 @@
 		}
 	}
 	t.SetTitle("request %s", s.Request)
+	if s.Target != "" {
+		t.SetTitle("target %s", s.Target)
+	}
 	rows(s.Own)
 	if len(s.Related) > 0 {
 		t.AppendSeparator()
 		rows(s.Related)
 	}
 	t.Render()
-	if s.Cause == "" {
-		_, err := fmt.Fprintln(w, "no refusal of this request is in the logs")
-		return err
+	_, err := fmt.Fprint(w, conclusion(s))
+	return err
+}
+
+// conclusion returns what follows from the lines.
+func conclusion(s explain.Story) string {
+	var out strings.Builder
+	switch {
+	case s.Target != "":
+		return ""
+	case s.Cause == "":
+		out.WriteString("no refusal of this request is in the logs\n")
+	default:
+		ran := "it did not run"
+		if s.MayHaveRun {
+			ran = "it may have run"
+		}
+		fmt.Fprintf(&out, "status %d (%s): %s; %s\nnext: %s\n", s.Status, s.Reason, s.Cause, ran, s.Next)
 	}
-	ran := "it did not run"
-	if s.MayHaveRun {
-		ran = "it may have run"
+	for _, r := range s.Repeated {
+		fmt.Fprintf(&out, "%s\n", r)
 	}
-	_, err := fmt.Fprintf(w, "status %d (%s): %s; %s\nnext: %s\n", s.Status, s.Reason, s.Cause, ran, s.Next)
-	return err
+	if s.Doubt != "" {
+		fmt.Fprintf(&out, "doubt: %s\n", s.Doubt)
+	}
+	return out.String()
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -9,8 +9,8 @@
 	"github.com/jackdawloom/jackdawloom/internal/edge/dispatch"
 )
 
-// ErrNotFound reports a request that no line names.
-var ErrNotFound = errors.New("no line names the request")
+// ErrNotFound reports an ID that no line names.
+var ErrNotFound = errors.New("no line names the request, or a target of that ID")
 
 const (
 	// before and after bound the time around the request in which other lines may
@@ -22,31 +22,41 @@
 )
 
 const (
+	// sendMessage tells of a send that no target answered well.
+	sendMessage = "send without success"
 	// endMessage ends a request that no target answered well.
 	endMessage = "request refused"
 	// failureMessage ends one whose target failed.
 	failureMessage = "target's failure passed on"
 )
 
-// Story is what became of a request.
+// Story is what became of a request, or what befell a target.
 type Story struct {
-	Request string `json:"request"`
+	Request string `json:"request,omitempty"`
+	// Target is set in place of Request if no request but a target has the ID.
+	Target string `json:"target,omitempty"`
 	// Own are the lines that name the request, and Related those that may explain
 	// them, both by time.
 	Own     []Line `json:"own"`
 	Related []Line `json:"related"`
 	// Cause and Next are empty if the request did not end with a refusal.
-	Cause      string       `json:"cause,omitempty"`
-	Next       string       `json:"next,omitempty"`
-	Status     int          `json:"status,omitempty"`
-	Reason     string       `json:"reason,omitempty"`
-	MayHaveRun bool         `json:"may_have_run"`
+	Cause      string `json:"cause,omitempty"`
+	Next       string `json:"next,omitempty"`
+	Status     int    `json:"status,omitempty"`
+	Reason     string `json:"reason,omitempty"`
+	MayHaveRun bool   `json:"may_have_run"`
+	// Repeated tells after what the request was sent again. Of the last send no line
+	// tells if it was answered.
+	Repeated []string `json:"repeated,omitempty"`
+	// Doubt tells what in the lines cannot be true together.
+	Doubt      string       `json:"doubt,omitempty"`
 	Omitted    int          `json:"lines_omitted"`
 	Unreadable []Unreadable `json:"unreadable,omitempty"`
 }
 
-// Explain returns the story of a request. The error is ErrNotFound if no line names
-// it; the story then holds only what is known of the lines.
+// Explain returns the story of a request, or of a target if no request has the ID.
+// The error is ErrNotFound if no line names it; the story then holds only what is
+// known of the lines.
 func (l *Log) Explain(id string) (Story, error) {
 	s := Story{Request: id, Unreadable: l.Unreadable}
 	for _, line := range l.Lines {
@@ -56,6 +66,10 @@
 		}
 	}
 	if len(s.Own) == 0 {
+		s.Request, s.Target, s.Own = "", id, l.ofTarget(id)
+		if len(s.Own) > 0 {
+			return s, nil
+		}
 		return s, fmt.Errorf("%w: %s in %d lines of %d files", ErrNotFound, id, len(l.Lines), len(l.sources))
 	}
 	sortByTime(s.Own)
@@ -65,6 +79,8 @@
 			s.conclude(line)
 		case failureMessage:
 			s.passedOn(line)
+		case sendMessage:
+			s.sent(line)
 		}
 	}
 	s.Related = l.related(s.Own)
@@ -76,6 +92,29 @@
 	s.Status, s.Reason, s.MayHaveRun, s.Cause, s.Next = end.Status, end.Reason, end.MayHaveRun, a.cause, a.next
 }
 
+// sent notes a send that was repeated.
+func (s *Story) sent(send Line) {
+	if send.Reason == string(dispatch.Lost) && !send.MayHaveRun {
+		s.Doubt = "a send that ended without an answer is marked as not run: the daemon that wrote it is at fault"
+	}
+	if !send.Again {
+		return
+	}
+	s.Repeated = append(s.Repeated, fmt.Sprintf("sent again after %q at %s", send.Reason, send.Target))
+}
+
+// ofTarget returns the lines about a target that no request explains better.
+func (l *Log) ofTarget(id string) []Line {
+	var out []Line
+	for _, line := range l.Lines {
+		if line.Target == id && line.Request == "" {
+			out = append(out, line)
+		}
+	}
+	sortByTime(out)
+	return out
+}
+
 // passedOn concludes with a target's own failure, which the caller got.
 func (s *Story) passedOn(end Line) {
 	s.Status, s.Reason, s.MayHaveRun = end.Status, string(dispatch.BadAnswer), true
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -106,6 +106,38 @@
 	}
 }
 
+// Guards against lines that contradict each other and are believed: a daemon with a
+// defect that the soak found called requests not run that had been sent.
+func TestExplainDoubtsALostRequestThatDidNotRun(t *testing.T) {
+	const send = `,"request":%q,"service":"s","target":"t1","reason":"connection ended without an answer","may_have_run":%v,"again":true`
+	files := map[string]string{
+		"edge": logLine(1, "send without success", fmt.Sprintf(send, "r1", false)) + logLine(2, "send without success", fmt.Sprintf(send, "r2", true)),
+	}
+	log := readAll(t, files, "edge")
+	for id, doubted := range map[string]bool{"r1": true, "r2": false} {
+		s, err := log.Explain(id)
+		if err != nil || (s.Doubt != "") != doubted {
+			t.Errorf("doubt about %s: %q, %v", id, s.Doubt, err)
+		}
+		if len(s.Repeated) != 1 || !strings.Contains(s.Repeated[0], "t1") {
+			t.Errorf("repeats of %s: %q", id, s.Repeated)
+		}
+	}
+}
+
+// Guards against a target whose story cannot be told: the soak names targets that got
+// requests while they were leaving, and requests that succeeded leave no line.
+func TestExplainOfTarget(t *testing.T) {
+	files := map[string]string{
+		"a": logLine(5, "target gone", `,"target":"t1"`) + logLine(3, "send without success", `,"request":"r1","target":"t1"`),
+		"b": logLine(2, "target draining", `,"target":"t1"`) + logLine(2, "target draining", `,"target":"t2"`),
+	}
+	s, err := readAll(t, files, "a", "b").Explain("t1")
+	if got, want := messages(s.Own), "b: target draining; a: target gone"; err != nil || got != want || s.Target != "t1" || s.Request != "" {
+		t.Errorf("got %s of %+v, %v; want %s", got, s, err, want)
+	}
+}
+
 // Guards against an unknown request that looks like one without troubles.
 func TestExplainOfUnknownRequest(t *testing.T) {
 	files := map[string]string{"a": logLine(1, "request refused", `,"request":"r1","omitted_before":7`)}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -62,6 +62,7 @@
 	Status     int       `json:"status"`
 	Sends      int       `json:"sends"`
 	MayHaveRun bool      `json:"may_have_run"`
+	Again      bool      `json:"again"`
 	Key        *uint16   `json:"key"`
 	From       *uint16   `json:"from"`
 	To         *uint16   `json:"to"`
@@ -127,7 +128,7 @@
 		Source: source, Place: place, Time: raw.Time, Message: raw.Message, Raw: object,
 		attributes: attributes{
 			Request: raw.Request, Service: raw.Service, Target: raw.Target, Reason: raw.Reason, Status: raw.Status,
-			Sends: raw.Sends, MayHaveRun: raw.MayHaveRun, Key: raw.Key, From: raw.From, To: raw.To, Omitted: raw.Omitted,
+			Sends: raw.Sends, MayHaveRun: raw.MayHaveRun, Again: raw.Again, Key: raw.Key, From: raw.From, To: raw.To, Omitted: raw.Omitted,
 		},
 	}, nil
 }
