Wait longer for the next owner of a key

Cause: a request that finds an owner without its key was sent four times, 160 ms apart, and then refused with most of its time left.

Change: the pause doubles from the third send on, takes at most half of the time left, and five sends are made in place of four. A table that names the next owner still ends the pause at once.

--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -96,8 +96,10 @@
 // waitMove waits until the key has another owner than the one that did not hold it,
 // or might have got its grant by now.
 func (d *Dispatcher) waitMove(ctx context.Context, t *try) {
-	end := clock.Now() + moveDelay
-	for left := moveDelay; left > 0 && ctx.Err() == nil; left = end - clock.Now() {
+	now := clock.Now()
+	pause := min(moveDelay<<max(t.sends-2, 0), time.Duration(moveShare*float64(t.req.Deadline-now)))
+	end := now + pause
+	for left := pause; left > 0 && ctx.Err() == nil; left = end - clock.Now() {
 		changed := d.config.Views.Changed()
 		table := d.config.Views.Current().Tables[t.req.Service]
 		if table != nil && table.Lookup(t.req.Key).Fence != t.fence {
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -28,10 +28,13 @@
 	ownerWait = 200 * time.Millisecond
 	// moveDelay is the pause before a request is sent again to an owner that did
 	// not hold the key, if the key gets no other owner meanwhile. Releases wait for
-	// running requests, which usually takes several times as long as one request.
+	// running requests, which usually takes several times as long as one request, so
+	// the pause doubles from the third on.
 	moveDelay = 160 * time.Millisecond
+	// moveShare is the part of the time left that such a pause takes at most.
+	moveShare = 0.5
 	// ownerSends bounds the sends of a request to owners that do not hold its key.
-	ownerSends = 4
+	ownerSends = 5
 	// leastLeft is the time that a request must have left to be sent.
 	leastLeft = 15 * time.Millisecond
 	// answerSlack is how much longer than the caller's time an answer is waited
