Use the project's own names in a test of the relay

Cause: the test named two documents of the platform, whose names belong into platform/ only.

Change: it names documents of its own. Test only; it passes.

--- a/internal/edge/peers/relay_test.go
+++ b/internal/edge/peers/relay_test.go
@@ -119,10 +119,10 @@
 // another one.
 func TestRelayServesOwnDocumentsOnly(t *testing.T) {
 	r, _, others := relayOf(t, topo.ErrUnavailable, nil)
-	if _, err := r.Get(context.Background(), "op/config"); err == nil {
+	if _, err := r.Get(context.Background(), "config"); err == nil {
 		t.Error("another writer's document was read")
 	}
-	foreign := topo.Txn{Puts: []topo.Put{{Key: "servers/x"}}}
+	foreign := topo.Txn{Puts: []topo.Put{{Key: "targets/x"}}}
 	if _, err := r.Commit(context.Background(), foreign); err == nil {
 		t.Error("another writer's document was written")
 	}
