Give calls for grants a copy of the term

The goroutine that makes a grant reads the end of the lease, which the duty changes when a renewal has been answered. Results passed through the ring order the two only if no grant is under way, so the race showed when a grant and a renewal met.

Change: the goroutine gets a copy. A renewal that is answered between the copy and the check can only make the check stricter.

Ruled out: other fields of the term and other goroutines. Renewals and writes of tables read the lease and the revision, which do not change.

--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -358,7 +358,8 @@
 }
 
 func (c *Coordinator) grant(ctx context.Context, service string, e *engine, g ownership.Grant) {
-	t := c.term
+	// A copy, as renewals change the end of the lease meanwhile.
+	t := *c.term
 	known, ok := c.known[g.Span.Life()]
 	if !ok {
 		e.Granted(g, ownership.Failed, clock.Now())
--- a/internal/edge/coordinator/coordinator_test.go
+++ b/internal/edge/coordinator/coordinator_test.go
@@ -35,6 +35,7 @@
 	entries map[string]topo.Entry
 	ended   bool // the lease
 	grants  int  // leases given
+	renewed int  // times the lease was renewed
 }
 
 func (s *pausingStore) GrantLease(context.Context, time.Duration) (topo.LeaseID, error) {
@@ -63,6 +64,7 @@
 	case s.ended:
 		return topo.ErrLeaseNotFound
 	}
+	s.renewed++
 	return nil
 }
 
@@ -156,6 +158,7 @@
 	coord  *Coordinator
 	views  *view.Keeper
 	grants atomic.Int64
+	slow   atomic.Int64 // time that the target takes for a grant
 	hold   atomic.Int64 // duration of the last grant
 	looks  atomic.Int64 // looks at the speeds of all targets
 	stop   func()       // stops the coordinator and waits for its end
@@ -168,6 +171,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/grant" {
 			f.grants.Add(1)
+			time.Sleep(time.Duration(f.slow.Load()))
 		}
 	}))
 	t.Cleanup(server.Close)
@@ -315,3 +319,16 @@
 		t.Errorf("%d looks at all targets in %v, want at most %d", looks, took, most)
 	}
 }
+
+// Guards against calls that share the term with the duty: a grant was prepared while a
+// renewal changed the end of the lease, which the race detector reports.
+func TestLeaseIsRenewedDuringGrants(t *testing.T) {
+	f := start(t)
+	f.slow.Store(int64(grantTimeout / 2))
+	renewals := func() (n int) {
+		f.store.set(func() { n = f.store.renewed })
+		return n
+	}
+	before, grants := renewals(), f.grants.Load()
+	f.await(t, "renewals beside grants", func() bool { return renewals() > before+2 && f.grants.Load() > grants+2 })
+}
