Split the engine of ownership by duty

Cause: engine.go had grown to 520 lines with the ticks, the results of calls and the tables in it.

Change: results.go takes what follows from the results of calls, table.go what is taken over from tables.

--- a/internal/coordination/ownership/engine.go
+++ b/internal/coordination/ownership/engine.go
@@ -214,22 +214,6 @@
 	return arrived + slow + arrivalSlack
 }
 
-// adopt rebuilds the knowledge of spans from a table. Grants that were sent up to
-// now may still arrive.
-func (e *Engine) adopt(table ranges.Table, now time.Duration) {
-	e.table = table
-	e.holds = e.holds[:0]
-	for _, s := range table.Spans {
-		h := &hold{span: s, phase: free}
-		if s.Owned() {
-			h.phase, h.renewAt, h.until = holding, now, e.config.end(now, now+callTime, e.config.MaxHold)
-			h.unanswered = h.until
-			h.inherited = true
-		}
-		e.holds = append(e.holds, h)
-	}
-}
-
 // Table returns the table as it was last written.
 func (e *Engine) Table() ranges.Table { return e.table }
 
@@ -336,59 +320,6 @@
 	return min(e.config.Hold, e.config.MaxHold)
 }
 
-// Result is the outcome of a call to a target.
-type Result uint8
-
-// Outcomes of calls.
-const (
-	// OK: the target answered that it did what was asked.
-	OK Result = iota
-	// Fenced: the target has seen a higher fence on one of the keys.
-	Fenced
-	// Failed: there was no answer, or one that says nothing about the keys.
-	Failed
-	// NotSent: the call certainly did not reach the target.
-	NotSent
-)
-
-// Granted reports the outcome of a Grant when its call has ended.
-func (e *Engine) Granted(g Grant, r Result, now time.Duration) {
-	life := g.Span.Life()
-	if r == OK || r == Fenced {
-		e.failures[life] = failures{since: now}
-	} else {
-		f := e.failures[life]
-		if f.count == 0 && f.since == 0 {
-			f.since = now
-		}
-		f.count++
-		e.failures[life] = f
-	}
-	for _, h := range e.holds {
-		if h.grant != g.ID {
-			continue
-		}
-		h.answered(e.config, g, r, now)
-		if r == OK && g.Hold < e.holdTime() {
-			h.renewAt = now
-		}
-	}
-	if f := e.failures[life]; f.count >= silentCalls && now-f.since >= e.config.SilentFor {
-		e.dropSilent(life, now)
-	}
-}
-
-// dropSilent takes the keys of a target that does not answer. More grants would
-// only put off the time from which others may have the keys.
-func (e *Engine) dropSilent(life target.Life, now time.Duration) {
-	e.silent[life] = now
-	for _, h := range e.holds {
-		if h.phase == holding && h.span.Life() == life {
-			h.release(now)
-		}
-	}
-}
-
 // eligible reports whether a target may be given keys.
 func (e *Engine) eligible(t Target) bool {
 	if t.Leaving || t.Capacity <= 0 {
@@ -398,117 +329,6 @@
 	return !silent || e.load.aged > at+silentTime
 }
 
-func (h *hold) answered(c Config, g Grant, r Result, now time.Duration) {
-	h.grant = 0
-	if r != NotSent {
-		h.until = max(h.until, c.end(h.sentAt, now, g.Hold))
-	}
-	switch {
-	case h.inherited: // sent before the owner's next life was known
-	case r == OK:
-		if c.Replaces && !h.granted {
-			// The longest grants of an earlier coordinator no longer count.
-			h.until = max(c.end(h.sentAt, now, g.Hold), h.unanswered)
-		}
-		h.granted, h.earlier = true, 0
-		h.handover = ""
-		h.renewAt = h.sentAt + c.RenewEvery
-	case r == Fenced:
-		// Another coordinator used a higher fence: the span must be given again
-		// under a new one.
-		if h.phase == holding {
-			h.next = h.span.Owner
-			h.release(now)
-		}
-	default:
-		h.renewAt = now + retryEvery
-	}
-	if r == Failed {
-		h.unanswered = max(h.unanswered, c.end(h.sentAt, now, g.Hold))
-	}
-	if h.phase == releasing {
-		h.renewAt = now
-	}
-}
-
-// Released reports the outcome of a Release, with the handover of the keys.
-func (e *Engine) Released(r Release, result Result, handover string, now time.Duration) {
-	h := e.find(r.Span)
-	if h == nil {
-		return
-	}
-	h.releasing = false
-	if result == OK {
-		h.released, h.handover = true, handover
-		return
-	}
-	h.renewAt = now + retryEvery
-}
-
-// Written reports that the table returned last was written, or that it was not
-// and another one stands in the store.
-func (e *Engine) Written(ok bool, stored ranges.Table, now time.Duration) {
-	pending := e.pending
-	e.pending = nil
-	if !ok {
-		e.writeAt = now + writeAgain
-		e.claims = make(map[claim]string)
-		if stored.Writer != e.table.Writer {
-			e.adopt(stored, now)
-		}
-		return
-	}
-	e.table = *pending
-	e.rebuild(now)
-}
-
-// rebuild takes over the written table. Spans whose owner and fence did not
-// change keep what is known of them, also where they are known in parts, and that the
-// owner has started anew since.
-func (e *Engine) rebuild(now time.Duration) {
-	holds := make([]*hold, 0, len(e.holds)+len(e.table.Spans))
-	old := e.holds
-	next := 0
-	for _, s := range e.table.Spans {
-		var parts []*hold
-		for next < len(e.holds) && e.holds[next].span.To <= s.To {
-			if h := e.holds[next]; h.span.Fence == s.Fence && h.span.Owner == s.Owner {
-				parts = append(parts, h)
-			}
-			next++
-		}
-		if len(parts) > 0 {
-			holds = append(holds, parts...)
-			continue
-		}
-		h := &hold{span: s, phase: holding, renewAt: now, until: now, handover: e.claims[claim{s.From, s.To}]}
-		if !s.Owned() {
-			h.phase = free
-		}
-		h.continueFrom(e.config, old, now)
-		holds = append(holds, h)
-	}
-	e.holds = holds
-	e.claims = make(map[claim]string)
-}
-
-// continueFrom takes over until when the owner, in any of its lives, may hold the span
-// under earlier fences. Grants on their way count as if they arrived as late as they can: several
-// spans may have become one, so their answers are not waited for.
-func (h *hold) continueFrom(c Config, old []*hold, now time.Duration) {
-	for _, o := range old {
-		if o.span.Owner != h.span.Owner || o.span.To < h.span.From || o.span.From > h.span.To || o.phase == free {
-			continue
-		}
-		h.until = max(h.until, o.until)
-		h.earlier = max(h.earlier, o.earlier, o.unanswered)
-		if o.grant != 0 {
-			arrives := c.end(now, now+callTime, o.length)
-			h.until, h.earlier = max(h.until, arrives), max(h.earlier, arrives)
-		}
-	}
-}
-
 // find returns the knowledge of exactly this span.
 func (e *Engine) find(s ranges.Span) *hold {
 	for _, h := range e.holds {
