--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"log/slog"
+	"net/http"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -16,6 +18,7 @@
 	"github.com/jackdawloom/jackdawloom/internal/state/ranges"
 	"github.com/jackdawloom/jackdawloom/internal/state/target"
 	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/transport/bodybuf"
 	"github.com/jackdawloom/jackdawloom/internal/transport/upstream"
 )
 
@@ -44,6 +47,8 @@
 	// resultQueueSize is the capacity of the queue of call results. At most one call is
 	// pending per span.
 	resultQueueSize = 4096
+	// defaultBodyMemory is the default of Config.Bodies, in bytes.
+	defaultBodyMemory = 4 << 20
 )
 
 // GrantProtocol builds the requests that grant keys to targets and release them, and
@@ -79,7 +84,9 @@
 	CapacityDeficit func() float64
 	// SendHandover tells possible successors when the grants of this coordinator expire.
 	SendHandover func(context.Context, peers.Handover)
-	Log          *slog.Logger
+	// Bodies is the memory for the bodies of responses to grants and releases.
+	Bodies *bodybuf.Budget
+	Log    *slog.Logger
 }
 
 // Coordinator takes part in the election and, while it holds the lease, assigns the keys
@@ -136,6 +143,9 @@
 	if c.GrantTimeout == 0 {
 		c.GrantTimeout = defaultGrantTimeout
 	}
+	if c.Bodies == nil {
+		c.Bodies = bodybuf.NewBudget(defaultBodyMemory)
+	}
 	return &Coordinator{
 		config:    c,
 		election:  election{store: c.Store, self: c.Self, ttl: c.LeaseTTL, log: c.Log},
@@ -217,7 +227,7 @@
 	v.Targets.All(func(r target.Record) {
 		endpoint, ok := c.endpoints[r.Incarnation()]
 		if !ok || endpoint.record.Address != r.Address {
-			endpoint.pool = upstream.NewPool(r.Address, maxConnsPerTarget)
+			endpoint.pool = upstream.NewPool(r.Address, maxConnsPerTarget, c.config.Bodies)
 		}
 		endpoint.record, endpoint.lastSeen = r, now
 		c.endpoints[r.Incarnation()] = endpoint
@@ -425,6 +435,12 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req.Host, req.Target = endpoint.record.Address, endpoint.record.ID
+	// The ID tells the response apart from a late copy of an earlier one.
+	req.ID, req.EchoOptional = rand.Text(), true
+	if req.Header == nil {
+		req.Header = make(http.Header)
+	}
+	req.Header.Set(req.Names.RequestID, req.ID)
 	response, err := endpoint.pool.Send(ctx, req)
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
@@ -432,6 +448,10 @@
 	case err != nil:
 		return ownership.Failed, "", err
 	}
+	defer response.Release()
+	if req.Names.IsLeaving(response.Header) && response.Status != http.StatusMisdirectedRequest {
+		c.config.Views.MarkLeaving(endpoint.record.Incarnation(), "response to the coordinator")
+	}
 	result, handover := c.config.GrantProtocol.ParseResult(response)
 	return result, handover, nil
 }
--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -59,11 +59,16 @@
 		if reason == TargetsFull && d.awaitSlot(ctx, t) {
 			continue
 		}
-		waited := clock.Now() - t.req.Arrived
-		if reason != NoOwner || waited >= ownerWaitLimit {
+		now := clock.Now()
+		end := t.req.Arrived + ownerWaitLimit
+		if reason == TargetPaused && t.pausedUntil <= end {
+			wait(ctx, changed, t.pausedUntil-now)
+			continue
+		}
+		if reason != NoOwner || now >= end {
 			return nil, &Refusal{Reason: reason}
 		}
-		wait(ctx, changed, ownerWaitLimit-waited)
+		wait(ctx, changed, end-now)
 	}
 }
 
@@ -145,35 +150,59 @@
 	if ep.replaced {
 		return nil, NoOwner
 	}
+	t.pausedUntil = 0
+	if clock.Now() < ep.pausedUntil {
+		t.pausedUntil = ep.pausedUntil
+		return nil, TargetPaused
+	}
 	return d.admit(t, ep)
 }
 
 func (d *Dispatcher) chooseAny(v *view.View, t *requestState) (*endpoint, Reason) {
-	records := v.Targets.Service(t.req.Service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	eps := make([]*endpoint, 0, len(records))
-	ready := 0
-	for _, r := range records {
-		if r.State != target.Ready {
-			continue
-		}
-		ready++
-		ep := d.endpoint(v, r)
-		if t.triedTargets[r.ID] || ep.replaced || ep.estimate.Running >= ep.limit {
-			continue
-		}
-		eps = append(eps, ep)
+	eps, inState := d.candidates(v, t, target.Ready)
+	t.inputs.ReadyTargets = inState
+	if inState == 0 {
+		// A target that is leaving still serves for a while.
+		eps, inState = d.candidates(v, t, target.Leaving)
 	}
-	t.inputs.ReadyTargets = ready
-	if ready == 0 {
+	if inState == 0 {
 		return nil, NoTarget
 	}
 	ep := pick(eps, clock.Now(), d.serviceState(t.req.Service).avgServiceTime)
-	if ep == nil {
+	switch {
+	case ep != nil:
+		return d.admit(t, ep)
+	case t.pausedUntil > 0:
+		return nil, TargetPaused
+	default:
 		return nil, TargetsFull
 	}
-	return d.admit(t, ep)
+}
+
+// candidates returns the endpoints of the service's targets in a state that may get the
+// request, and the number of targets in that state. d.mu must be held.
+func (d *Dispatcher) candidates(v *view.View, t *requestState, state target.State) (eps []*endpoint, inState int) {
+	now := clock.Now()
+	t.pausedUntil = 0
+	for _, r := range v.Targets.Service(t.req.Service) {
+		if r.State != state {
+			continue
+		}
+		inState++
+		ep := d.endpoint(v, r)
+		switch {
+		case t.triedTargets[r.ID] || ep.replaced || ep.estimate.Running >= ep.limit:
+		case now < ep.pausedUntil:
+			if t.pausedUntil == 0 || ep.pausedUntil < t.pausedUntil {
+				t.pausedUntil = ep.pausedUntil
+			}
+		default:
+			eps = append(eps, ep)
+		}
+	}
+	return eps, inState
 }
 
 const (
--- a/internal/edge/dispatch/choose_test.go
+++ b/internal/edge/dispatch/choose_test.go
@@ -12,6 +12,7 @@
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/state/route"
 	"github.com/jackdawloom/jackdawloom/internal/state/target"
+	"github.com/jackdawloom/jackdawloom/internal/transport/bodybuf"
 	"github.com/jackdawloom/jackdawloom/internal/transport/upstream"
 )
 
@@ -25,7 +26,7 @@
 	t.Cleanup(server.Close)
 	eps := make([]*endpoint, all)
 	for i := range eps {
-		eps[i] = &endpoint{id: fmt.Sprint(i), record: target.Record{ID: fmt.Sprint(i)}, pool: upstream.NewPool(strings.TrimPrefix(server.URL, "http://"), 4)}
+		eps[i] = &endpoint{id: fmt.Sprint(i), record: target.Record{ID: fmt.Sprint(i)}, pool: upstream.NewPool(strings.TrimPrefix(server.URL, "http://"), 4, bodybuf.NewBudget(1<<20))}
 		eps[i].estimate.Slots = 3
 		t.Cleanup(eps[i].pool.Close)
 		if i >= n {
--- a/internal/edge/dispatch/classify.go
+++ b/internal/edge/dispatch/classify.go
@@ -54,6 +54,9 @@
 		return sendOutcome{notRun, KeyNotHeld}
 	}
 	if names.Refused(resp.Header) {
+		if resp.Pause() > 0 {
+			return sendOutcome{notRun, TargetPaused}
+		}
 		return sendOutcome{notRun, TargetsFull}
 	}
 	if names.Stamp != "" && (resp.Header.Get(names.Stamp) == "" || resp.Header.Get("Content-Encoding") != "") {
@@ -99,7 +102,7 @@
 		s.avgServiceTime += (took - s.avgServiceTime) / serviceTimeSmoothing
 	case outcome.reason == TargetsFull:
 		ep.estimate.RecordRejection(now)
-	case outcome.reason == KeyNotHeld:
+	case outcome.reason == KeyNotHeld || outcome.reason == TargetPaused:
 	case outcome.reason == TargetReplaced:
 		ep.replaced = true
 	case outcome.reason == CallerDisconnected:
@@ -110,6 +113,26 @@
 	}
 }
 
+// recordWishes records what a response says about the requests that the target wants: none
+// for some time, or none any more.
+func (d *Dispatcher) recordWishes(t *requestState, ep *endpoint, resp *upstream.Response, outcome sendOutcome) {
+	if resp == nil || outcome.reason == TargetReplaced {
+		return
+	}
+	if d.config.Names.IsLeaving(resp.Header) {
+		d.config.Views.MarkLeaving(ep.incarnation, "response to a request")
+	}
+	pause := resp.Pause()
+	if pause == 0 {
+		return
+	}
+	d.mu.Lock()
+	ep.pausedUntil = max(ep.pausedUntil, clock.Now()+pause)
+	t.pausedUntil = ep.pausedUntil
+	d.mu.Unlock()
+	d.config.Log.Info("target asked for a pause", "request", t.req.ID, "service", t.req.Service, "target", ep.id, "pause_ms", pause.Milliseconds())
+}
+
 // slowFactor is the multiple of a target's service time beyond which a request
 // without a response indicates that the target has become slow.
 const slowFactor = 2
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/state/route"
 	"github.com/jackdawloom/jackdawloom/internal/state/target"
+	"github.com/jackdawloom/jackdawloom/internal/transport/bodybuf"
 	"github.com/jackdawloom/jackdawloom/internal/transport/upstream"
 )
 
@@ -45,6 +46,8 @@
 	maxSends = 6
 	// defaultServiceTime is assumed before any service time is measured.
 	defaultServiceTime = 100 * time.Millisecond
+	// defaultBodyMemory is the default of Config.Bodies, in bytes.
+	defaultBodyMemory = 32 << 20
 )
 
 // Request is a caller's request.
@@ -70,6 +73,7 @@
 	NoOwner              Reason = "key has no owner"
 	NoKey                Reason = "key missing"
 	TargetsFull          Reason = "targets full"
+	TargetPaused         Reason = "target asked for a pause"
 	DeadlineExceeded     Reason = "time is up"
 	TargetUnreachable    Reason = "target not reached"
 	TargetReplaced       Reason = "address has another target"
@@ -79,13 +83,14 @@
 	InvalidResponse      Reason = "answer not usable"
 	CallerDisconnected   Reason = "caller left"
 	NoConfig             Reason = "no configuration known"
+	NoMemory             Reason = "no memory left for the body"
 )
 
 // Reasons returns all values of Reason.
 func Reasons() []Reason {
 	return []Reason{
-		NoTarget, NoOwner, NoKey, TargetsFull, DeadlineExceeded, TargetUnreachable, TargetReplaced, RetryBudgetExhausted, KeyNotHeld, ConnectionLost, InvalidResponse,
-		CallerDisconnected, NoConfig,
+		NoTarget, NoOwner, NoKey, TargetsFull, TargetPaused, DeadlineExceeded, TargetUnreachable, TargetReplaced, RetryBudgetExhausted, KeyNotHeld, ConnectionLost, InvalidResponse,
+		CallerDisconnected, NoConfig, NoMemory,
 	}
 }
 
@@ -122,7 +127,9 @@
 	Domain      string
 	RetryBudget budget.Bound
 	Views       *view.Tracker
-	Log         *slog.Logger
+	// Bodies is the memory for the bodies of responses; nil means defaultBodyMemory.
+	Bodies *bodybuf.Budget
+	Log    *slog.Logger
 	// ObserveSend is called after each send with its outcome and duration.
 	ObserveSend func(service, outcome string, took time.Duration)
 	// ObserveKey is called for each request with a key to a keyed service.
@@ -164,6 +171,9 @@
 
 // New returns a Dispatcher that has no connections yet.
 func New(c Config) *Dispatcher {
+	if c.Bodies == nil {
+		c.Bodies = bodybuf.NewBudget(defaultBodyMemory)
+	}
 	return &Dispatcher{
 		config: c, started: clock.Now(), endpoints: make(map[target.Incarnation]*endpoint), services: make(map[string]*serviceState),
 	}
@@ -181,6 +191,9 @@
 	lastUncertain Refusal
 	inputs        SelectionInputs
 	fence         uint64 // fence of the key's owner at the last choice
+	// pausedUntil is when the first target that asked for a pause can be used again, of
+	// those that the last choice left out; 0 if there was none.
+	pausedUntil time.Duration
 }
 
 // Do sends the request until a target's response can be returned or no further send
@@ -202,6 +215,7 @@
 		}
 		resp, retry := d.sendOnce(ctx, t, ep)
 		if resp != nil {
+			t.failedResponse.Release()
 			return resp, nil
 		}
 		if !retry {
@@ -228,7 +242,7 @@
 	r.Sends = t.sends
 	r.Inputs = t.inputs
 	if !r.MayHaveRun && r.RetryAfter == 0 {
-		r.RetryAfter = d.retryAfter(r.Reason)
+		r.RetryAfter = d.retryAfter(r.Reason, t.pausedUntil)
 	}
 	return nil, r
 }
@@ -250,14 +264,16 @@
 	retryAfterFull    = 150 * time.Millisecond
 )
 
-// retryAfter returns the delay after which a refused request is likely to be served.
-// Jitter keeps callers from retrying at the same time.
-func (d *Dispatcher) retryAfter(r Reason) time.Duration {
+// retryAfter returns the delay after which a refused request is likely to be served. A
+// caller of a target that asked for a pause is told the rest of it. Jitter keeps callers from
+// retrying at the same time.
+func (d *Dispatcher) retryAfter(r Reason, pausedUntil time.Duration) time.Duration {
 	delay := retryAfterFull
 	if r == NoOwner || r == KeyNotHeld || r == NoTarget {
 		delay = retryAfterNoOwner
 	}
-	return delay + time.Duration(rand.Float64()*float64(delay)/2)
+	jitter := time.Duration(rand.Float64() * float64(delay) / 2)
+	return max(delay, pausedUntil-clock.Now()) + jitter
 }
 
 // sendOnce sends the request to a target. It returns the response for the caller, or
@@ -295,6 +311,7 @@
 		outcome = sendOutcome{kind: unknown, reason: CallerDisconnected}
 	}
 	d.recordOutcome(ep, outcome, took, load)
+	d.recordWishes(t, ep, resp, outcome)
 	d.config.ObserveSend(req.Service, outcome.String(), took)
 	return d.handleOutcome(t, ep, resp, outcome, took, err)
 }
@@ -311,15 +328,19 @@
 	if outcome.kind != notRun {
 		t.mayHaveRun, t.lastUncertain = true, t.last
 	}
+	status := status(resp)
 	if outcome.kind == failed {
+		t.failedResponse.Release()
 		t.failedResponse = resp
+	} else {
+		resp.Release()
 	}
 	if outcome.reason == CallerDisconnected || t.sends >= maxSends || !d.allowsAnotherSend(t, outcome) {
 		retry = false
 	}
 	d.config.Log.Info("send without success", "request", req.ID, "service", req.Service, "target", ep.id,
 		"send", t.sends, "reason", string(outcome.reason), "may_have_run", outcome.kind != notRun, "took_ms", took.Milliseconds(),
-		"left_ms", (req.Deadline - clock.Now()).Milliseconds(), "status", status(resp), "again", retry, "error", err)
+		"left_ms", (req.Deadline - clock.Now()).Milliseconds(), "status", status, "again", retry, "error", err)
 	return nil, retry
 }
 
@@ -339,6 +360,9 @@
 	if outcome.reason == KeyNotHeld && t.sends >= maxOwnerSends {
 		return false
 	}
+	if outcome.reason == TargetPaused {
+		return false
+	}
 	if outcome.reason == TargetsFull {
 		// The key has one owner. While the owner is full, callers have to retry later,
 		// unless the request can wait here for a slot.
--- a/internal/edge/dispatch/dispatch_test.go
+++ b/internal/edge/dispatch/dispatch_test.go
@@ -128,7 +128,7 @@
 				}
 				buf := make([]byte, 1024)
 				if _, err := c.Read(buf); err == nil {
-					_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+					_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
 				}
 			}()
 		}
--- a/internal/edge/dispatch/endpoint.go
+++ b/internal/edge/dispatch/endpoint.go
@@ -27,17 +27,20 @@
 // endpoint is a target and the connections to it. Its estimate is guarded by
 // Dispatcher.mu.
 type endpoint struct {
-	id       string // never changes
-	record   target.Record
-	pool     *upstream.Pool
-	estimate balance.Estimate
-	limit    int
+	id          string             // never changes
+	incarnation target.Incarnation // never changes
+	record      target.Record
+	pool        *upstream.Pool
+	estimate    balance.Estimate
+	limit       int
 	// sheds is the value of route.Service.ShedsLoad.
 	sheds bool
 	// replaced is set after another target has responded at the address. Requests sent
 	// to the address would count as retries at the other target's service.
 	replaced bool
-	hash     peers.TargetHash
+	// pausedUntil is the end of the time for which the target wants no requests.
+	pausedUntil time.Duration
+	hash        peers.TargetHash
 }
 
 // endpoint returns the endpoint of a target, and creates it if it is missing or the
@@ -54,7 +57,10 @@
 		}
 		return ep
 	}
-	ep = &endpoint{id: r.ID, record: r, limit: limit, sheds: sheds, hash: peers.HashTarget(r.ID), pool: upstream.NewPool(r.Address, limit)}
+	ep = &endpoint{
+		id: r.ID, incarnation: r.Incarnation(), record: r, limit: limit, sheds: sheds, hash: peers.HashTarget(r.ID),
+		pool: upstream.NewPool(r.Address, limit, d.config.Bodies),
+	}
 	ep.estimate.Slots = r.Slots
 	ep.estimate.SameDomain = r.Domain == d.config.Domain
 	ep.estimate.ColdUntil = clock.Now() + r.WarmupRemaining
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/topo"
 	"github.com/jackdawloom/jackdawloom/internal/topo/mirror"
+	"github.com/jackdawloom/jackdawloom/internal/transport/bodybuf"
 	"github.com/jackdawloom/jackdawloom/internal/transport/upstream"
 )
 
@@ -45,6 +46,12 @@
 	Capacity float64
 	// GracePeriod is the time between the stop signal and forced termination.
 	GracePeriod time.Duration
+	// DrainTime is the time after which a target that said that it is leaving gets no more
+	// requests, even for keys that it still holds; zero means the default of package view.
+	DrainTime time.Duration
+	// MemoryLimit is the memory of the instance in bytes, of which parts are used for the
+	// bodies of requests and responses; zero means defaultMemoryLimit.
+	MemoryLimit int64
 	// Grants, LeaseTTL and GrantTimeout are passed to coordinator.Config.
 	Grants                 ownership.Config
 	LeaseTTL, GrantTimeout time.Duration
@@ -103,6 +110,10 @@
 func New(o Options) *Daemon {
 	d := &Daemon{options: o, log: o.Log, self: coordinator.Identity{Name: o.Settings.Name, RunID: rand.Text()}}
 	d.views = view.NewTracker(o.Documents, o.Log, func() mirror.Status { return d.mirror.Status() })
+	if o.Settings.DrainTime > 0 {
+		d.views.SetDrainTime(o.Settings.DrainTime)
+	}
+	requestBodies, responseBodies := bodyBudgets(o.Settings.MemoryLimit)
 	d.hubs = peers.NewHubSelector()
 	feed := &peers.Feed{
 		Self: o.Settings.Name, Domain: o.Settings.Domain, Store: o.Store, Hubs: d.hubs, Peers: d.peers,
@@ -111,7 +122,7 @@
 	relay := peers.NewRelay(o.Settings.Name, o.Store, o.Network, d.hubs, d.peers, o.Log)
 	d.mirror = mirror.New(feed, o.Documents.Prefix(), o.Log, d.views.Apply)
 	d.dispatcher = dispatch.New(dispatch.Config{
-		Names: o.HeaderNames, Domain: o.Settings.Domain, RetryBudget: o.Settings.RetryBudget, Views: d.views, Log: o.Log,
+		Names: o.HeaderNames, Domain: o.Settings.Domain, RetryBudget: o.Settings.RetryBudget, Views: d.views, Bodies: responseBodies, Log: o.Log,
 		ObserveSend:        o.Metrics.ObserveSend,
 		ObserveKey:         func(service string, key uint16) { d.statsExchange.RecordKey(service, key) },
 		ObserveServiceTime: func(t peers.TargetHash, took time.Duration) { d.statsExchange.RecordServiceTime(t, took) },
@@ -119,14 +130,15 @@
 	d.statsExchange = peers.NewStatsExchange(peers.StatsExchangeConfig{
 		Name: o.Settings.Name, Domain: o.Settings.Domain, Network: o.Network, Log: o.Log, Hubs: d.hubs,
 		Peers: d.peers, LocalLoads: d.dispatcher.RunningByTarget, OnFleetLoads: d.dispatcher.SetFleetLoads, OnServiceTimes: d.dispatcher.SetServiceTimes,
-		OnKeySample: func(s peers.KeySample) { d.coord.AddLoad(s) },
+		OnKeySample:     func(s peers.KeySample) { d.coord.AddLoad(s) },
+		RecentlyLeaving: d.views.RecentlyLeaving, OnLeaving: d.views.MarkLeavingHash,
 	})
 	d.coord = coordinator.New(coordinator.Config{
 		Store: relay, SendHandover: relay.SendHandover, Self: d.self, Views: d.views, GrantProtocol: o.GrantProtocol, TargetStats: d.dispatcher,
 		Grants: o.Settings.Grants, LeaseTTL: o.Settings.LeaseTTL, GrantTimeout: o.Settings.GrantTimeout,
-		CapacityDeficit: d.capacityDeficit, Log: o.Log,
+		CapacityDeficit: d.capacityDeficit, Bodies: responseBodies, Log: o.Log,
 	})
-	d.handler = &front.Handler{Names: o.HeaderNames, Views: d.views, Dispatcher: d.dispatcher, Log: o.Log, ObserveRequest: func(r front.Result) {
+	d.handler = &front.Handler{Names: o.HeaderNames, Views: d.views, Dispatcher: d.dispatcher, Bodies: requestBodies, Log: o.Log, ObserveRequest: func(r front.Result) {
 		o.Metrics.ObserveRequest(r.Service, r.Status, string(r.Reason), r.Took)
 		d.observeRequest(r)
 	}}
@@ -136,6 +148,23 @@
 	return d
 }
 
+const (
+	// defaultMemoryLimit is assumed if the settings do not state the instance's memory.
+	defaultMemoryLimit = 256 << 20
+	// Requests and responses may each hold this fraction of the memory. They have separate
+	// budgets, so that callers that send slowly do not hold the memory that responses need.
+	// The garbage collector may let the heap grow to twice of what is held.
+	bodyMemoryFraction = 8
+)
+
+// bodyBudgets returns the budgets for the bodies of requests and of responses.
+func bodyBudgets(memoryLimit int64) (requests, responses *bodybuf.Budget) {
+	if memoryLimit <= 0 {
+		memoryLimit = defaultMemoryLimit
+	}
+	return bodybuf.NewBudget(memoryLimit / bodyMemoryFraction), bodybuf.NewBudget(memoryLimit / bodyMemoryFraction)
+}
+
 // Extend sets the handler served at Settings.AdminAddress, the function that is called
 // for each request that ended, and background tasks that run until the daemon stops. It
 // must be called before Run.
@@ -143,13 +172,16 @@
 	d.admin, d.observeRequest, d.tasks = admin, observeRequest, tasks
 }
 
-// Reload applies the settings that can change while the daemon runs: the grace period
-// and the retry budget.
+// Reload applies the settings that can change while the daemon runs: the grace period, the
+// drain time and the retry budget.
 func (d *Daemon) Reload(s Settings) {
+	if s.DrainTime > 0 {
+		d.views.SetDrainTime(s.DrainTime)
+	}
 	d.gracePeriod.Store(int64(s.GracePeriod))
 	d.dispatcher.SetRetryBudget(s.RetryBudget)
 	fixed := d.options.Settings
-	fixed.GracePeriod, fixed.RetryBudget = s.GracePeriod, s.RetryBudget
+	fixed.GracePeriod, fixed.DrainTime, fixed.RetryBudget = s.GracePeriod, s.DrainTime, s.RetryBudget
 	d.log.Info("settings in force", "grace_ms", s.GracePeriod.Milliseconds(), "repeat_ratio", s.RetryBudget.Ratio,
 		"repeat_slack", s.RetryBudget.Slack, "restart_needed", !reflect.DeepEqual(fixed, s))
 }
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -24,6 +26,31 @@
 	AdminAddress string `cbor:"5,keyasint,omitempty"`
 }
 
+// errInvalidAnnouncement reports an announcement that no daemon wrote.
+var errInvalidAnnouncement = errors.New("announcement invalid")
+
+// maxCapacity is far above the capacity of any instance. Capacities are compared, so they must
+// be numbers.
+const maxCapacity = 1 << 20
+
+// decodeAnnouncement decodes an announcement and its peer address.
+func decodeAnnouncement(b []byte) (announcement, netip.AddrPort, error) {
+	var a announcement
+	if err := cbor.Unmarshal(b, &a); err != nil {
+		return a, netip.AddrPort{}, fmt.Errorf("%w: %w", errInvalidAnnouncement, err)
+	}
+	address, err := netip.ParseAddrPort(a.PeerAddress)
+	switch {
+	case err != nil:
+		return a, address, fmt.Errorf("%w: %w", errInvalidAnnouncement, err)
+	case address.Port() == 0 || address.Addr().IsUnspecified():
+		return a, address, fmt.Errorf("%w: address %s", errInvalidAnnouncement, address)
+	case !(a.Capacity >= 0 && a.Capacity <= maxCapacity): // also true for NaN
+		return a, address, fmt.Errorf("%w: capacity %v", errInvalidAnnouncement, a.Capacity)
+	}
+	return a, address, nil
+}
+
 const (
 	// announceInterval is how often a daemon checks that it is announced, and the
 	// pause after a failed announcement. A change in the store reaches all daemons
@@ -134,14 +161,9 @@
 	coordinator := coordinator.Holder(v)
 	var list []peers.Peer
 	for name, e := range v.Daemons {
-		var a announcement
-		if err := cbor.Unmarshal(e.Value, &a); err != nil {
-			d.log.Warn("daemon's announcement could not be decoded; ignoring the daemon", "daemon", name, "revision", e.ModRev, "error", err)
-			continue
-		}
-		address, err := netip.ParseAddrPort(a.PeerAddress)
+		a, address, err := decodeAnnouncement(e.Value)
 		if err != nil {
-			d.log.Warn("daemon's announcement has no valid address; ignoring the daemon", "daemon", name, "revision", e.ModRev, "error", err)
+			d.log.Warn("daemon's announcement could not be decoded; ignoring the daemon", "daemon", name, "revision", e.ModRev, "error", err)
 			continue
 		}
 		list = append(list, peers.Peer{
--- a/internal/edge/front/handler.go
+++ b/internal/edge/front/handler.go
@@ -5,7 +5,6 @@
 	"context"
 	cryptorand "crypto/rand"
 	"errors"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -18,6 +17,7 @@
 	"github.com/jackdawloom/jackdawloom/internal/edge/dispatch"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/state/route"
+	"github.com/jackdawloom/jackdawloom/internal/transport/bodybuf"
 	"github.com/jackdawloom/jackdawloom/internal/transport/upstream"
 )
 
@@ -35,7 +35,9 @@
 	Names      *upstream.HeaderNames
 	Views      *view.Tracker
 	Dispatcher *dispatch.Dispatcher
-	Log        *slog.Logger
+	// Bodies is the memory for the bodies of requests.
+	Bodies *bodybuf.Budget
+	Log    *slog.Logger
 	// ObserveRequest is called for each request that has ended.
 	ObserveRequest func(Result)
 	// Stopping makes responses close their connections.
@@ -79,6 +81,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
+	resetDeadlines(w)
 	arrived := clock.Now()
 	if h.Stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -144,59 +147,45 @@
 
 func (h *Handler) forward(w http.ResponseWriter, r *http.Request, c *route.Config, match route.Match, arrived time.Duration) {
 	rt := match.Route
-	body, status := readBody(w, r, c.Limits.BodyBytes)
-	if status != 0 {
-		h.setOutcomeHeaders(w, false, "body not accepted")
-		h.Log.Info("request body not accepted; refusing the request", "request", r.Header.Get(h.Names.RequestID), "route", rt.Name, "status", status)
-		w.Header().Set("Connection", "close")
-		h.writeEmpty(w, status, Result{Route: rt, Status: status, Took: clock.Now() - arrived})
+	deadline := arrived + h.timeout(r, rt)
+	body, err := h.readBody(w, r, c.Limits.BodyBytes, deadline)
+	if err != nil {
+		h.refuseBody(w, r, rt, arrived, err)
 		return
 	}
-	req := h.newRequest(r, match, body, arrived)
+	defer body.Release()
+	req := h.newRequest(r, match, body.Bytes(), arrived, deadline)
 	resp, refusal := h.Dispatcher.Do(r.Context(), req)
 	if refusal != nil {
 		h.refuse(w, r, req, arrived, refusal)
 		return
 	}
+	defer resp.Release()
 	h.writeResponse(w, resp)
 	h.ObserveRequest(Result{Service: req.Service, Route: rt, Status: resp.Status, Took: clock.Now() - arrived})
 }
 
-// readBody returns the whole body, or the HTTP status with which to refuse it.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, int) {
-	if r.ContentLength == 0 {
-		return nil, 0
-	}
-	reader := io.Reader(r.Body)
-	if limit > 0 {
-		reader = http.MaxBytesReader(w, r.Body, limit)
-	}
-	body, err := io.ReadAll(reader)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge
-	case err != nil:
-		return nil, http.StatusBadRequest
-	}
-	return body, 0
-}
-
-func (h *Handler) newRequest(r *http.Request, match route.Match, body []byte, arrived time.Duration) *dispatch.Request {
-	rt := match.Route
+// timeout returns the time that a request may take, from the route and from the caller.
+func (h *Handler) timeout(r *http.Request, rt *route.Route) time.Duration {
 	timeout := defaultTimeout
 	if rt.Timeout > 0 {
 		timeout = rt.Timeout
 	}
-	if ms, err := strconv.ParseInt(r.Header.Get(h.Names.TimeLeft), 10, 64); err == nil && ms > 0 {
-		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	ms, err := strconv.ParseInt(r.Header.Get(h.Names.TimeLeft), 10, 64)
+	if err == nil && ms > 0 && ms < timeout.Milliseconds() {
+		timeout = time.Duration(ms) * time.Millisecond
 	}
+	return timeout
+}
+
+func (h *Handler) newRequest(r *http.Request, match route.Match, body []byte, arrived, deadline time.Duration) *dispatch.Request {
+	rt := match.Route
 	header := r.Header.Clone()
 	removeHopHeaders(header)
 	req := &dispatch.Request{
 		ID: r.Header.Get(h.Names.RequestID), Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		Header: header, Body: body, Route: rt, Service: rt.PickService(rand.Float64()),
-		Arrived: arrived, Deadline: arrived + timeout,
+		Arrived: arrived, Deadline: deadline,
 	}
 	if match.HasKey {
 		req.Key, req.HasKey = match.Key, true
@@ -223,7 +212,7 @@
 		header.Add("Trailer", name)
 	}
 	w.WriteHeader(resp.Status)
-	if _, err := w.Write(resp.Body); err != nil {
+	if err := writeBody(w, resp.Body); err != nil {
 		h.Log.Info("response could not be sent to the caller", "request", resp.Header.Get(h.Names.RequestID), "error", err)
 	}
 	for name, values := range resp.Trailer {
--- a/internal/edge/peers/feed.go
+++ b/internal/edge/peers/feed.go
@@ -27,7 +27,9 @@
 	// of another daemon. It exceeds the usual store outages of up to 10 s.
 	maxSeedCopyAge = 15 * time.Second
 	// feedMargin is added to the requested wait to get the timeout of a call to a hub.
-	feedMargin  = 300 * time.Millisecond
+	feedMargin = 300 * time.Millisecond
+	// maxFeedWait is the longest time for which a daemon may ask to wait for changes.
+	maxFeedWait = 30 * time.Second
 	maxFeedSize = 8 << 20
 	feedPath    = "/feed"
 	// anyAge is the query parameter with which a daemon serves its copy although it does not
@@ -165,6 +167,9 @@
 	if err := cbor.Unmarshal(body, &reply); err != nil {
 		return nil, fmt.Errorf("%w: %w", topo.ErrBadReply, err)
 	}
+	if reply.Age < 0 || reply.Rev < 0 {
+		return nil, fmt.Errorf("%w: age %v, revision %d", topo.ErrBadReply, reply.Age, reply.Rev)
+	}
 	if reply.Age > maxAge {
 		return nil, fmt.Errorf("%w: its copy is %v old", errNoCurrentCopy, reply.Age)
 	}
@@ -194,7 +199,7 @@
 		reply.Entries, reply.Rev = h.Mirror.All()
 	} else {
 		wait, waitErr := strconv.ParseInt(query.Get("wait"), 10, 64)
-		if waitErr != nil {
+		if waitErr != nil || wait < 0 || wait > maxFeedWait.Milliseconds() {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
--- a/internal/edge/peers/feed_test.go
+++ b/internal/edge/peers/feed_test.go
@@ -191,7 +191,7 @@
 	if _, _, err := feed.Snapshot(context.Background(), ""); err == nil {
 		t.Error("got a copy without the store and without seeds")
 	}
-	feed.Seeds = []netip.AddrPort{freePort(t), netip.MustParseAddrPort(strings.TrimPrefix(f.servers[1].URL, "http://"))}
+	feed.Seeds = []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort(strings.TrimPrefix(f.servers[1].URL, "http://"))}
 	entries, progress, err := feed.Snapshot(context.Background(), "")
 	if err != nil || len(entries) != 1 || progress.Rev != 1 {
 		t.Fatalf("%d entries at revision %d, %v", len(entries), progress.Rev, err)
--- a/internal/edge/peers/handover.go
+++ b/internal/edge/peers/handover.go
@@ -32,6 +32,22 @@
 	GrantExpiries map[string][]ownership.GrantExpiry `cbor:"1,keyasint"`
 }
 
+// maxGrantTime is far above the duration of grants, so that times stay in range.
+const maxGrantTime = time.Hour
+
+// validate returns an error if a grant would have expired before the handover was sent, which
+// would free its keys too early, or if a figure is out of range.
+func (h Handover) validate() error {
+	for service, expiries := range h.GrantExpiries {
+		for _, e := range expiries {
+			if e.From > e.To || e.Remaining < 0 || e.Remaining > maxGrantTime {
+				return fmt.Errorf("%w: grant of keys %d-%d of %.50q lasts %v", errOutOfRange, e.From, e.To, service, e.Remaining)
+			}
+		}
+	}
+	return nil
+}
+
 // SendHandover sends the handover to the daemons that may become coordinator next, and
 // logs which daemons did not accept the handover.
 func (r *Relay) SendHandover(ctx context.Context, h Handover) {
@@ -75,5 +91,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if err := handover.validate(); err != nil {
+		h.Log.Warn("handover from a daemon could not be read; answering 400", "from", r.RemoteAddr, "error", err)
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	h.Accept(handover)
 }
--- a/internal/edge/peers/message.go
+++ b/internal/edge/peers/message.go
@@ -6,6 +6,8 @@
 package peers
 
 import (
+	"errors"
+	"fmt"
 	"hash/fnv"
 	"maps"
 
@@ -26,6 +28,9 @@
 	// maxKeys is the number of keys in one sample. If more keys were requested, the weight of
 	// the sample accounts for them.
 	maxKeys = 128
+	// maxLeaving is the number of leaving targets in one message. Those that do not fit are
+	// told in one of the next messages, as the order changes.
+	maxLeaving = 100
 )
 
 // TargetHash identifies a target in messages. A collision only makes the hints about the
@@ -60,6 +65,8 @@
 	scopeDomain
 	// scopeFleet covers all daemons; sent by a hub to the daemons of its domain.
 	scopeFleet
+	// scopeLeaving is a message about leaving targets, without loads.
+	scopeLeaving
 )
 
 // message is the content of one datagram. The loads of many targets are divided into
@@ -78,6 +85,8 @@
 	Measured []ServiceTime `cbor:"9,keyasint,omitempty"`
 	// Estimates are the smoothed service times; sent to the daemons of a domain.
 	Estimates ServiceTimes `cbor:"10,keyasint,omitempty"`
+	// Leaving names the incarnations of targets that said that they are leaving.
+	Leaving []uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // ServiceTime is the measured service time of one request, in milliseconds.
@@ -137,8 +146,40 @@
 
 func (m message) encode() ([]byte, error) { return cbor.Marshal(m) }
 
+// errOutOfRange reports a message whose figures cannot come from a daemon.
+var errOutOfRange = errors.New("figure out of range")
+
+const (
+	// maxLoad bounds the requests in flight at one target, and maxWeight the requests for
+	// which one sampled key stands, so that sums stay in range.
+	maxLoad   = 1 << 20
+	maxWeight = 1 << 20
+	// maxNameBytes bounds the names of daemons, domains and services.
+	maxNameBytes = 200
+)
+
 func decode(b []byte) (message, error) {
 	var m message
-	err := cbor.Unmarshal(b, &m)
-	return m, err
+	if err := cbor.Unmarshal(b, &m); err != nil {
+		return message{}, err
+	}
+	return m, m.validate()
+}
+
+// validate returns an error if a figure of the message is out of range.
+func (m message) validate() error {
+	if m.Scope > scopeLeaving || m.From == "" || len(m.From) > maxNameBytes || len(m.Domain) > maxNameBytes || m.Chunks > maxLoad {
+		return fmt.Errorf("%w: scope %d, %d chunks, or names of %d and %d bytes", errOutOfRange, m.Scope, m.Chunks, len(m.From), len(m.Domain))
+	}
+	for _, load := range m.Loads {
+		if load < 0 || load > maxLoad {
+			return fmt.Errorf("%w: load %d", errOutOfRange, load)
+		}
+	}
+	for _, s := range m.Keys {
+		if !(s.Weight > 0 && s.Weight <= maxWeight) || len(s.Service) > maxNameBytes { // also true for NaN
+			return fmt.Errorf("%w: weight %v of a key sample", errOutOfRange, s.Weight)
+		}
+	}
+	return nil
 }
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -44,6 +44,10 @@
 	// OnKeySample is called with samples of the keys requested at any daemon, if this daemon
 	// is the coordinator.
 	OnKeySample func(KeySample)
+	// RecentlyLeaving returns the hashes of the targets that recently said that they are
+	// leaving, and OnLeaving is called with those that other daemons name.
+	RecentlyLeaving func() []uint64
+	OnLeaving       func(hash uint64, daemon string)
 }
 
 // StatsExchange exchanges loads, service times and key samples with the other daemons.
@@ -190,6 +194,9 @@
 		return
 	}
 	t.checkHub(hub, now)
+	if interDomain {
+		t.sendLeaving([]Peer{hub})
+	}
 	m := t.newMessage(scopeDaemon, t.config.LocalLoads())
 	if interDomain {
 		m.Keys, m.Measured = t.takeKeySamples(), t.takeServiceTimes()
@@ -280,10 +287,8 @@
 		m.Estimates = times
 		t.config.OnServiceTimes(times)
 	}
-	for _, p := range peers {
-		if p.Domain == t.config.Domain && p.Name != t.config.Name {
-			t.send(p, m)
-		}
+	for _, p := range t.ownDomain(peers) {
+		t.send(p, m)
 	}
 	if interDomain {
 		t.sendInterDomain(peers, hubs, domain)
@@ -295,11 +300,14 @@
 func (t *StatsExchange) sendInterDomain(peers []Peer, hubs map[string]Peer, domain Loads) {
 	m := t.newMessage(scopeDomain, domain)
 	m.Measured = t.takeServiceTimes()
+	others := t.ownDomain(peers)
 	for name, hub := range hubs {
 		if name != t.config.Domain {
 			t.send(hub, m)
+			others = append(others, hub)
 		}
 	}
+	t.sendLeaving(others)
 	for _, p := range peers {
 		if !p.IsCoordinator {
 			continue
@@ -316,6 +324,30 @@
 	}
 }
 
+// ownDomain returns the other daemons of the domain.
+func (t *StatsExchange) ownDomain(peers []Peer) []Peer {
+	var out []Peer
+	for _, p := range peers {
+		if p.Domain == t.config.Domain && p.Name != t.config.Name {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// sendLeaving tells the given daemons which targets recently said that they are leaving.
+func (t *StatsExchange) sendLeaving(to []Peer) {
+	leaving := t.config.RecentlyLeaving()
+	if len(leaving) == 0 {
+		return
+	}
+	m := t.newMessage(scopeLeaving, nil)
+	m.Leaving = leaving[:min(len(leaving), maxLeaving)]
+	for _, p := range to {
+		t.send(p, m)
+	}
+}
+
 func (t *StatsExchange) newMessage(s scope, l Loads) message {
 	return message{From: t.config.Name, Domain: t.config.Domain, Scope: s, Sequence: t.sequence, Loads: l}
 }
@@ -344,6 +376,12 @@
 }
 
 func (t *StatsExchange) receive(m message) {
+	if m.Scope == scopeLeaving {
+		for _, hash := range m.Leaving {
+			t.config.OnLeaving(hash, m.From)
+		}
+		return
+	}
 	t.mu.Lock()
 	now := clock.Now()
 	switch m.Scope {
--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
-	"net/netip"
 	"slices"
 	"sync"
 	"testing"
@@ -93,13 +91,16 @@
 	}
 }
 
-// Guards against daemons that do not receive the loads of the others or the service times
-// of targets, and a coordinator that does not receive the requested keys.
+// Guards against daemons that do not receive the loads of the others, the service times of
+// targets or the targets that are leaving, and a coordinator that does not receive the
+// requested keys.
 func TestFleetReceivesLoadsTimesAndKeys(t *testing.T) {
 	const daemons = 4
 	var mu sync.Mutex
 	fleet := make([]Loads, daemons)
 	times := make([]ServiceTimes, daemons)
+	leaving := make([][]uint64, daemons)
+	leaving[1] = []uint64{70} // at first only a daemon that is not a hub knows
 	sampled := 0
 	var list []Peer
 	exchanges := make([]*StatsExchange, daemons)
@@ -107,22 +108,30 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
+	networks := make([]*plainnet.Net, daemons)
 	for i := range daemons {
+		networks[i] = listen(ctx, t)
 		list = append(list, Peer{
-			Name: fmt.Sprint("d", i), Domain: fmt.Sprint("z", i%2), Address: freePort(t), Capacity: float64(i), IsCoordinator: i == 0,
+			Name: fmt.Sprint("d", i), Domain: fmt.Sprint("z", i%2), Address: networks[i].Addr(), Capacity: float64(i), IsCoordinator: i == 0,
 		})
 	}
-	for i := range daemons {
-		network := plainnet.New(list[i].Address.String(), slog.New(slog.DiscardHandler))
-		if err := network.Listen(ctx); err != nil {
-			t.Fatal(err)
-		}
+	for i, network := range networks {
 		exchanges[i] = NewStatsExchange(StatsExchangeConfig{
 			Name: list[i].Name, Domain: list[i].Domain, Network: network, Log: slog.New(slog.DiscardHandler),
 			Hubs: NewHubSelector(), Peers: func() []Peer { return list },
 			LocalLoads:     func() Loads { return Loads{7: i + 1} },
 			OnFleetLoads:   func(l Loads) { mu.Lock(); defer mu.Unlock(); fleet[i] = Loads{7: l[7]} },
 			OnServiceTimes: func(x ServiceTimes) { mu.Lock(); defer mu.Unlock(); times[i] = ServiceTimes{7: x[7]} },
+			RecentlyLeaving: func() []uint64 {
+				mu.Lock()
+				defer mu.Unlock()
+				return leaving[i]
+			},
+			OnLeaving: func(hash uint64, _ string) {
+				mu.Lock()
+				defer mu.Unlock()
+				leaving[i] = []uint64{hash}
+			},
 			OnKeySample: func(s KeySample) {
 				mu.Lock()
 				defer mu.Unlock()
@@ -142,7 +151,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		for i := range daemons {
-			if fleet[i][7] != 1+2+3+4 || times[i][7] != 40 {
+			if fleet[i][7] != 1+2+3+4 || times[i][7] != 40 || !slices.Equal(leaving[i], []uint64{70}) {
 				return false
 			}
 		}
@@ -152,19 +161,19 @@
 		if time.Now().After(end) {
 			mu.Lock()
 			defer mu.Unlock()
-			t.Fatalf("after 5 s: loads %v, service times %v, %d keys sampled", fleet, times, sampled)
+			t.Fatalf("after 5 s: loads %v, service times %v, leaving %v, %d keys sampled", fleet, times, leaving, sampled)
 		}
 	}
 }
 
-func freePort(t *testing.T) netip.AddrPort {
+// listen returns a network that listens at a loopback address.
+func listen(ctx context.Context, t *testing.T) *plainnet.Net {
 	t.Helper()
-	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	if err != nil {
+	n := plainnet.New("127.0.0.1:0", slog.New(slog.DiscardHandler))
+	if err := n.Listen(ctx); err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = c.Close() }()
-	return netip.MustParseAddrPort(c.LocalAddr().String())
+	return n
 }
 
 // Guards against a deadlock: the dispatcher calls RecordServiceTime while it holds its own
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -30,6 +30,9 @@
 	cleanupInterval = 500 * time.Millisecond
 )
 
+// maxAuxHeaderBytes bounds the header of readiness checks and of operators' requests.
+const maxAuxHeaderBytes = 16 << 10
+
 // Run serves until ctx ends, and then until all requests have ended or the grace period
 // is over.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -114,7 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &auxServer{l, &http.Server{Handler: h, ReadHeaderTimeout: time.Second}}, nil
+	return &auxServer{l, &http.Server{Handler: h, ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxAuxHeaderBytes}}, nil
 }
 
 func (s *auxServer) serve(log *slog.Logger) {
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -71,6 +71,7 @@
 
 	mu      sync.Mutex
 	targets map[string]registration
+	leaving leavingTargets
 	draft
 
 	current atomic.Pointer[View]
@@ -97,7 +98,7 @@
 // store's mirror.
 func NewTracker(docs Documents, log *slog.Logger, status func() mirror.Status) *Tracker {
 	tr := &Tracker{
-		docs: docs, log: log, status: status, targets: make(map[string]registration),
+		docs: docs, log: log, status: status, targets: make(map[string]registration), leaving: newLeavingTargets(),
 		draft: draft{tables: make(map[string]*Table), daemons: make(map[string]topo.Entry)},
 	}
 	tr.current.Store(&View{Targets: target.NewSet(nil)})
@@ -131,11 +132,14 @@
 }
 
 // Expire removes the targets whose registration lapsed and that did not register again
-// within reregistrationWindow.
+// within reregistrationWindow, and withdraws the targets that have been leaving for the drain
+// time.
 func (tr *Tracker) Expire() {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	if tr.dropLapsed(clock.Now()) {
+	now := clock.Now()
+	dropped := tr.dropLapsed(now)
+	if tr.leaving.drained(now) || dropped {
 		tr.publish()
 	}
 }
@@ -275,9 +279,10 @@
 
 // publish builds the next view, makes it current and wakes the waiting readers.
 func (tr *Tracker) publish() {
+	now := clock.Now()
 	records := make([]target.Record, 0, len(tr.targets))
 	for _, r := range tr.targets {
-		records = append(records, r.record)
+		records = append(records, tr.leaving.apply(r.record, now))
 	}
 	v := &View{
 		Config: tr.config, Targets: target.NewSet(records), Coordinator: tr.coordinator, Synced: tr.synced,
--- a/internal/explain/advice.go
+++ b/internal/explain/advice.go
@@ -22,6 +22,14 @@
 		"the targets that could run the request were too busy to end it in time",
 		"compare load, slots and expected_ms; for a service with keys only the owner counts, and a single key too busy for one target cannot be moved",
 	},
+	dispatch.TargetPaused: {
+		"every target that could run the request had asked for no requests until a later time",
+		"find the latest line 'target asked for a pause' of the service; the targets decide how long it lasts",
+	},
+	dispatch.NoMemory: {
+		"the bodies of other requests took all the memory that the daemon has for them",
+		"compare the sizes of bodies with limits.memory-mb; callers that send slowly hold what has arrived of their bodies",
+	},
 	dispatch.DeadlineExceeded: {
 		"the time that the caller or the route allows was over",
 		"compare took_ms with the sends before: a slow target, or a caller with little time",
--- a/internal/state/target/target.go
+++ b/internal/state/target/target.go
@@ -4,7 +4,10 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // State is the state that a target is registered with.
@@ -43,6 +46,12 @@
 	Epoch int64
 }
 
+// Hash identifies the incarnation in hints between daemons. A collision only makes a hint
+// about one target apply to another.
+func (i Incarnation) Hash() uint64 {
+	return xxhash.Sum64String(strconv.FormatInt(i.Epoch, 16) + "/" + i.ID)
+}
+
 // Incarnation returns the incarnation that registered the record.
 func (r Record) Incarnation() Incarnation { return Incarnation{r.ID, r.Epoch} }
 
--- /dev/null
+++ b/internal/transport/bodybuf/bodybuf.go
@@ -0,0 +1,141 @@
+// Package bodybuf reads message bodies into memory. All bodies that are held at the same
+// time share a budget, so that senders of large or endless bodies cannot exhaust the memory
+// of the process.
+package bodybuf
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"golang.org/x/sync/semaphore"
+)
+
+// Errors of Read.
+var (
+	// ErrTooLarge reports a body above the limit for one body, or above the whole budget.
+	ErrTooLarge = errors.New("body too large")
+	// ErrNoMemory reports a body that does not fit the memory that is left for bodies.
+	ErrNoMemory = errors.New("no memory left for the body")
+)
+
+// initialSize is the buffer that a body of unknown length starts with, in bytes.
+const initialSize = 4 << 10
+
+// Budget bounds the memory of all bodies that are held at the same time. It is safe for
+// concurrent use.
+type Budget struct {
+	limit int64
+	sem   *semaphore.Weighted
+}
+
+// NewBudget returns a budget of limit bytes.
+func NewBudget(limit int64) *Budget {
+	return &Budget{limit: limit, sem: semaphore.NewWeighted(limit)}
+}
+
+// Buffer is a body in memory. It counts against its budget until Release is called.
+type Buffer struct {
+	data   []byte
+	held   int64
+	budget *Budget
+}
+
+// Bytes returns the body. It must not be used after Release.
+func (b *Buffer) Bytes() []byte {
+	if b == nil {
+		return nil
+	}
+	return b.data
+}
+
+// Release returns the memory to the budget. It may be called more than once, also on nil.
+func (b *Buffer) Release() {
+	if b == nil || b.held == 0 {
+		return
+	}
+	b.budget.sem.Release(b.held)
+	b.data, b.held = nil, 0
+}
+
+// Read reads a body of at most limit bytes. length is the announced length, or -1 if it is
+// unknown. A body of known length waits for memory until ctx is done, so that a burst of
+// large bodies is slowed down instead of refused. A body of unknown length fails with
+// ErrNoMemory: it may already hold memory, and bodies that wait for each other's memory
+// would wait until their deadlines.
+func (b *Budget) Read(ctx context.Context, r io.Reader, length, limit int64) (*Buffer, error) {
+	if length > min(limit, b.limit) {
+		return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, length)
+	}
+	if length >= 0 {
+		return b.readKnown(ctx, r, length)
+	}
+	return b.readUnknown(r, limit)
+}
+
+func (b *Budget) readKnown(ctx context.Context, r io.Reader, length int64) (*Buffer, error) {
+	if err := b.sem.Acquire(ctx, length); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNoMemory, err)
+	}
+	buf := &Buffer{data: make([]byte, length), held: length, budget: b}
+	if _, err := io.ReadFull(r, buf.data); err != nil {
+		buf.Release()
+		return nil, unexpectedEOF(err)
+	}
+	// The reader reports a malformed end of the body only when the end is read.
+	if _, err := io.Copy(io.Discard, r); err != nil {
+		buf.Release()
+		return nil, err
+	}
+	return buf, nil
+}
+
+// unexpectedEOF makes sure that a body that ends early does not look like an empty one.
+func unexpectedEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func (b *Budget) readUnknown(r io.Reader, limit int64) (*Buffer, error) {
+	buf := &Buffer{budget: b}
+	for {
+		if len(buf.data) == cap(buf.data) {
+			if err := buf.grow(limit); err != nil {
+				buf.Release()
+				return nil, err
+			}
+		}
+		n, err := r.Read(buf.data[len(buf.data):cap(buf.data)])
+		buf.data = buf.data[:len(buf.data)+n]
+		if errors.Is(err, io.EOF) {
+			return buf, nil
+		}
+		if err != nil {
+			buf.Release()
+			return nil, err
+		}
+	}
+}
+
+// grow doubles the capacity. One byte above the limit distinguishes a body of exactly the
+// limit from a larger one.
+func (b *Buffer) grow(limit int64) error {
+	if int64(len(b.data)) > limit {
+		return fmt.Errorf("%w: more than %d bytes", ErrTooLarge, limit)
+	}
+	size := min(max(initialSize, 2*int64(cap(b.data))), limit+1)
+	// Both the old and the new buffer are in memory until the data is copied.
+	if !b.budget.sem.TryAcquire(size) {
+		return ErrNoMemory
+	}
+	data := make([]byte, len(b.data), size)
+	copy(data, b.data)
+	if b.held > 0 {
+		b.budget.sem.Release(b.held)
+	}
+	b.data, b.held = data, size
+	return nil
+}
--- /dev/null
+++ b/internal/transport/bodybuf/bodybuf_test.go
@@ -0,0 +1,113 @@
+package bodybuf
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// endless is a body without an end.
+type endless struct{ read int64 }
+
+func (e *endless) Read(b []byte) (int, error) {
+	e.read += int64(len(b))
+	return len(b), nil
+}
+
+// Guards against an endless body that takes memory beyond its limit or the budget.
+func TestEndlessBodyEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		budget, limit int64
+		want          error
+	}{
+		"limit of one body": {1 << 20, 64 << 10, ErrTooLarge},
+		"budget":            {64 << 10, 1 << 20, ErrNoMemory},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := NewBudget(c.budget)
+			body := &endless{}
+			if _, err := b.Read(context.Background(), body, -1, c.limit); !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+			if body.read > 2*(64<<10) {
+				t.Errorf("read %d bytes of a body whose limit is 64 KiB", body.read)
+			}
+			if !b.sem.TryAcquire(c.budget) {
+				t.Error("the budget was not returned after the error")
+			}
+		})
+	}
+}
+
+// Guards against a truncated body that counts as complete, and against a body that is longer
+// than announced.
+func TestTruncatedBodyIsAnError(t *testing.T) {
+	b := NewBudget(1 << 20)
+	for _, length := range []int64{4, 100} {
+		if _, err := b.Read(context.Background(), strings.NewReader("who"), length, 1<<20); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("announced %d, sent 3: got %v", length, err)
+		}
+	}
+	if _, err := b.Read(context.Background(), iotest.ErrReader(io.ErrClosedPipe), -1, 1<<20); !errors.Is(err, io.ErrClosedPipe) {
+		t.Errorf("body of unknown length that breaks off: %v", err)
+	}
+	if !b.sem.TryAcquire(1 << 20) {
+		t.Error("the budget was not returned after errors")
+	}
+}
+
+// Guards against refusing a body of known length that only has to wait for others, and against
+// one that waits beyond its deadline.
+func TestKnownLengthWaitsForMemory(t *testing.T) {
+	b := NewBudget(10)
+	first, err := b.Read(context.Background(), strings.NewReader("12345678"), 8, 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := b.Read(ctx, strings.NewReader("1234"), 4, 100); !errors.Is(err, ErrNoMemory) {
+		t.Errorf("without memory until the deadline: %v", err)
+	}
+	time.AfterFunc(10*time.Millisecond, first.Release)
+	second, err := b.Read(context.Background(), strings.NewReader("1234"), 4, 100)
+	if err != nil || string(second.Bytes()) != "1234" {
+		t.Errorf("after the first was released: %q, %v", second.Bytes(), err)
+	}
+	if _, err := b.Read(context.Background(), strings.NewReader("12345678901"), 11, 100); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("body above the whole budget: %v", err)
+	}
+}
+
+// Guards against bodies that change on the way, and against memory that is not returned.
+func TestReadReturnsTheBody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const budget = 200 << 10
+		b := NewBudget(budget)
+		body := rapid.SliceOfN(rapid.Byte(), 0, 20<<10).Draw(t, "body")
+		limit := rapid.Int64Range(0, 30<<10).Draw(t, "limit")
+		length := int64(-1)
+		if rapid.Bool().Draw(t, "known") {
+			length = int64(len(body))
+		}
+		got, err := b.Read(context.Background(), iotest.OneByteReader(bytes.NewReader(body)), length, limit)
+		if tooLarge := int64(len(body)) > limit; tooLarge != errors.Is(err, ErrTooLarge) {
+			t.Fatalf("%d bytes with the limit %d: %v", len(body), limit, err)
+		}
+		if err == nil && !bytes.Equal(got.Bytes(), body) {
+			t.Fatal("the body has changed")
+		}
+		got.Release()
+		got.Release()
+		if !b.sem.TryAcquire(budget) {
+			t.Fatal("memory was not returned")
+		}
+	})
+}
--- a/internal/transport/peernet/peernet.go
+++ b/internal/transport/peernet/peernet.go
@@ -31,6 +31,8 @@
 	keepAlivePeriod = 400 * time.Millisecond
 	redialBackoff   = 100 * time.Millisecond
 	maxStreams      = 4096
+	// maxHeaderBytes bounds the header of a call and of its response.
+	maxHeaderBytes = 16 << 10
 )
 
 // Hints are sent as calls that the sender does not wait for.
@@ -101,7 +103,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("POST "+hintPath, hintHandler(hints))
 	mux.Handle("/", calls)
-	server := &http3.Server{Handler: mux}
+	server := &http3.Server{Handler: mux, MaxHeaderBytes: maxHeaderBytes}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	err := server.ServeListener(listener)
@@ -256,7 +258,7 @@
 		return fmt.Errorf("dial daemon %s: %w", p.address, err)
 	}
 	p.quicConn = conn
-	p.http = (&http3.Transport{DisableCompression: true}).NewClientConn(conn)
+	p.http = (&http3.Transport{DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}).NewClientConn(conn)
 	return nil
 }
 
--- a/internal/transport/plainnet/plainnet.go
+++ b/internal/transport/plainnet/plainnet.go
@@ -22,6 +22,8 @@
 	dialTimeout = 200 * time.Millisecond
 	// headerTimeout bounds the time in which the header of a call must arrive.
 	headerTimeout = time.Second
+	// maxHeaderBytes bounds the header of a call and of its response.
+	maxHeaderBytes = 16 << 10
 	// MaxHintBytes is the size of the largest hint in bytes; it fits one packet at the usual MTU.
 	MaxHintBytes = 1400
 )
@@ -41,17 +43,36 @@
 // without it.
 func New(address string, log *slog.Logger) *Net {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Net{address: address, log: log, client: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}}
+	return &Net{address: address, log: log, client: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+	}}
 }
 
-// Listen opens the address for calls over TCP and hints over UDP.
+// listenAttempts bounds the attempts to find a port that is free for TCP and UDP.
+const listenAttempts = 10
+
+// Listen opens the address for calls over TCP and hints over UDP. If its port is 0, both get
+// the same port.
 func (n *Net) Listen(ctx context.Context) error {
+	address, err := netip.ParseAddrPort(n.address)
+	if err != nil {
+		return fmt.Errorf("listen for daemons: %w", err)
+	}
+	for range listenAttempts {
+		if err = n.listen(ctx); err == nil || address.Port() != 0 {
+			break
+		}
+	}
+	return err
+}
+
+func (n *Net) listen(ctx context.Context) error {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp4", n.address)
 	if err != nil {
 		return fmt.Errorf("listen for daemons: %w", err)
 	}
-	packetConn, err := config.ListenPacket(ctx, "udp4", n.address)
+	packetConn, err := config.ListenPacket(ctx, "udp4", listener.Addr().String())
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for daemons: %w", err), listener.Close())
 	}
@@ -61,12 +82,19 @@
 	return nil
 }
 
+// Addr returns the address at which the network listens; it is valid after Listen.
+func (n *Net) Addr() netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
 // Serve passes calls and hints to the handlers until ctx ends. Listen must have succeeded.
 func (n *Net) Serve(ctx context.Context, calls http.Handler, hints func([]byte)) {
 	n.mu.Lock()
 	listener, packets := n.listener, n.packetConn
 	n.mu.Unlock()
-	server := &http.Server{Handler: calls, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: calls, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	stop := context.AfterFunc(ctx, func() {
 		_ = server.Close()
 		_ = packets.Close()
--- a/internal/transport/plainnet/plainnet_test.go
+++ b/internal/transport/plainnet/plainnet_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -15,26 +14,16 @@
 	"github.com/jackdawloom/jackdawloom/internal/transport/once"
 )
 
-func freeAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
-}
-
 // Guards against calls and hints that do not arrive, against an unreachable daemon whose call
 // is not reported as not sent, and against a network that does not stop with its daemon.
 func TestCallsAndHints(t *testing.T) {
-	address := freeAddress(t)
-	n := New(address.String(), slog.New(slog.DiscardHandler))
+	n := New("127.0.0.1:0", slog.New(slog.DiscardHandler))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if err := n.Listen(ctx); err != nil {
 		t.Fatal(err)
 	}
+	address := n.Addr()
 	hints := make(chan string, 1)
 	done := make(chan struct{})
 	go func() {
@@ -75,7 +64,8 @@
 	}
 	cancel()
 	<-done
-	if _, err := call(freeAddress(t)); !errors.Is(err, once.ErrNotSent) { //nolint:bodyclose // there is none
+	client = New("", slog.New(slog.DiscardHandler)) // without a kept connection
+	if _, err := call(address); !errors.Is(err, once.ErrNotSent) { //nolint:bodyclose // there is none
 		t.Errorf("call to an address without a listener: %v", err)
 	}
 }
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/transport/bodybuf"
 	"github.com/jackdawloom/jackdawloom/internal/transport/dialer"
 )
 
@@ -32,7 +33,7 @@
 	ErrOutcomeUnknown     = errors.New("request sent without a complete response")
 	ErrPoolExhausted      = errors.New("no connection to target available")
 	errMismatchedResponse = errors.New("received the response to another request")
-	errResponseTooLarge   = errors.New("response body too large")
+	errResponseTooLarge   = errors.New("response takes more bytes than allowed")
 )
 
 // Limits of connections.
@@ -45,28 +46,41 @@
 	// maxReadResponses is the number of responses that are read for one request. It
 	// includes interim responses and those to other requests, which are skipped.
 	maxReadResponses = 4
+	// maxHeadBytes bounds the head of a response, and of each interim response. The parser
+	// keeps a head in memory, where many short fields take several times their size.
+	maxHeadBytes = 16 << 10
 	// maxResponseBytes bounds the body of a response, which is held in memory.
 	maxResponseBytes = 8 << 20
+	// A body may take maxFramingBytes, and framingFactor times the bytes read so far, on the
+	// wire. A body of one-byte chunks, which is costly to parse, exceeds that soon.
+	maxFramingBytes = 64 << 10
+	framingFactor   = 2
 	// idleTimeoutMargin is subtracted from the idle timeout that a target announces.
 	idleTimeoutMargin = 1500 * time.Millisecond
 	// defaultIdleTimeout is used for targets that announce no idle timeout.
 	defaultIdleTimeout = 6 * time.Second
-	readBufferSize     = 4 << 10
-	writeBufferSize    = 4 << 10
+	// readBufferSize also bounds a trailer and a line of chunked framing: the parser takes
+	// neither if it exceeds the buffer.
+	readBufferSize  = 4 << 10
+	writeBufferSize = 4 << 10
 )
 
 // conn is a connection to a target. It serves one request at a time.
 type conn struct {
 	net         net.Conn
 	raw         syscall.RawConn
+	bodies      *bodybuf.Budget
+	incoming    *limitedReader
 	in          *bufio.Reader
 	out         *bufio.Writer
+	used        bool          // a response has been read
+	lastID      string        // ID of the last request
 	idleTimeout time.Duration // how long the connection may stay idle before it is not reused
 	idleSince   time.Duration
 	written     bool // a byte of the current request may have been written to the socket
 }
 
-func dial(ctx context.Context, address string) (*conn, error) {
+func dial(ctx context.Context, address string, bodies *bodybuf.Budget) (*conn, error) {
 	n, err := dialer.New(dialTimeout, unacknowledgedTimeout).DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
@@ -81,12 +95,49 @@
 		_ = n.Close()
 		return nil, err
 	}
-	c := &conn{net: n, raw: raw, idleTimeout: defaultIdleTimeout}
-	c.in = bufio.NewReaderSize(n, readBufferSize)
+	c := &conn{net: n, raw: raw, bodies: bodies, incoming: &limitedReader{in: n}, idleTimeout: defaultIdleTimeout}
+	c.in = bufio.NewReaderSize(c.incoming, readBufferSize)
 	c.out = bufio.NewWriterSize(trackingWriter{c}, writeBufferSize)
 	return c, nil
 }
 
+// limitedReader bounds the bytes that the current part of a response takes.
+type limitedReader struct {
+	in   io.Reader
+	left int
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(b []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errResponseTooLarge
+	}
+	n, err := l.in.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// readHead reads the head of the next response.
+func (c *conn) readHead(out *http.Request) (*http.Response, error) {
+	c.incoming.left = maxHeadBytes - c.in.Buffered()
+	resp, err := http.ReadResponse(c.in, out)
+	c.incoming.left = maxFramingBytes
+	return resp, err
+}
+
+// bodyReader reads the body of a response, and allows more bytes on the wire as it proceeds.
+type bodyReader struct {
+	c    *conn
+	body io.Reader
+}
+
+// Read implements io.Reader.
+func (r bodyReader) Read(b []byte) (int, error) {
+	n, err := r.body.Read(b)
+	r.c.incoming.left += framingFactor * n
+	return n, err
+}
+
 // trackingWriter records that bytes were written to the socket.
 type trackingWriter struct{ c *conn }
 
@@ -116,7 +167,7 @@
 // send writes the request and reads the complete response. keep tells whether the connection
 // may be used for another request.
 func (c *conn) send(ctx context.Context, req *Request) (response *Response, keep bool, err error) {
-	c.written = false
+	c.written, c.lastID = false, req.ID
 	if deadline, ok := ctx.Deadline(); ok {
 		if err := c.net.SetDeadline(deadline); err != nil {
 			return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -130,17 +181,20 @@
 	if err != nil {
 		return nil, false, c.writeError(err)
 	}
-	resp, err := c.read(req, out)
+	// The body is not closed, because that would read on after an error. The connection is
+	// closed instead.
+	resp, err := c.read(req, out) //nolint:bodyclose // see above
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
-	body, err := readBody(resp)
+	body, err := c.bodies.Read(ctx, bodyReader{c, resp.Body}, resp.ContentLength, maxResponseBytes)
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: reading the body: %w", ErrOutcomeUnknown, err)
 	}
+	c.used = true
 	keep = fullyWritten() && !resp.Close && c.in.Buffered() == 0 && c.net.SetDeadline(time.Time{}) == nil
 	c.updateIdleTimeout(resp.Header)
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Trailer: resp.Trailer}, keep, nil
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body.Bytes(), Trailer: resp.Trailer, body: body}, keep, nil
 }
 
 // writeError returns the error of a send whose write failed.
@@ -178,33 +232,45 @@
 // other requests are skipped.
 func (c *conn) read(req *Request, out *http.Request) (*http.Response, error) {
 	for range maxReadResponses {
-		resp, err := http.ReadResponse(c.in, out)
+		resp, err := c.readHead(out)
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if req.ID == "" || resp.Header.Get(req.Names.RequestID) == req.ID {
+		if c.answers(resp, req) {
 			return resp, nil
 		}
-		if resp.Header.Get(req.Names.RequestID) == "" && resp.StatusCode >= http.StatusBadRequest {
-			// A target that refuses a request before it has read the ID cannot return the ID.
-			return resp, nil
-		}
-		if _, err := readBody(resp); err != nil || resp.Close {
+		if err := c.discardBody(resp); err != nil || resp.Close {
 			return nil, errors.Join(errMismatchedResponse, err)
 		}
 	}
 	return nil, errMismatchedResponse
 }
 
-func readBody(resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLarge
+// answers reports whether a response belongs to the request. A target that refuses a request
+// before it has read the ID cannot return the ID. Such a refusal counts only on a new
+// connection: on one in use again it may be a late copy for an earlier request.
+func (c *conn) answers(resp *http.Response, req *Request) bool {
+	id := resp.Header.Get(req.Names.RequestID)
+	switch {
+	case req.ID == "" || id == req.ID:
+		return true
+	case id != "":
+		return false
+	default:
+		return req.EchoOptional || resp.StatusCode >= http.StatusBadRequest && !c.used
+	}
+}
+
+// discardBody skips the body of a response to another request.
+func (c *conn) discardBody(resp *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(bodyReader{c, resp.Body}, maxResponseBytes+1))
+	if err == nil && n > maxResponseBytes {
+		err = bodybuf.ErrTooLarge
 	}
-	return body, errors.Join(err, resp.Body.Close())
+	return errors.Join(err, resp.Body.Close())
 }
 
 // updateIdleTimeout sets the idle timeout from the Keep-Alive header of a response.
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/transport/bodybuf"
 )
 
 // Pool holds the connections to one address.
 type Pool struct {
 	address string
+	bodies  *bodybuf.Budget
 
 	mu     sync.Mutex
 	idle   []*conn // the most recently used last
@@ -20,9 +23,10 @@
 	closed bool
 }
 
-// NewPool returns a pool of at most limit connections to an address.
-func NewPool(address string, limit int) *Pool {
-	return &Pool{address: address, limit: limit}
+// NewPool returns a pool of at most limit connections to an address. The bodies of responses
+// count against the given budget until they are released.
+func NewPool(address string, limit int, bodies *bodybuf.Budget) *Pool {
+	return &Pool{address: address, limit: limit, bodies: bodies}
 }
 
 // Address returns the address to which the pool connects.
@@ -38,7 +42,7 @@
 // Send sends a request once. The error wraps ErrNotSent if the request certainly did not
 // reach the target, and ErrOutcomeUnknown if it may have.
 func (p *Pool) Send(ctx context.Context, req *Request) (*Response, error) {
-	c, err := p.acquire(ctx)
+	c, err := p.acquire(ctx, req.ID)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -53,9 +57,9 @@
 
 // acquire returns a reusable idle connection, or a new one if there is none and the limit
 // permits it.
-func (p *Pool) acquire(ctx context.Context) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, id string) (*conn, error) {
 	for {
-		c := p.popIdle()
+		c := p.popIdle(id)
 		if c == nil {
 			break
 		}
@@ -67,7 +71,7 @@
 	if !p.reserve() {
 		return nil, ErrPoolExhausted
 	}
-	c, err := dial(ctx, p.address)
+	c, err := dial(ctx, p.address, p.bodies)
 	if err != nil {
 		p.release()
 		return nil, err
@@ -75,16 +79,19 @@
 	return c, nil
 }
 
-func (p *Pool) popIdle() *conn {
+// popIdle removes and returns the most recently used idle connection that did not carry the
+// request before. A late copy of the response to the earlier send has the same ID, so on that
+// connection it would be taken for the response to this send.
+func (p *Pool) popIdle(id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; id == "" || c.lastID != id {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
 }
 
 func (p *Pool) reserve() bool {
--- a/internal/transport/upstream/pool_test.go
+++ b/internal/transport/upstream/pool_test.go
@@ -11,8 +11,13 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/transport/bodybuf"
 )
 
+// testBodyMemory is the memory for bodies, in bytes.
+const testBodyMemory = 16 << 20
+
 var testNames = &HeaderNames{RequestID: "Id", TimeLeft: "Left", ExpectTarget: "Expect", NotRun: "Not-Run", Stamp: "Stamp"}
 
 // serveTarget starts a target that handles each connection with serve.
@@ -22,7 +27,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := NewPool(l.Addr().String(), 4)
+	p := NewPool(l.Addr().String(), 4, bodybuf.NewBudget(testBodyMemory))
 	t.Cleanup(func() { p.Close(); _ = l.Close() })
 	go func() {
 		for n := 1; ; n++ {
@@ -149,7 +154,7 @@
 	}
 	address := l.Addr().String()
 	_ = l.Close()
-	p := NewPool(address, 1)
+	p := NewPool(address, 1, bodybuf.NewBudget(testBodyMemory))
 	if _, err := send(t, p, "1", time.Second); !errors.Is(err, ErrNotSent) {
 		t.Fatalf("got %v, want ErrNotSent", err)
 	}
--- a/internal/transport/upstream/request.go
+++ b/internal/transport/upstream/request.go
@@ -6,7 +6,10 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/transport/bodybuf"
 )
 
 // HeaderNames are the names of the header fields that daemons and targets exchange.
@@ -26,6 +29,9 @@
 	TargetID string
 	// Key carries the key of a request to a keyed service.
 	Key string
+	// Leaving marks the responses of a target that is leaving; empty if targets do not mark
+	// them.
+	Leaving string
 	// Stamp carries the target's signature of a response. It is empty if targets do not sign
 	// responses.
 	Stamp string
@@ -44,9 +50,12 @@
 
 // Request is a request to one target.
 type Request struct {
-	Names  *HeaderNames
-	ID     string
-	Method string
+	Names *HeaderNames
+	ID    string
+	// EchoOptional accepts responses without an ID. Responses with another ID are still
+	// taken for those to other requests.
+	EchoOptional bool
+	Method       string
 	// URI is the path and the query as sent by the caller.
 	URI    string
 	Host   string
@@ -83,11 +92,48 @@
 	return out
 }
 
-// Response is the complete response of a target.
+// Response is the complete response of a target. Its body counts against the memory budget
+// of the pool until Release is called.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
 	// Trailer holds the trailer fields; nil if there are none.
 	Trailer http.Header
+
+	body *bodybuf.Buffer
+}
+
+// Release returns the memory of the body, which must not be used afterwards. It may be called
+// on nil.
+func (r *Response) Release() {
+	if r == nil {
+		return
+	}
+	r.Body = nil
+	r.body.Release()
+}
+
+// IsLeaving reports whether the header of a response says that the target is leaving.
+func (n *HeaderNames) IsLeaving(h http.Header) bool {
+	return n.Leaving != "" && h.Get(n.Leaving) == "1"
+}
+
+// maxPause bounds the time for which a target may ask for no requests. A target that is
+// registered but wants nothing for longer is asked again then.
+const maxPause = 5 * time.Minute
+
+// Pause returns the time for which the target that sent a response wants no requests: the
+// Retry-After of a 503, in seconds that may have fractions. It returns 0 if there is none or
+// the value is not a positive number of seconds. A date is not used, because the clocks that
+// it depends on may jump.
+func (r *Response) Pause() time.Duration {
+	if r == nil || r.Status != http.StatusServiceUnavailable {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(r.Header.Get("Retry-After")), 64)
+	if err != nil || !(seconds > 0) { // also false for NaN
+		return 0
+	}
+	return time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second))
 }
