--- a/internal/edge/front/framing.go
+++ b/internal/edge/front/framing.go
@@ -17,6 +17,9 @@
 type framingConn struct {
 	net.Conn
 	ambiguous atomic.Bool
+	leave     leaveWatch
+	// bytesWaiting is true after net/http has read ahead one byte of a pipelined request.
+	bytesWaiting atomic.Bool
 
 	line             []byte
 	bodyLeft         int64 // remaining bytes of the current body
@@ -46,6 +49,12 @@
 func (c *framingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.scan(b[:n])
+	// net/http reads ahead one byte during a request, and larger blocks otherwise.
+	readAhead := len(b) == 1 && n == 1
+	c.bytesWaiting.Store(readAhead)
+	if readAhead {
+		c.leave.bytesWaiting(c.Conn)
+	}
 	return n, err
 }
 
--- a/internal/edge/front/server.go
+++ b/internal/edge/front/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
@@ -34,38 +35,44 @@
 	views   *view.Tracker
 	log     *slog.Logger
 
+	lingering sync.WaitGroup
+	served    chan struct{} // closed when Serve has returned
+
 	mu          sync.Mutex
 	limits      route.Limits
 	current     *generation
 	generations []*generation
-	closing     bool
 }
 
 // generation is an http.Server with fixed limits and the listener that feeds it.
 type generation struct {
 	server *http.Server
 	conns  *connListener
+	served chan struct{} // closed when the server has taken over all connections
+	open   atomic.Int64  // number of open connections
 }
 
 // NewServer returns a server that does not accept connections yet.
 func NewServer(h http.Handler, views *view.Tracker, log *slog.Logger) *Server {
-	return &Server{handler: h, views: views, log: log}
+	return &Server{handler: h, views: views, log: log, served: make(chan struct{})}
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed. It must be called once.
 func (s *Server) Serve(l net.Listener) error {
+	defer close(s.served)
 	for {
 		c, err := l.Accept()
 		if err != nil {
 			return err
 		}
-		if g := s.generation(l.Addr()); g == nil || !g.conns.enqueue(&framingConn{Conn: c}) {
-			_ = c.Close()
+		if tcp, ok := c.(*net.TCPConn); ok {
+			c = &lingeringConn{TCPConn: tcp, lingering: &s.lingering}
 		}
+		s.generation(l.Addr()).conns.queue <- &framingConn{Conn: c}
 	}
 }
 
-// generation returns the generation for new connections, or nil after Shutdown.
+// generation returns the generation for new connections.
 func (s *Server) generation(address net.Addr) *generation {
 	limits := defaultLimits
 	if c := s.views.Current().Config; c != nil && c.Limits.IdleTimeout > 0 {
@@ -73,9 +80,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing {
-		return nil
-	}
 	if s.current != nil && s.limits == limits {
 		return s.current
 	}
@@ -89,26 +93,38 @@
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	g := &generation{
-		conns: &connListener{conns: make(chan net.Conn, connBacklog), done: make(chan struct{}), address: address},
+		conns:  &connListener{queue: make(chan net.Conn, connBacklog), address: address},
+		served: make(chan struct{}),
 		server: &http.Server{
-			Handler: rejectAmbiguous(h), Protocols: &protocols, MaxHeaderBytes: l.HeaderBytes,
+			Handler: rejectAmbiguous(cancelOnLeave(h)), Protocols: &protocols, MaxHeaderBytes: l.HeaderBytes,
 			ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout + idleTimeoutMargin,
 			ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelInfo), ConnContext: withFramingConn,
-			ConnState: func(c net.Conn, state http.ConnState) {
-				if conn, ok := c.(*framingConn); ok && state == http.StateIdle {
-					conn.resetAtIdle()
-				}
-			},
 		},
 	}
+	g.server.ConnState = g.trackConn
 	go func() {
-		if err := g.server.Serve(g.conns); !errors.Is(err, http.ErrServerClosed) {
+		defer close(g.served)
+		if err := g.server.Serve(g.conns); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			log.Error("HTTP server for callers failed", "error", err)
 		}
 	}()
 	return g
 }
 
+// trackConn counts the open connections.
+func (g *generation) trackConn(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		g.open.Add(1)
+	case http.StateIdle:
+		if conn, ok := c.(*framingConn); ok {
+			conn.resetAtIdle()
+		}
+	case http.StateClosed, http.StateHijacked:
+		g.open.Add(-1)
+	}
+}
+
 // rejectAmbiguous answers requests with ambiguous framing with 400 and closes their
 // connections.
 func rejectAmbiguous(next http.Handler) http.Handler {
@@ -123,53 +139,75 @@
 }
 
 // Shutdown closes idle connections and waits until all requests have ended or ctx is
-// done.
+// done. The listener must be closed. Connections that were accepted before are served.
 func (s *Server) Shutdown(ctx context.Context) error {
+	<-s.served
 	s.mu.Lock()
-	s.closing = true
 	generations := s.generations
 	s.mu.Unlock()
 	errs := make([]error, len(generations))
 	var wg sync.WaitGroup
 	for i, g := range generations {
-		wg.Go(func() { errs[i] = g.server.Shutdown(ctx) })
+		wg.Go(func() { errs[i] = g.shutdown(ctx) })
 	}
 	wg.Wait()
-	return errors.Join(errs...)
+	return errors.Join(append(errs, s.awaitLingering(ctx))...)
 }
 
-// connListener is a net.Listener for connections that another listener accepted.
-type connListener struct {
-	conns   chan net.Conn
-	done    chan struct{}
-	once    sync.Once
-	address net.Addr
+// openPollInterval is the interval at which a stopping server checks for open connections.
+const openPollInterval = 10 * time.Millisecond
+
+// shutdown closes idle connections and waits until the others have ended. It does not use
+// http.Server.Shutdown, which drops the connections that are still queued and answers no
+// request that it finishes reading afterwards.
+func (g *generation) shutdown(ctx context.Context) error {
+	close(g.conns.queue)
+	<-g.served
+	g.server.SetKeepAlivesEnabled(false)
+	ticker := time.NewTicker(openPollInterval)
+	defer ticker.Stop()
+	for g.open.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), g.server.Close())
+		case <-ticker.C:
+		}
+	}
+	return g.server.Close()
 }
 
-func (l *connListener) enqueue(conn net.Conn) bool {
+// awaitLingering waits until the callers have read the last responses.
+func (s *Server) awaitLingering(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.lingering.Wait()
+	}()
 	select {
-	case l.conns <- conn:
-		return true
-	case <-l.done:
-		return false
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
+// connListener is a net.Listener for connections that another listener accepted.
+type connListener struct {
+	queue   chan net.Conn // closed after the last connection
+	address net.Addr
+}
+
 // Accept implements net.Listener.
 func (l *connListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
+	c, ok := <-l.queue
+	if !ok {
 		return nil, net.ErrClosed
 	}
+	return c, nil
 }
 
-// Close implements net.Listener.
-func (l *connListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return nil
-}
+// Close implements net.Listener. The queue is closed by the server that fills it.
+func (l *connListener) Close() error { return nil }
 
 // Addr implements net.Listener.
 func (l *connListener) Addr() net.Addr { return l.address }
--- a/internal/transport/plainnet/plainnet_test.go
+++ b/internal/transport/plainnet/plainnet_test.go
@@ -64,7 +64,7 @@
 	}
 	cancel()
 	<-done
-	client = New("", slog.New(slog.DiscardHandler)) // without a kept connection
+	client = New("", slog.New(slog.DiscardHandler))                // without a kept connection
 	if _, err := call(address); !errors.Is(err, once.ErrNotSent) { //nolint:bodyclose // there is none
 		t.Errorf("call to an address without a listener: %v", err)
 	}
