Move keys only when others can learn of it, reserve test ports, mend red tests

Cause: while the store answered from an earlier state, load balancing moved keys, and the other daemons kept sending to the former owners (TestStoreFaults). A second hot key moved 0.2 s after the first one, on loads and service times measured before the first move (TestHotKeyMoves). Grants were checked against the lease before their connection was opened, which may take longer than the lease's margin. Tests took ports by opening and closing them, and others took these ports first.

Change: no balancing while the store does not serve its current state; keys of leaving and lost targets still move. After a hot run was moved off a target, no other hot run of it moves for two load windows. A grant is not written once the lease may have ended. A mirror takes a revision that goes back for a failed read. The stand-in target echoes the request ID in refusals, and no longer asks for a pause when it is full.

Result: TestSecondHotKeyWaitsForTheEffectOfTheFirstMove fails without the change.

--- a/cmd/jackdawloomd/main.go
+++ b/cmd/jackdawloomd/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/jackdawloom/jackdawloom/examples"
 	"github.com/jackdawloom/jackdawloom/internal/daemon"
 	"github.com/jackdawloom/jackdawloom/internal/embedded"
 	"github.com/jackdawloom/jackdawloom/internal/eventlog"
@@ -54,7 +55,7 @@
 				Name:  "embedded",
 				Usage: "run a daemon with a stand-in store and stand-in targets in one process",
 				Flags: []cli.Flag{
-					&cli.StringFlag{Name: "manifest", Value: "examples/muscat.json", Usage: "serve the manifest `FILE`"},
+					&cli.StringFlag{Name: "manifest", Usage: "serve the manifest `FILE` instead of the built-in example"},
 					&cli.StringFlag{Name: "callers", Value: "127.0.0.1:8080", Usage: "serve callers at `ADDRESS`"},
 					&cli.StringFlag{Name: "peers", Value: "127.0.0.1:8081", Usage: "serve other daemons at `ADDRESS`"},
 					&cli.StringFlag{Name: "admin", Value: "127.0.0.1:8082", Usage: "serve the administrative interface at `ADDRESS`"},
@@ -126,10 +127,13 @@
 }
 
 func runEmbedded(ctx context.Context, cmd *cli.Command) error {
-	file := cmd.String("manifest")
-	b, err := os.ReadFile(file)
-	if err != nil {
-		return err
+	file, b := examples.MuscatName, examples.Muscat
+	var err error
+	if name := cmd.String("manifest"); name != "" {
+		file = name
+		if b, err = os.ReadFile(file); err != nil {
+			return err
+		}
 	}
 	m, err := manifest.Parse(file, b)
 	if err != nil {
--- a/internal/coordination/ownership/engine.go
+++ b/internal/coordination/ownership/engine.go
@@ -148,6 +148,8 @@
 	unresponsive  map[target.Incarnation]time.Duration
 	firstTargetAt time.Duration // when the first target registered
 	extended      bool
+	noBalancing   bool
+	movedAway     map[string]time.Duration // when a hot run was last moved away, by target ID
 	lastCallID    uint64
 	pins          []pin
 }
@@ -193,7 +195,8 @@
 func New(c Config, table ranges.Table, now time.Duration) *Engine {
 	e := &Engine{
 		config: c.withDefaults(), targets: make(map[string]Target),
-		load: keyLoads{decayedAt: now}, pendingHandovers: make(map[keyRange]string),
+		movedAway: make(map[string]time.Duration),
+		load:      keyLoads{decayedAt: now}, pendingHandovers: make(map[keyRange]string),
 		failures: make(map[target.Incarnation]failureStreak), unresponsive: make(map[target.Incarnation]time.Duration),
 	}
 	e.adopt(table, now)
@@ -249,6 +252,11 @@
 	e.extended = on
 }
 
+// SetBalancing switches load balancing on or off. It is off while the store does not serve its
+// current state: other daemons would not learn of the new owners and send to the former ones.
+// Keys of targets that leave or are lost move nevertheless.
+func (e *Engine) SetBalancing(on bool) { e.noBalancing = !on }
+
 // Tick returns the actions that are due at time now.
 func (e *Engine) Tick(now time.Duration) Actions {
 	e.decayLoad(now)
--- a/internal/coordination/ownership/move_test.go
+++ b/internal/coordination/ownership/move_test.go
@@ -101,3 +101,75 @@
 		}
 	}
 }
+
+// Guards against a second move before the effect of the first one is seen: the loads and service
+// times that were measured under the hot keys still count against their owner. In a test of
+// processes the second of two hot keys moved 0.2 s after the first one, for nothing.
+func TestSecondHotKeyWaitsForTheEffectOfTheFirstMove(t *testing.T) {
+	f := newFleet(3)
+	for range 60 {
+		f.step(nil)
+	}
+	owner := f.table.Lookup(100).Owner
+	hot := []uint16{100, 100, 100, 120, 120, 120}
+	// Under load its requests take twice as long, which halves its capacity until later
+	// measurements.
+	targets := make([]Target, 0, len(f.targets))
+	for _, t := range f.targets {
+		if t.Incarnation.ID == owner {
+			t.Capacity /= 2
+		}
+		targets = append(targets, t)
+	}
+	f.SetTargets(targets, f.now)
+	movedAt := time.Duration(0)
+	for movedAt == 0 {
+		f.step(hot)
+		if f.table.Lookup(100).Owner != f.table.Lookup(120).Owner {
+			movedAt = f.now
+		}
+		if f.now > time.Minute {
+			t.Fatal("none of two hot keys moved within a minute")
+		}
+	}
+	for f.now < movedAt+loadWindow {
+		f.step(hot)
+		if f.table.Lookup(100).Owner != owner && f.table.Lookup(120).Owner != owner {
+			t.Fatalf("the second hot key moved as well, %v after the first one", f.now-movedAt)
+		}
+	}
+}
+
+// Guards against moves for balance while other daemons cannot learn of them, and against keeping
+// the keys of a target that leaves meanwhile.
+func TestNoBalancingWhileStoreIsNotCurrent(t *testing.T) {
+	f := newFleet(3)
+	for range 60 {
+		f.step(nil)
+	}
+	f.SetBalancing(false)
+	hot := make([]uint16, 0, 200)
+	for k := range 200 {
+		hot = append(hot, uint16(100+k))
+	}
+	before := f.table.Fence
+	for range 100 {
+		f.step(hot)
+	}
+	if f.table.Fence != before {
+		t.Error("keys moved for balance")
+	}
+	owner := f.table.Lookup(100).Owner
+	targets := make([]Target, 0, len(f.targets))
+	for _, t := range f.targets {
+		t.Leaving = t.Incarnation.ID == owner
+		targets = append(targets, t)
+	}
+	f.SetTargets(targets, f.now)
+	for range 100 {
+		f.step(hot)
+	}
+	if got := f.table.Lookup(100).Owner; got == owner {
+		t.Error("the target that leaves kept its keys")
+	}
+}
--- a/internal/coordination/ownership/plan.go
+++ b/internal/coordination/ownership/plan.go
@@ -30,6 +30,11 @@
 	// rises by one for every targetsPerExtraMove targets.
 	baseConcurrentMoves = 6
 	targetsPerExtraMove = 6
+	// A run with more than hotRunShare of its owner's load is hot. After it was moved away,
+	// no other hot run of that owner is moved for moveEffectTime: until then the measured
+	// loads and service times still show the load that has gone.
+	hotRunShare    = 0.4
+	moveEffectTime = 2 * loadWindow
 	// minRequestCount is the total weight below which keys are only moved to targets that
 	// own no span.
 	minRequestCount = 20
@@ -103,7 +108,9 @@
 	}
 	e.plannedAt = now
 	e.mergeSpans()
-	e.rebalance(now)
+	if !e.noBalancing {
+		e.rebalance(now)
+	}
 }
 
 // releaseDeparted starts the release of spans whose owner is leaving or no longer
@@ -259,11 +266,18 @@
 	if p.span == nil {
 		return false
 	}
+	hot := p.weight > hotRunShare*w.byTarget[high.Incarnation.ID]
+	if since, moved := e.movedAway[high.Incarnation.ID]; hot && moved && now-since < moveEffectTime {
+		return false
+	}
 	after := (w.byTarget[low.Incarnation.ID] + p.weight) / low.Capacity
 	if !toEmptyTarget && after >= w.byTarget[high.Incarnation.ID]/high.Capacity {
 		return false
 	}
 	e.startMove(p.span, p.from, p.to, low.Incarnation.ID, now)
+	if hot {
+		e.movedAway[high.Incarnation.ID] = now
+	}
 	return true
 }
 
--- a/internal/ctl/embedded_test.go
+++ b/internal/ctl/embedded_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -20,22 +19,18 @@
 	"github.com/jackdawloom/jackdawloom/internal/embedded"
 	"github.com/jackdawloom/jackdawloom/internal/loadgen"
 	"github.com/jackdawloom/jackdawloom/internal/protocol/header"
+	"github.com/jackdawloom/jackdawloom/internal/standin/ports"
 	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
 )
 
-// freeAddresses returns n loopback addresses whose ports were free when it was called.
-func freeAddresses(t *testing.T, n int) []netip.AddrPort {
+// reserveAddresses returns n loopback addresses that nothing else uses.
+func reserveAddresses(t *testing.T, n int) []netip.AddrPort {
 	t.Helper()
-	var out []netip.AddrPort
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		out = append(out, netip.MustParseAddrPort(l.Addr().String()))
+	addresses, err := ports.Reserve(n)
+	if err != nil {
+		t.Fatal(err)
 	}
-	return out
+	return addresses
 }
 
 // startEmbedded runs a daemon with two targets until the test ends. It waits until the
@@ -43,7 +38,7 @@
 // address.
 func startEmbedded(t *testing.T) (m manifest.Manifest, callers, admin string) {
 	t.Helper()
-	addresses := freeAddresses(t, 5)
+	addresses := reserveAddresses(t, 5)
 	m = testManifest(addresses[3].String(), addresses[4].String())
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,7 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/pki"
 	"github.com/jackdawloom/jackdawloom/internal/protocol/adminapi"
+	"github.com/jackdawloom/jackdawloom/internal/standin/ports"
 	"github.com/jackdawloom/jackdawloom/internal/standin/targetsrv"
 	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
 	"github.com/jackdawloom/jackdawloom/internal/topo/memstore"
@@ -131,31 +131,16 @@
 	adminAddress  string
 }
 
-// freePorts returns loopback addresses with unused ports. They are not reserved, so that
-// another process may take one before it is used.
-func freePorts(t *testing.T, network string, n int) []string {
+// reserveAddresses returns n loopback addresses that nothing else uses.
+func reserveAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	var out []string
-	var open []io.Closer
-	for range n {
-		if network == "udp" {
-			c, err := net.ListenPacket("udp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			open = append(open, c)
-			out = append(out, c.LocalAddr().String())
-			continue
-		}
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		open = append(open, l)
-		out = append(out, l.Addr().String())
+	addresses, err := ports.Reserve(n)
+	if err != nil {
+		t.Fatal(err)
 	}
-	for _, c := range open {
-		_ = c.Close()
+	out := make([]string, n)
+	for i, a := range addresses {
+		out[i] = a.String()
 	}
 	return out
 }
@@ -171,7 +156,7 @@
 func newFleetOf(t *testing.T, m manifest.Manifest, daemons int) *fleet {
 	t.Helper()
 	f := &fleet{t: t, dir: t.TempDir(), manifest: m}
-	storePorts := freePorts(t, "tcp", 2)
+	storePorts := reserveAddresses(t, 2)
 	f.storeURL, f.controlURL = "http://"+storePorts[0], "http://"+storePorts[1]
 	f.store = startProcess(t, f.dir, "store", "jackdawstandin", "store", "--listen", storePorts[0], "--control", storePorts[1])
 	f.startTargets()
@@ -209,7 +194,7 @@
 func (f *fleet) startTargets() {
 	for i := range f.manifest.Services {
 		s := &f.manifest.Services[i]
-		for j, address := range freePorts(f.t, "tcp", len(s.Targets)) {
+		for j, address := range reserveAddresses(f.t, len(s.Targets)) {
 			target := &s.Targets[j]
 			target.Address = address
 			f.targetConfigs = append(f.targetConfigs, *target)
@@ -235,8 +220,8 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	peers := freePorts(f.t, "udp", n)
-	tcp := freePorts(f.t, "tcp", 2*n)
+	peers := reserveAddresses(f.t, n)
+	tcp := reserveAddresses(f.t, 2*n)
 	for i := range n {
 		id := fmt.Sprintf("loom-%d", i+1)
 		if err := authority.WriteFiles(f.dir, id); err != nil {
--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -316,6 +316,7 @@
 			e = c.openEngine(v, name, now)
 		}
 		e.SetTargets(c.ownershipTargets(v, name), now)
+		e.SetBalancing(c.config.Views.StoreUp())
 		c.execute(ctx, name, e, e.Tick(now))
 	}
 }
@@ -389,6 +390,7 @@
 		if t.valid(clock.Now()) {
 			req, err := c.config.GrantProtocol.GrantRequest(g)
 			if err == nil {
+				req.NotAfter = t.lastSend()
 				result, _, err = c.call(ctx, endpoint, req, c.config.GrantTimeout)
 			}
 			cause = err
--- a/internal/edge/coordinator/election.go
+++ b/internal/edge/coordinator/election.go
@@ -59,7 +59,10 @@
 
 // valid reports whether the lease is certain to be in force at the given time and for
 // leaseMargin after that time.
-func (t *term) valid(now time.Duration) bool { return t != nil && now < t.expires-leaseMargin }
+func (t *term) valid(now time.Duration) bool { return t != nil && now < t.lastSend() }
+
+// lastSend returns the time from which no grant may be sent under the lease.
+func (t *term) lastSend() time.Duration { return t.expires - leaseMargin }
 
 // superseded reports whether the view shows a coordinator that was elected later.
 func (t *term) superseded(v *view.View, self Identity) bool {
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -113,6 +113,9 @@
 // Age returns the age of the store copy that the views are built from.
 func (tr *Tracker) Age() time.Duration { return clock.Now() - tr.status().CurrentAt }
 
+// StoreUp reports whether the store served its current state at the last attempt.
+func (tr *Tracker) StoreUp() bool { return tr.status().Up }
+
 // Changed returns a channel that is closed when the next view is published.
 func (tr *Tracker) Changed() <-chan struct{} { return *tr.changed.Load() }
 
--- a/internal/embedded/fleet.go
+++ b/internal/embedded/fleet.go
@@ -5,14 +5,13 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
-	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/daemon"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/pki"
+	"github.com/jackdawloom/jackdawloom/internal/standin/ports"
 	"github.com/jackdawloom/jackdawloom/internal/state/manifest"
 	"github.com/jackdawloom/jackdawloom/internal/topo/memstore"
 )
@@ -57,7 +56,7 @@
 }
 
 func (f *Fleet) start(ctx context.Context, i int, authority *pki.Authority, log *slog.Logger) error {
-	addresses, err := freeAddresses(ctx)
+	addresses, err := ports.Reserve(3)
 	if err != nil {
 		return err
 	}
@@ -80,24 +79,6 @@
 	return nil
 }
 
-// freeAddresses returns loopback addresses for callers, daemons and operators whose ports
-// were free when it checked. It does not reserve them.
-func freeAddresses(ctx context.Context) ([3]netip.AddrPort, error) {
-	var out [3]netip.AddrPort
-	var config net.ListenConfig
-	for i := range out {
-		l, err := config.Listen(ctx, "tcp4", "127.0.0.1:0")
-		if err != nil {
-			return out, err
-		}
-		defer func() { _ = l.Close() }()
-		if out[i], err = netip.ParseAddrPort(l.Addr().String()); err != nil {
-			return out, err
-		}
-	}
-	return out, nil
-}
-
 func (f *Fleet) recordError(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/native/documents.go
+++ b/internal/native/documents.go
@@ -33,6 +33,7 @@
 	NotRunValue:  header.NotRun,
 	Key:          header.Key,
 	Handover:     header.Handover,
+	Leaving:      header.Leaving,
 	Outcome:      header.Outcome,
 	Reason:       header.Reason,
 }
--- a/internal/protocol/header/header.go
+++ b/internal/protocol/header/header.go
@@ -14,6 +14,8 @@
 	RequestID = "Jackdawloom-Request-Id"
 	// DeadlineMs is the time remaining for the request, in milliseconds.
 	DeadlineMs = "Jackdawloom-Deadline-Ms"
+	// Leaving marks, by the value 1, the responses of a target that is leaving.
+	Leaving = "Jackdawloom-Leaving"
 	// Handover carries data from a target that releases keys to their next owner.
 	Handover = "Jackdawloom-Handover"
 )
--- a/internal/standin/targetsrv/faults.go
+++ b/internal/standin/targetsrv/faults.go
@@ -28,6 +28,10 @@
 	Silence bool `json:"silence,omitempty"`
 	// Draining announces to the router that the target is leaving.
 	Draining bool `json:"draining,omitempty"`
+	// Leaving makes the target say in all responses that it is leaving.
+	Leaving bool `json:"leaving,omitempty"`
+	// PauseSeconds makes the target refuse requests and ask for none for this time.
+	PauseSeconds float64 `json:"pause_seconds,omitempty"`
 	// Report selects what the health and load endpoints report.
 	Report Report `json:"report,omitempty"`
 	// IgnoreGrants leaves grant requests without a response.
--- a/internal/standin/targetsrv/server.go
+++ b/internal/standin/targetsrv/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/protocol/grant"
+	"github.com/jackdawloom/jackdawloom/internal/protocol/header"
 )
 
 // Paths of the endpoints besides grant.Path. Requests for all other paths run as work.
@@ -232,6 +233,8 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
+	w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
+	s.sayLeaving(w)
 	reply := s.applyGrant(req)
 	if req.Release && reply.Outcome == grant.Done && !s.awaitKeysIdle(r.Context(), req.From, req.To) {
 		panic(http.ErrAbortHandler)
--- a/internal/standin/targetsrv/server_test.go
+++ b/internal/standin/targetsrv/server_test.go
@@ -192,8 +192,9 @@
 		time.Sleep(100 * time.Millisecond)
 		shed := r.work("shed", "", 0)
 		r.expect("without a slot", shed, http.StatusServiceUnavailable, header.NotRun)
-		if shed.header.Get("Retry-After") == "" {
-			t.Error("shed without Retry-After")
+		// Daemons send nothing to a target that asks for a pause.
+		if shed.header.Get("Retry-After") != "" || shed.header.Get(header.RequestID) != "shed" {
+			t.Errorf("shed with Retry-After %q and the request ID %q", shed.header.Get("Retry-After"), shed.header.Get(header.RequestID))
 		}
 		cancel()
 		synctest.Wait()
@@ -279,3 +280,20 @@
 	}
 	l.End(0, RunCut, 0)
 }
+
+// Guards against a stand-in whose wishes do not show in its responses: tests of daemons that
+// follow them would pass whatever the daemons do.
+func TestSaysThatItLeavesAndPauses(t *testing.T) {
+	withVirtualTime(t, Config{}, func(r *fixture) {
+		r.UpdateFaults(func(f *Faults) { f.Leaving = true })
+		if got := r.work("1", "", 0).header.Get(header.Leaving); got != "1" {
+			t.Errorf("a leaving target answers with %s: %q", header.Leaving, got)
+		}
+		r.UpdateFaults(func(f *Faults) { *f = Faults{PauseSeconds: 1.5} })
+		refused := r.work("2", "", 0)
+		r.expect("in a pause", refused, http.StatusServiceUnavailable, header.NotRun)
+		if got := refused.header.Get("Retry-After"); got != "1.5" {
+			t.Errorf("a target that asks for a pause answers with Retry-After %q", got)
+		}
+	})
+}
--- a/internal/standin/targetsrv/work.go
+++ b/internal/standin/targetsrv/work.go
@@ -37,6 +37,7 @@
 var (
 	errStopped  = errors.New("target stopped")
 	errShed     = errors.New("no free slot")
+	errPause    = errors.New("target asks for a pause")
 	errDraining = errors.New("draining")
 	errDeadline = errors.New("deadline exceeded")
 )
@@ -55,6 +56,7 @@
 
 func (s *Server) serveWork(w http.ResponseWriter, r *http.Request) {
 	s.awaitUnfrozen()
+	s.sayLeaving(w)
 	timeout, hasDeadline := deadline(r)
 	if hasDeadline && timeout <= 0 {
 		s.refuse(w, r, http.StatusGatewayTimeout, errDeadline)
@@ -86,15 +88,23 @@
 
 // refuse responds to a request that was not run.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, reason error) {
+	w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
 	w.Header().Set(header.Target, s.responseTargetName(r))
 	w.Header().Set(header.Outcome, header.NotRun)
 	w.Header().Set(header.Reason, reason.Error())
-	if errors.Is(reason, errShed) {
-		w.Header().Set("Retry-After", "1")
+	if pause := s.Faults().PauseSeconds; errors.Is(reason, errPause) {
+		w.Header().Set("Retry-After", strconv.FormatFloat(pause, 'f', -1, 64))
 	}
 	http.Error(w, reason.Error(), status)
 }
 
+// sayLeaving sets the header by which a target says that it is leaving.
+func (s *Server) sayLeaving(w http.ResponseWriter) {
+	if s.Faults().Leaving {
+		w.Header().Set(header.Leaving, "1")
+	}
+}
+
 // responseTargetName returns the target's name in the form that the request used, or the
 // bare name if the request is for another target.
 func (s *Server) responseTargetName(r *http.Request) string {
@@ -105,7 +115,7 @@
 }
 
 func refusalStatus(err error) int {
-	if errors.Is(err, errShed) || errors.Is(err, errDraining) {
+	if errors.Is(err, errShed) || errors.Is(err, errDraining) || errors.Is(err, errPause) {
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusMisdirectedRequest
@@ -126,6 +136,9 @@
 		s.stats.Refused++
 		return job{}, err
 	}
+	if s.faults.PauseSeconds > 0 {
+		return job{}, errPause
+	}
 	if s.stats.Running >= s.config.Slots {
 		s.stats.Shed++
 		return job{}, errShed
--- a/internal/topo/mirror/mirror.go
+++ b/internal/topo/mirror/mirror.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -169,6 +170,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if progress.Rev < m.rev {
+		return Change{}, 0, fmt.Errorf("%w: revision %d is below %d", topo.ErrBadReply, progress.Rev, m.rev)
+	}
 	var change Change
 	for _, e := range events {
 		if e.Entry.ModRev <= m.entries[e.Entry.Key].ModRev {
@@ -178,7 +182,7 @@
 		m.appendHistory(e.Entry)
 		change.Entries = append(change.Entries, e.Entry)
 	}
-	m.rev = max(m.rev, progress.Rev)
+	m.rev = progress.Rev
 	if len(change.Entries) > 0 {
 		m.notifyReaders()
 	}
--- a/internal/topo/mirror/mirror_test.go
+++ b/internal/topo/mirror/mirror_test.go
@@ -307,3 +307,37 @@
 		}
 	})
 }
+
+// Guards against taking a store that answers from an earlier state for current: it does not
+// show what was written since, such as a target that has left or keys that have moved.
+func TestEarlierStateIsNotCurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() { cancel(); time.Sleep(time.Second) }() // synctest requires all goroutines to exit
+		f := newFakeFeed()
+		f.set("target", "ready")
+		f.set("target", "")
+		m, copied := startMirror(ctx, f)
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		rev := f.rev
+		f.rev, f.history = rev-1, nil
+		f.entries["target"] = topo.Entry{Key: "target", Value: []byte("ready"), CreateRev: rev - 1, ModRev: rev - 1}
+		f.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		if s := m.Status(); s.Up || s.Rev != rev {
+			t.Errorf("status %+v, want not up at revision %d", s, rev)
+		}
+		if len(copied()) != 0 {
+			t.Errorf("entries %v are back", copied())
+		}
+		f.mu.Lock()
+		f.rev = rev
+		delete(f.entries, "target")
+		f.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		if s := m.Status(); !s.Up || len(copied()) != 0 {
+			t.Errorf("after the store's return: status %+v, entries %v", s, copied())
+		}
+	})
+}
--- a/internal/transport/upstream/bounds_test.go
+++ b/internal/transport/upstream/bounds_test.go
@@ -10,8 +10,11 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/clock"
 )
 
 const (
@@ -288,3 +291,32 @@
 		t.Errorf("a success asked for a pause of %v", got)
 	}
 }
+
+// Guards against a grant that leaves after the coordinator's lease has ended, because opening
+// the connection took longer than the margin or the process was suspended meanwhile.
+func TestRequestIsNotSentTooLate(t *testing.T) {
+	var arrived atomic.Int64
+	p := serveTarget(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err == nil {
+			arrived.Add(1)
+			_, _ = io.WriteString(c, responseText("1", "ok"))
+		}
+	})
+	for name, notAfter := range map[string]time.Duration{"in the past": clock.Now() - time.Millisecond, "now": clock.Now()} {
+		req := request("1")
+		req.NotAfter = notAfter
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, err := p.Send(ctx, req)
+		cancel()
+		if !errors.Is(err, ErrNotSent) || arrived.Load() != 0 {
+			t.Errorf("%s: %v, %d requests arrived, want ErrNotSent", name, err, arrived.Load())
+		}
+	}
+	req := request("1")
+	req.NotAfter = clock.Now() + time.Minute
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if _, err := p.Send(ctx, req); err != nil || arrived.Load() != 1 {
+		t.Errorf("in time: %v, %d requests arrived", err, arrived.Load())
+	}
+}
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -34,6 +34,7 @@
 	ErrPoolExhausted      = errors.New("no connection to target available")
 	errMismatchedResponse = errors.New("received the response to another request")
 	errResponseTooLarge   = errors.New("response takes more bytes than allowed")
+	errTooLate            = errors.New("too late to send the request")
 )
 
 // Limits of connections.
@@ -176,6 +177,9 @@
 	stop := context.AfterFunc(ctx, c.close)
 	defer func() { keep = stop() && keep }()
 
+	if req.NotAfter > 0 && clock.Now() >= req.NotAfter {
+		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, errTooLate)
+	}
 	out := req.httpRequest()
 	fullyWritten, err := c.write(req, out)
 	if err != nil {
--- a/internal/transport/upstream/request.go
+++ b/internal/transport/upstream/request.go
@@ -65,6 +65,9 @@
 	Target string
 	// TimeLeft is the time until the caller's deadline; 0 means no limit.
 	TimeLeft time.Duration
+	// NotAfter is the time on package clock after which the request must not be sent; 0 means
+	// no limit. It is checked after a connection was opened, which may have taken a while.
+	NotAfter time.Duration
 }
 
 // httpRequest returns the request in the form that net/http writes.
