Send a keyed request again to an owner that refuses it with room

Cause: targets in trouble refuse about half of all requests whatever their load.

Change: such a request is sent again within the retry budget and the route's limits while the owner has a free slot by what is known of its load, with a growing delay from the third send on.

--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -36,6 +36,10 @@
 	if t.sends > 0 && t.last.Reason == TargetsFull && d.shedsLoad(t.req.Service) && !d.awaitSlot(ctx, t) {
 		return nil, &Refusal{Reason: TargetsFull}
 	}
+	if t.sends > 1 && t.last.Reason == TargetsFull && d.isKeyed(t.req.Service) {
+		// The owner may be full after all, by requests that this daemon does not know of yet.
+		wait(ctx, nil, min(refusalBackoff<<(t.sends-2), time.Duration(refusalBackoffShare*float64(t.req.Deadline-clock.Now()))))
+	}
 	for {
 		if ctx.Err() != nil {
 			return nil, &Refusal{Reason: CallerDisconnected}
@@ -72,6 +76,13 @@
 	}
 }
 
+const (
+	// refusalBackoff is the delay before the third send to an owner that refused as full; it
+	// doubles with each further send, up to refusalBackoffShare of the remaining time.
+	refusalBackoff      = 15 * time.Millisecond
+	refusalBackoffShare = 0.1
+)
+
 // slotPollInterval limits one wait for a slot, because slots freed by the requests of other
 // daemons are not signalled.
 const slotPollInterval = 10 * time.Millisecond
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -335,7 +335,7 @@
 	} else {
 		resp.Release()
 	}
-	if outcome.reason == CallerDisconnected || t.sends >= maxSends || !d.allowsAnotherSend(t, outcome) {
+	if outcome.reason == CallerDisconnected || t.sends >= maxSends || !d.allowsAnotherSend(t, ep, outcome) {
 		retry = false
 	}
 	d.config.Log.Info("send without success", "request", req.ID, "service", req.Service, "target", ep.id,
@@ -353,7 +353,7 @@
 
 // allowsAnotherSend reports whether the limits of the route and the service allow
 // another send after this outcome.
-func (d *Dispatcher) allowsAnotherSend(t *requestState, outcome sendOutcome) bool {
+func (d *Dispatcher) allowsAnotherSend(t *requestState, ep *endpoint, outcome sendOutcome) bool {
 	if !d.isKeyed(t.req.Service) {
 		return len(t.triedTargets) < t.req.Route.MaxAttempts
 	}
@@ -366,11 +366,20 @@
 	if outcome.reason == TargetsFull {
 		// The key has one owner. While the owner is full, callers have to retry later,
 		// unless the request can wait here for a slot.
-		return d.shedsLoad(t.req.Service)
+		return d.shedsLoad(t.req.Service) || d.hasRoom(ep)
 	}
 	return (len(t.triedTargets) < t.req.Route.MaxAttempts || outcome.kind == notRun)
 }
 
+// hasRoom reports whether a target that refused a request as full has a free slot by what is
+// known of its load. Targets in trouble refuse a part of their requests whatever their load;
+// the next send is likely to be accepted.
+func (d *Dispatcher) hasRoom(ep *endpoint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return ep.estimate.Load() < ep.estimate.Slots
+}
+
 func (d *Dispatcher) isKeyed(name string) bool {
 	c := d.config.Views.Current().Config
 	return c != nil && c.Services[name].Keyed
