Keep copies of hubs young enough for their domains

Cause: the waits and pauses of the primary hub and of the domains' hubs add up to 990 ms, and daemons take a copy of more than 900 ms for too old. They then read the store themselves for three seconds, all daemons of a domain at once; each call is charged for.

Ruled out: a shorter watch at the primary hub, which costs a call to the store each time.

Change: hubs wait 150 ms at the primary hub, changes read from another daemon are not followed by the pause that saves calls to the store, a copy may be 1,050 ms old, and a hub is left only after three old copies in a row.

--- a/internal/edge/peers/feed.go
+++ b/internal/edge/peers/feed.go
@@ -22,7 +22,7 @@
 	// maxCopyAge is the age up to which a hub's copy of the store is used. maxCopyAge,
 	// feedMargin and the hub's own read of the store together stay within the 2 s in which
 	// a change must be in force.
-	maxCopyAge = 900 * time.Millisecond
+	maxCopyAge = 1050 * time.Millisecond
 	// maxSeedCopyAge is the age up to which a daemon that has no copy starts with the copy
 	// of another daemon. It exceeds the usual store outages of up to 10 s.
 	maxSeedCopyAge = 15 * time.Second
@@ -36,8 +36,10 @@
 	// reach the store.
 	anyAge = "any-age"
 	// maxHubWait is how long a hub waits for changes at the primary hub. The wait adds to
-	// the age of the copy that the hub's domain reads, which must stay below maxCopyAge.
-	maxHubWait = 250 * time.Millisecond
+	// the age of the copy that the hub's domain reads, as do the wait and the pause of the
+	// primary hub (mirror.ChangesTimeout and mirror.CoalesceDelay). All of them together
+	// must stay below maxCopyAge, as daemons read the store instead of an older copy.
+	maxHubWait = 150 * time.Millisecond
 )
 
 // feedReply is the response to a feed call: the entries that changed after a revision, or
@@ -51,6 +53,13 @@
 // errNoCurrentCopy reports a daemon whose own copy of the store is not current.
 var errNoCurrentCopy = errors.New("daemon has no current copy of the store")
 
+// errOldCopy reports a daemon whose copy of the store is older than allowed.
+var errOldCopy = errors.New("daemon's copy of the store is too old")
+
+// maxOldCopies is the number of consecutive reads of an old copy after which another hub is
+// chosen.
+const maxOldCopies = 3
+
 // Feed reads the store through other daemons: the daemons of a domain through their hub,
 // and hubs through the primary hub. Only the primary hub, and daemons that find no
 // current copy elsewhere, read the store itself, because store calls are charged for.
@@ -63,6 +72,8 @@
 	Seeds   []netip.AddrPort
 	Network Network
 	Log     *slog.Logger
+
+	oldCopies int // consecutive reads of a copy that was too old
 }
 
 // source returns the daemon to read from. It returns false if the store is to be read
@@ -81,7 +92,7 @@
 	if hub, ok := f.source(); ok {
 		reply, err := f.call(ctx, hub.Address, "", maxCopyAge, feedMargin*2)
 		if err == nil {
-			return reply.Entries, topo.Progress{Rev: reply.Rev, Age: reply.Age}, nil
+			return reply.Entries, topo.Progress{Rev: reply.Rev, Age: reply.Age, Relayed: true}, nil
 		}
 		f.hubFailed(ctx, hub, err)
 	}
@@ -89,7 +100,7 @@
 	f.noteStoreError(ctx, err)
 	if err != nil && len(f.Peers()) == 0 {
 		if reply, ok := f.copyFromSeeds(ctx); ok {
-			return reply.Entries, topo.Progress{Rev: reply.Rev, Age: reply.Age}, nil
+			return reply.Entries, topo.Progress{Rev: reply.Rev, Age: reply.Age, Relayed: true}, nil
 		}
 	}
 	return entries, progress, err
@@ -122,7 +133,8 @@
 			for i, e := range reply.Entries {
 				events[i] = topo.Event{Entry: e}
 			}
-			return events, topo.Progress{Rev: max(reply.Rev, after), Age: reply.Age}, nil
+			f.oldCopies = 0
+			return events, topo.Progress{Rev: max(reply.Rev, after), Age: reply.Age, Relayed: true}, nil
 		}
 		if errors.Is(err, topo.ErrCompacted) {
 			return nil, topo.Progress{}, err
@@ -147,6 +159,13 @@
 		return
 	}
 	f.Log.Info("hub not used; reading the store", "hub", hub.Name, "error", err)
+	if errors.Is(err, errOldCopy) {
+		// The hub works but lags. To leave it takes many calls to the store.
+		if f.oldCopies++; f.oldCopies < maxOldCopies {
+			return
+		}
+	}
+	f.oldCopies = 0
 	f.Hubs.MarkFailed(hub.Name)
 }
 
@@ -171,7 +190,7 @@
 		return nil, fmt.Errorf("%w: age %v, revision %d", topo.ErrBadReply, reply.Age, reply.Rev)
 	}
 	if reply.Age > maxAge {
-		return nil, fmt.Errorf("%w: its copy is %v old", errNoCurrentCopy, reply.Age)
+		return nil, fmt.Errorf("%w: its age is %v", errOldCopy, reply.Age)
 	}
 	return &reply, nil
 }
--- a/internal/edge/peers/feed_test.go
+++ b/internal/edge/peers/feed_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/topo"
 	"github.com/jackdawloom/jackdawloom/internal/topo/mirror"
 	"github.com/jackdawloom/jackdawloom/internal/transport/plainnet"
@@ -200,3 +201,44 @@
 		t.Errorf("copy has age %v although no daemon reached the store for 1 s", progress.Age)
 	}
 }
+
+// Guards against daemons that take the copies of their hubs for too old although the store
+// works: they then read the store themselves for seconds, and each call is charged for. Half of
+// the calls to the store on a day of the large fleet came from that.
+func TestCopiesOfHubsStayYoungEnough(t *testing.T) {
+	f := startFeeds(t, 9, 3)
+	f.await(t, 1, 5*time.Second)
+	time.Sleep(time.Second) // by now, daemons that started before their hub read through the hub
+	stop := make(chan struct{})
+	var changes sync.WaitGroup
+	changes.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(40 * time.Millisecond):
+				f.state.change()
+			}
+		}
+	})
+	oldest := time.Duration(0)
+	before := make([]int64, len(f.stores))
+	for i, s := range f.stores {
+		before[i] = s.calls.Load()
+	}
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for _, m := range f.mirrors {
+			oldest = max(oldest, clock.Now()-m.Status().CurrentAt)
+		}
+	}
+	close(stop)
+	changes.Wait()
+	for i, s := range f.stores {
+		if n := s.calls.Load() - before[i]; i > 0 && n > 0 {
+			t.Errorf("daemon %d called the store %d times, want calls by the primary hub only", i, n)
+		}
+	}
+	if oldest > maxCopyAge {
+		t.Errorf("a copy was %v old, want at most %v", oldest, maxCopyAge)
+	}
+}
--- a/internal/topo/mirror/mirror.go
+++ b/internal/topo/mirror/mirror.go
@@ -22,8 +22,8 @@
 	// probeTimeout replaces ChangesTimeout after a failed call, so that a store that
 	// works again is soon detected.
 	probeTimeout = 50 * time.Millisecond
-	// CoalesceDelay is the pause after changes were applied, so that a series of
-	// changes takes few calls. It is short compared with the two seconds within which
+	// CoalesceDelay is the pause after changes were read from the store, so that a series
+	// of changes takes few calls. It is short compared with the two seconds within which
 	// a change must be in force.
 	CoalesceDelay = 120 * time.Millisecond
 	// historySize is the number of changes that are kept for callers of Since.
@@ -102,16 +102,16 @@
 	failures := 0
 	for ctx.Err() == nil {
 		var change Change
-		var age time.Duration
+		var progress topo.Progress
 		var err error
 		if hasSnapshot {
 			wait := ChangesTimeout
 			if failures > 0 {
 				wait = probeTimeout
 			}
-			change, age, err = m.fetchChanges(ctx, wait)
+			change, progress, err = m.fetchChanges(ctx, wait)
 		} else {
-			change, age, err = m.copy(ctx)
+			change, progress, err = m.copy(ctx)
 		}
 		switch {
 		case errors.Is(err, topo.ErrCompacted):
@@ -125,10 +125,12 @@
 			continue
 		}
 		hasSnapshot, failures = true, 0
-		m.recordSuccess(clock.Now() - age)
+		m.recordSuccess(clock.Now() - progress.Age)
 		if len(change.Entries) > 0 || change.Snapshot {
 			m.apply(change)
-			sleep(ctx, CoalesceDelay)
+			if !progress.Relayed {
+				sleep(ctx, CoalesceDelay)
+			}
 		}
 	}
 }
@@ -142,15 +144,15 @@
 }
 
 // copy reads a snapshot and replaces the copy by it. The history starts anew.
-func (m *Mirror) copy(ctx context.Context) (Change, time.Duration, error) {
+func (m *Mirror) copy(ctx context.Context) (Change, topo.Progress, error) {
 	entries, progress, err := m.feed.Snapshot(ctx, m.prefix)
 	if err != nil {
-		return Change{}, 0, err
+		return Change{}, topo.Progress{}, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if progress.Rev < m.rev {
-		return Change{}, 0, topo.ErrBadReply
+		return Change{}, topo.Progress{}, topo.ErrBadReply
 	}
 	m.rev, m.compactedRev = progress.Rev, progress.Rev
 	m.history = nil
@@ -159,19 +161,19 @@
 		m.entries[e.Key] = e
 	}
 	m.notifyReaders()
-	return Change{Entries: entries, Snapshot: true}, progress.Age, nil
+	return Change{Entries: entries, Snapshot: true}, progress, nil
 }
 
 // fetchChanges reads the changes since the revision of the copy and applies them to it.
-func (m *Mirror) fetchChanges(ctx context.Context, wait time.Duration) (Change, time.Duration, error) {
+func (m *Mirror) fetchChanges(ctx context.Context, wait time.Duration) (Change, topo.Progress, error) {
 	events, progress, err := m.feed.Changes(ctx, m.prefix, m.Status().Rev, wait)
 	if err != nil {
-		return Change{}, 0, err
+		return Change{}, topo.Progress{}, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if progress.Rev < m.rev {
-		return Change{}, 0, fmt.Errorf("%w: revision %d is below %d", topo.ErrBadReply, progress.Rev, m.rev)
+		return Change{}, topo.Progress{}, fmt.Errorf("%w: revision %d is below %d", topo.ErrBadReply, progress.Rev, m.rev)
 	}
 	var change Change
 	for _, e := range events {
@@ -186,7 +188,7 @@
 	if len(change.Entries) > 0 {
 		m.notifyReaders()
 	}
-	return change, progress.Age, nil
+	return change, progress, nil
 }
 
 // appendHistory adds a change to the history and drops the oldest ones above
--- a/internal/topo/topo.go
+++ b/internal/topo/topo.go
@@ -139,6 +139,8 @@
 	// Age is an upper bound on the time since the reader's copy was last known to
 	// match the store.
 	Age time.Duration
+	// Relayed is true if another daemon answered and not the store.
+	Relayed bool
 }
 
 // Keys in the store.
