--- a/internal/ctl/targets.go
+++ b/internal/ctl/targets.go
@@ -52,10 +52,13 @@
 	return emit(cmd, rows, func(w io.Writer) error { return f.printTargets(w, rows) })
 }
 
+// unusedTarget stands for the figures of a target to which no daemon has sent requests.
+const unusedTarget = "not used"
+
 func (f fleet) printTargets(w io.Writer, rows []targetRow) error {
 	t := newTable(w, "Service", "Target", "Domain", "State", "Shards", "Spans", "Running", "Connections", "Time (ms)")
 	for _, r := range rows {
-		running, connections, latency := "?", "?", "?"
+		running, connections, latency := unusedTarget, unusedTarget, unusedTarget
 		if r.Load != nil {
 			running, connections = fmt.Sprintf("%d/%d", r.Load.Running, r.Load.Slots), fmt.Sprint(r.Load.Connections)
 			latency = fmt.Sprintf("%.1f", r.Load.ServiceTimeMs)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -32,8 +32,16 @@
 	// targetFailureMessage is logged for a request whose caller got the failure
 	// response of the target.
 	targetFailureMessage = "target's failure passed on"
+	// unroutedMessage is logged for a request that no route of the configuration allows.
+	unroutedMessage = "no route matches"
+	// bodyRefusedMessage is logged for a request whose body the daemon did not accept.
+	bodyRefusedMessage = "request body not accepted; refusing the request"
 )
 
+// maxTableLines limits the related lines about range tables of each source. A busy key can
+// move many times a second, and the tables nearest to the end of the request matter.
+const maxTableLines = 3
+
 // Explanation holds the outcome of a request, or the events of a target, with the log
 // lines that show it.
 type Explanation struct {
@@ -87,6 +95,10 @@
 			e.addTargetFailure(line)
 		case sendFailedMessage:
 			e.addFailedSend(line)
+		case unroutedMessage:
+			e.addUnrouted(line)
+		case bodyRefusedMessage:
+			e.addBodyRefusal(line)
 		}
 	}
 	e.Related = l.relatedLines(e.Lines)
@@ -98,6 +110,20 @@
 	e.Status, e.Reason, e.MayHaveRun, e.Cause, e.NextStep = end.Status, end.Reason, end.MayHaveRun, a.cause, a.next
 }
 
+// addUnrouted records that no route allowed the request.
+func (e *Explanation) addUnrouted(end Line) {
+	e.Status, e.Reason = end.Status, unroutedMessage
+	e.Cause = "no route of the configuration that was in force on the daemon matches the host and the path"
+	e.NextStep = "compare the line's version with the configuration that has the route, and its host with the route's"
+}
+
+// addBodyRefusal records that the body of the request was not accepted.
+func (e *Explanation) addBodyRefusal(end Line) {
+	e.Status, e.Reason = end.Status, "body not accepted"
+	e.Cause = "the caller's body was larger than allowed, malformed, or did not arrive before the deadline"
+	e.NextStep = "413: compare it with the limits of the configuration; 408: the caller sent too slowly; 400: read the line's error"
+}
+
 // addFailedSend records a failed send: a retry that followed it, and a contradiction
 // between its reason and its outcome.
 func (e *Explanation) addFailedSend(send Line) {
@@ -193,6 +219,28 @@
 	}
 }
 
+// limitTableLines keeps of each source the maxTableLines lines about range tables that are
+// nearest to the end of the request.
+func limitTableLines(lines []Line, end time.Time) []Line {
+	var tables, out []Line
+	for _, line := range lines {
+		if line.Message == "range table in force" || line.Message == "range table written" {
+			tables = append(tables, line)
+		} else {
+			out = append(out, line)
+		}
+	}
+	slices.SortStableFunc(tables, func(a, b Line) int { return int(end.Sub(a.Time).Abs() - end.Sub(b.Time).Abs()) })
+	kept := make(map[string]int)
+	for _, line := range tables {
+		if key := line.Source + line.Message; kept[key] < maxTableLines {
+			kept[key]++
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
 // relatedLines returns the lines of other events that may explain the request's own
 // lines.
 func (l *Log) relatedLines(lines []Line) []Line {
@@ -205,6 +253,7 @@
 		}
 		out = append(out, line)
 	}
+	out = limitTableLines(out, last)
 	if len(out) > maxRelatedLines {
 		distance := func(line Line) time.Duration { return last.Sub(line.Time).Abs() }
 		slices.SortStableFunc(out, func(a, b Line) int { return int(distance(a) - distance(b)) })
--- a/internal/topo/mirror/mirror_test.go
+++ b/internal/topo/mirror/mirror_test.go
@@ -341,3 +341,26 @@
 		}
 	})
 }
+
+// Guards against a copy that goes back when everything has to be read again and another daemon
+// offers an older copy: a target that has left would be in use again.
+func TestOlderSnapshotIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() { cancel(); time.Sleep(time.Second) }() // synctest requires all goroutines to exit
+		f := newFakeFeed()
+		f.set("target", "ready")
+		f.set("target", "")
+		m, copied := startMirror(ctx, f)
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		rev := f.rev
+		f.rev, f.compactedRev = rev-1, rev+1
+		f.entries["target"] = topo.Entry{Key: "target", Value: []byte("ready"), CreateRev: rev - 1, ModRev: rev - 1}
+		f.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		if s := m.Status(); s.Up || s.Rev != rev || len(copied()) != 0 {
+			t.Errorf("status %+v, entries %v, want not up at revision %d without entries", s, copied(), rev)
+		}
+	})
+}
