--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -17,6 +17,7 @@
 var monotonic = map[string]int{
 	"edge/run.go":                  2, // duration of the shutdown
 	"edge/front/body.go":           2, // deadlines of a connection
+	"edge/front/framing.go":        1, // deadline of a connection
 	"edge/front/linger.go":         2, // deadlines of a connection
 	"transport/peernet/peernet.go": 2, // pause between dials
 	"topo/etcdgw/transport.go":     1, // deadline of a context
