--- a/internal/edge/dispatch/classify.go
+++ b/internal/edge/dispatch/classify.go
@@ -113,9 +113,9 @@
 	}
 }
 
-// recordWishes records what a response says about the requests that the target wants: none
+// recordSignals records what a response says about the requests that the target wants: none
 // for some time, or none any more.
-func (d *Dispatcher) recordWishes(t *requestState, ep *endpoint, resp *upstream.Response, outcome sendOutcome) {
+func (d *Dispatcher) recordSignals(t *requestState, ep *endpoint, resp *upstream.Response, outcome sendOutcome) {
 	if resp == nil || outcome.reason == TargetReplaced {
 		return
 	}
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -311,7 +311,7 @@
 		outcome = sendOutcome{kind: unknown, reason: CallerDisconnected}
 	}
 	d.recordOutcome(ep, outcome, took, load)
-	d.recordWishes(t, ep, resp, outcome)
+	d.recordSignals(t, ep, resp, outcome)
 	d.config.ObserveSend(req.Service, outcome.String(), took)
 	return d.handleOutcome(t, ep, resp, outcome, took, err)
 }
--- a/internal/edge/dispatch/wishes_test.go
+++ b/internal/edge/dispatch/signals_test.go
@@ -22,8 +22,8 @@
 	"github.com/jackdawloom/jackdawloom/internal/transport/upstream"
 )
 
-// wishNames are the header names of targets that say that they are leaving.
-var wishNames = &upstream.HeaderNames{RequestID: "Id", NotRun: "Not-Run", Leaving: "Leaving"}
+// signalNames are the header names of targets that say that they are leaving.
+var signalNames = &upstream.HeaderNames{RequestID: "Id", NotRun: "Not-Run", Leaving: "Leaving"}
 
 // addressDocs decodes the registrations of targets of a service without keys, whose values are
 // their addresses.
@@ -47,7 +47,7 @@
 	}
 	views.Apply(mirror.Change{Snapshot: true, Entries: entries})
 	d := New(Config{
-		Names: wishNames, Views: views, Log: log, RetryBudget: budget.Bound{Ratio: 1, Slack: 100, Window: time.Second},
+		Names: signalNames, Views: views, Log: log, RetryBudget: budget.Bound{Ratio: 1, Slack: 100, Window: time.Second},
 		ObserveSend: func(string, string, time.Duration) {}, ObserveKey: func(string, uint16) {}, ObserveServiceTime: func(peers.TargetHash, time.Duration) {},
 	})
 	d.started -= time.Second // the retry budget grows within its window
@@ -172,7 +172,7 @@
 	}))
 	defer server.Close()
 	d := newTestDispatcher(strings.TrimPrefix(server.URL, "http://"), false)
-	d.config.Names = wishNames
+	d.config.Names = signalNames
 	d.config.Views.SetDrainTime(drainTime)
 	start := time.Now()
 	served := 0
--- a/internal/standin/targetsrv/server.go
+++ b/internal/standin/targetsrv/server.go
@@ -234,7 +234,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
-	s.sayLeaving(w)
+	s.setLeavingHeader(w)
 	reply := s.applyGrant(req)
 	if req.Release && reply.Outcome == grant.Done && !s.awaitKeysIdle(r.Context(), req.From, req.To) {
 		panic(http.ErrAbortHandler)
--- a/internal/standin/targetsrv/server_test.go
+++ b/internal/standin/targetsrv/server_test.go
@@ -281,7 +281,7 @@
 	l.End(0, RunCut, 0)
 }
 
-// Guards against a stand-in whose wishes do not show in its responses: tests of daemons that
+// Guards against a stand-in whose faults do not show in its responses: tests of daemons that
 // follow them would pass whatever the daemons do.
 func TestSaysThatItLeavesAndPauses(t *testing.T) {
 	withVirtualTime(t, Config{}, func(r *fixture) {
--- a/internal/standin/targetsrv/work.go
+++ b/internal/standin/targetsrv/work.go
@@ -56,7 +56,7 @@
 
 func (s *Server) serveWork(w http.ResponseWriter, r *http.Request) {
 	s.awaitUnfrozen()
-	s.sayLeaving(w)
+	s.setLeavingHeader(w)
 	timeout, hasDeadline := deadline(r)
 	if hasDeadline && timeout <= 0 {
 		s.refuse(w, r, http.StatusGatewayTimeout, errDeadline)
@@ -98,8 +98,8 @@
 	http.Error(w, reason.Error(), status)
 }
 
-// sayLeaving sets the header by which a target says that it is leaving.
-func (s *Server) sayLeaving(w http.ResponseWriter) {
+// setLeavingHeader sets the header by which a target says that it is leaving.
+func (s *Server) setLeavingHeader(w http.ResponseWriter) {
 	if s.Faults().Leaving {
 		w.Header().Set(header.Leaving, "1")
 	}
--- a/internal/topo/mirror/mirror_test.go
+++ b/internal/topo/mirror/mirror_test.go
@@ -308,21 +308,35 @@
 	})
 }
 
+// mirrorAfterTargetLeft returns a feed and a mirror of it that has seen a target register and
+// leave. stop ends the mirror, as synctest requires all goroutines to exit.
+func mirrorAfterTargetLeft() (f *fakeFeed, m *Mirror, copied func() map[string]string, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f = newFakeFeed()
+	f.set("target", "ready")
+	f.set("target", "")
+	m, copied = startMirror(ctx, f)
+	time.Sleep(time.Second)
+	return f, m, copied, func() { cancel(); time.Sleep(time.Second) }
+}
+
+// bringTargetBack makes the feed answer from the state before the target left. The calling
+// function holds the mutex.
+func (f *fakeFeed) bringTargetBack() {
+	f.rev--
+	f.entries["target"] = topo.Entry{Key: "target", Value: []byte("ready"), CreateRev: f.rev, ModRev: f.rev}
+}
+
 // Guards against taking a store that answers from an earlier state for current: it does not
 // show what was written since, such as a target that has left or keys that have moved.
 func TestEarlierStateIsNotCurrent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer func() { cancel(); time.Sleep(time.Second) }() // synctest requires all goroutines to exit
-		f := newFakeFeed()
-		f.set("target", "ready")
-		f.set("target", "")
-		m, copied := startMirror(ctx, f)
-		time.Sleep(time.Second)
+		f, m, copied, stop := mirrorAfterTargetLeft()
+		defer stop()
 		f.mu.Lock()
 		rev := f.rev
-		f.rev, f.history = rev-1, nil
-		f.entries["target"] = topo.Entry{Key: "target", Value: []byte("ready"), CreateRev: rev - 1, ModRev: rev - 1}
+		f.history = nil
+		f.bringTargetBack()
 		f.mu.Unlock()
 		time.Sleep(2 * time.Second)
 		if s := m.Status(); s.Up || s.Rev != rev {
@@ -346,17 +360,12 @@
 // offers an older copy: a target that has left would be in use again.
 func TestOlderSnapshotIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer func() { cancel(); time.Sleep(time.Second) }() // synctest requires all goroutines to exit
-		f := newFakeFeed()
-		f.set("target", "ready")
-		f.set("target", "")
-		m, copied := startMirror(ctx, f)
-		time.Sleep(time.Second)
+		f, m, copied, stop := mirrorAfterTargetLeft()
+		defer stop()
 		f.mu.Lock()
 		rev := f.rev
-		f.rev, f.compactedRev = rev-1, rev+1
-		f.entries["target"] = topo.Entry{Key: "target", Value: []byte("ready"), CreateRev: rev - 1, ModRev: rev - 1}
+		f.compactedRev = rev + 1
+		f.bringTargetBack()
 		f.mu.Unlock()
 		time.Sleep(2 * time.Second)
 		if s := m.Status(); s.Up || s.Rev != rev || len(copied()) != 0 {
