Accept responses to HEAD, let empty bodies pass those that wait for memory

The head of a response to HEAD states the length of a body that is not sent; since bodies of known length are read whole, such a response counted as cut off. An empty body queued for memory behind large ones.

Result: TestResponseToHead and TestEmptyBodyNeedsNoMemory fail before and pass with the race detector.

--- a/internal/transport/bodybuf/bodybuf.go
+++ b/internal/transport/bodybuf/bodybuf.go
@@ -75,8 +75,10 @@
 }
 
 func (b *Budget) readKnown(ctx context.Context, r io.Reader, length int64) (*Buffer, error) {
-	if err := b.sem.Acquire(ctx, length); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrNoMemory, err)
+	if length > 0 { // an empty body does not queue behind those that wait for memory
+		if err := b.sem.Acquire(ctx, length); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrNoMemory, err)
+		}
 	}
 	buf := &Buffer{data: make([]byte, length), held: length, budget: b}
 	if _, err := io.ReadFull(r, buf.data); err != nil {
--- a/internal/transport/bodybuf/bodybuf_test.go
+++ b/internal/transport/bodybuf/bodybuf_test.go
@@ -111,3 +111,27 @@
 		}
 	})
 }
+
+// Guards against an empty body that waits behind a large one that waits for memory.
+func TestEmptyBodyNeedsNoMemory(t *testing.T) {
+	b := NewBudget(10)
+	first, err := b.Read(context.Background(), strings.NewReader("12345678"), 8, 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Release()
+	ctx, cancel := context.WithCancel(context.Background())
+	waiting := make(chan struct{})
+	go func() {
+		defer close(waiting)
+		_, _ = b.Read(ctx, strings.NewReader("1234"), 4, 100)
+	}()
+	time.Sleep(20 * time.Millisecond) // until the second body waits
+	short, cancelShort := context.WithTimeout(context.Background(), time.Second)
+	defer cancelShort()
+	if _, err := b.Read(short, strings.NewReader(""), 0, 100); err != nil {
+		t.Errorf("empty body: %v", err)
+	}
+	cancel()
+	<-waiting
+}
--- a/internal/transport/upstream/bounds_test.go
+++ b/internal/transport/upstream/bounds_test.go
@@ -332,3 +332,20 @@
 		t.Errorf("in time: %v, %d requests arrived", err, arrived.Load())
 	}
 }
+
+// Guards against taking the response to a HEAD request for cut off: its head states the length of
+// a body that is not sent.
+func TestResponseToHead(t *testing.T) {
+	p := serveTarget(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 100\r\n\r\n")
+		}
+	})
+	req := request("1")
+	req.Method = http.MethodHead
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if r, err := p.Send(ctx, req); err != nil || r.Status != http.StatusOK || len(r.Body) != 0 {
+		t.Errorf("got %+v, %v", r, err)
+	}
+}
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -191,7 +191,11 @@
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
-	body, err := c.bodies.Read(ctx, bodyReader{c, resp.Body}, resp.ContentLength, maxResponseBytes)
+	length := resp.ContentLength
+	if req.Method == http.MethodHead {
+		length = 0 // the head states the length of a body that is not sent
+	}
+	body, err := c.bodies.Read(ctx, bodyReader{c, resp.Body}, length, maxResponseBytes)
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: reading the body: %w", ErrOutcomeUnknown, err)
 	}
