Review: a path that begins with two slashes is changed on its way

Cause: the request target is written as the opaque part of a URL, before which net/url puts a scheme and a colon if it begins with two slashes.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,7 @@
 var scenarios = map[string]scenario{
 	"descriptors": playDescriptors,
 	"late-stop":   playLateStop,
+	"path":        playPath,
 	"smuggle":     playSmuggle,
 }
 
