Review: the late grant after a cut, also as a script

The script plays the cut with a proxy that holds bytes up and drops them if their sender resets the connection.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -65,6 +65,7 @@
 	store   *store
 	storeAt string
 	daemons []*daemon
+	sharded bool // services are divided by key
 }
 
 func newFleet(root string, rec *record) (*fleet, error) {
@@ -256,7 +257,11 @@
 		rows = append(rows, []any{fmt.Sprintf("r-%d", i), r.host, r.prefix, r.kind, r.timeoutMs, r.latencyMs, 1, nil, 2, r.service})
 		if !seen[r.service] {
 			seen[r.service] = true
-			services = append(services, []any{r.service, "/health", 110, "h1", false, nil, nil, nil})
+			service := []any{r.service, "/health", 110, "h1", false, nil, nil, nil}
+			if f.sharded {
+				service = []any{r.service, "/health", 110, "h1", false, true, 5.0, "direct"}
+			}
+			services = append(services, service)
 		}
 	}
 	config := map[string]any{
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,6 +13,7 @@
 type scenario func(f *fleet, trouble bool) (bool, error)
 
 var scenarios = map[string]scenario{
+	"cut":         playCut,
 	"descriptors": playDescriptors,
 	"late-stop":   playLateStop,
 	"path":        playPath,
