Review: the late request counts only if it was passed on

The script of case 3 sends nothing on a connection that was closed before, and counts a request without an answer only if an endpoint has begun to run it.

--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -47,6 +47,10 @@
 	f.record.say("client  connects %.2f s after", time.Since(start).Seconds())
 	time.Sleep(time.Until(start.Add(lateSend)))
 	const id = "9c41d07be2a35f68"
+	if closedByPeer(conn) {
+		f.record.say("client  sees that its connection was closed, and sends nothing")
+		return true, nil
+	}
 	if _, err := fmt.Fprintf(conn, "POST /xapu221/1 HTTP/1.1\r\nHost: hulo84.example\r\nX-Request-Id: %s\r\nX-Request-Deadline-Ms: 2000\r\nContent-Length: 4\r\n\r\nbook", id); err != nil {
 		return false, fmt.Errorf("connection closed before the request was sent: %w", err)
 	}
@@ -58,9 +62,24 @@
 	if err != nil {
 		f.record.say("answer  none: %v, %.2f s after, %d ms after the request was sent", err, time.Since(start).Seconds(), took.Milliseconds())
 		time.Sleep(500 * time.Millisecond)
+		if f.runs(id) == 0 {
+			f.record.say("run     %s was not passed on to an endpoint", id)
+			return true, nil
+		}
 		return false, nil
 	}
 	_ = resp.Body.Close()
 	f.record.say("answer  %d stamp %q, %.2f s after", resp.StatusCode, resp.Header.Get("X-Response-Stamp"), time.Since(start).Seconds())
 	return true, nil
 }
+
+// closedByPeer reports whether the other side has ended a connection on which nothing was
+// received.
+func closedByPeer(conn net.Conn) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+	defer func() { _ = conn.SetReadDeadline(time.Time{}) }()
+	var b [1]byte
+	_, err := conn.Read(b[:])
+	nerr, ok := err.(net.Error)
+	return err != nil && !(ok && nerr.Timeout())
+}
