Review: a cut copy of a refusal turns the next answer into one

Cause: a second copy of a refusal, late and broken off inside X-Not-Executed, takes the status line of the next answer for that field's value and its request ID for its own. Any value of the field counts as a refusal, so a request that has run is refused or sent again.

The stand-in now also ends its processes when it is ended itself.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x review/bin/standin ] || { echo "run review/build.sh first"; exit 2; }
-exec review/bin/standin path "$here"
+exec review/bin/standin late-stop "$here"
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -66,6 +67,9 @@
 	storeAt string
 	daemons []*daemon
 	sharded bool // services are divided by key
+
+	mu     sync.Mutex // guards the start of processes, and closed
+	closed bool
 }
 
 func newFleet(root string, rec *record) (*fleet, error) {
@@ -164,6 +168,11 @@
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return errors.New("the case has ended")
+	}
 	out, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -233,6 +242,9 @@
 
 // close ends all processes that were started.
 func (f *fleet) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = true
 	for _, d := range f.daemons {
 		if d.cmd == nil {
 			continue
@@ -289,3 +301,12 @@
 	}
 	return nil
 }
+
+// runs counts how often endpoints began to work on a request.
+func (f *fleet) runs(id string) int {
+	b, err := os.ReadFile(f.record.file.Name())
+	if err != nil {
+		return 0
+	}
+	return strings.Count(string(b), "run     "+id+" begins")
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,18 +6,24 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
+// timeLimit is the longest that a case may take.
+const timeLimit = 118 * time.Second
+
 // scenario returns whether the rule held.
 type scenario func(f *fleet, trouble bool) (bool, error)
 
 var scenarios = map[string]scenario{
+	"copies":      playCopies,
 	"cut":         playCut,
 	"descriptors": playDescriptors,
 	"late-stop":   playLateStop,
 	"path":        playPath,
-	"smuggle":     playSmuggle,
 }
 
 func main() {
@@ -45,6 +51,17 @@
 		return 2
 	}
 	defer f.close()
+	go func() {
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+		select {
+		case <-stop:
+		case <-time.After(timeLimit):
+		}
+		rec.say("case not played: ended from outside, or after %v", timeLimit)
+		f.close()
+		os.Exit(2)
+	}()
 	held, err := scenarios[os.Args[1]](f, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
