--- a/review/standin/descriptors.go
+++ b/review/standin/descriptors.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -99,7 +101,15 @@
 	}
 	f.record.say("clients of the other daemons leave %s", left.name)
 	time.Sleep(settleTime)
-	return probe(f, left), nil
+	held := probe(f, left)
+	if log, err := os.ReadFile(left.log); err == nil {
+		for line := range strings.SplitSeq(string(log), "\n") {
+			if strings.Contains(line, "listener failed") {
+				f.record.say("log     %s", line)
+			}
+		}
+	}
+	return held, nil
 }
 
 // loseOthers kills all daemons but one, lets their clients reconnect, and starts them again.
