Reset connections to targets, the store and daemons when they are closed

Cause: a call that times out closes its connection, and the kernel goes on sending what was written. The ownership engine counts a grant as arrived no later than the end of its call and assigns the keys again 3.8 s after that; the held-up grant arrived later.

Why it works: with SO_LINGER and a time of zero, close makes the kernel drop what it has not delivered and reset the connection. The option is set when the connection is opened, so that a killed daemon's calls end with it, too.

Ruled out: a fault in the engine's times; its properties hold when calls end as it assumes. The partition package is a path for tests that delivers held-up bytes unless their sender has reset the connection.

--- a/internal/coordination/ownership/results.go
+++ b/internal/coordination/ownership/results.go
@@ -23,7 +23,8 @@
 	NotSent
 )
 
-// HandleGrantResult processes the result of a Grant.
+// HandleGrantResult processes the result of a Grant. The grant must not reach its target after
+// that: the connection of a call without a response has been reset.
 func (e *Engine) HandleGrantResult(g Grant, r Result, now time.Duration) {
 	incarnation := g.Span.Incarnation()
 	if r == OK || r == Fenced {
--- a/internal/edge/coordinator/coordinator_test.go
+++ b/internal/edge/coordinator/coordinator_test.go
@@ -15,6 +15,7 @@
 	"github.com/jackdawloom/jackdawloom/internal/coordination/ownership"
 	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
+	"github.com/jackdawloom/jackdawloom/internal/standin/partition"
 	"github.com/jackdawloom/jackdawloom/internal/state/ranges"
 	"github.com/jackdawloom/jackdawloom/internal/state/route"
 	"github.com/jackdawloom/jackdawloom/internal/state/target"
@@ -163,6 +164,7 @@
 	store        *pausableStore
 	coord        *Coordinator
 	views        *view.Tracker
+	link         *partition.Link // path to the target
 	grants       atomic.Int64
 	grantDelay   atomic.Int64 // time that the target takes to answer a grant
 	lastDuration atomic.Int64 // duration of the last grant
@@ -182,7 +184,13 @@
 	}))
 	t.Cleanup(server.Close)
 	log := slog.New(slog.DiscardHandler)
-	docs := documents{strings.TrimPrefix(server.URL, "http://")}
+	link, err := partition.New(strings.TrimPrefix(server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = link.Close() })
+	f.link = link
+	docs := documents{link.Address()}
 	f.views = view.NewTracker(docs, log, func() mirror.Status { return mirror.Status{Up: true} })
 	f.views.Apply(mirror.Change{Snapshot: true, Entries: []topo.Entry{
 		{Key: "config", CreateRev: 1, ModRev: 1}, {Key: "targets/t1", CreateRev: 1, ModRev: 1},
@@ -340,3 +348,19 @@
 	before, grants := renewals(), f.grants.Load()
 	f.await(t, "renewals beside grants", func() bool { return renewals() > before+2 && f.grants.Load() > grants+2 })
 }
+
+// Guards against grants that arrive after their calls have failed: a partition held them up,
+// and their target took keys that had another owner by then.
+func TestNoGrantArrivesAfterItsCall(t *testing.T) {
+	f := start(t)
+	f.link.Cut()
+	f.await(t, "grant that is held up", func() bool { held, _ := f.link.Counts(); return held > 0 })
+	time.Sleep(2 * defaultGrantTimeout)
+	f.stop()
+	time.Sleep(200 * time.Millisecond) // the calls that were cancelled close their connections
+	f.link.Heal()
+	time.Sleep(200 * time.Millisecond)
+	if held, late := f.link.Counts(); late > 0 {
+		t.Errorf("%d of %d bytes of grants and releases arrived after their calls had failed", late, held)
+	}
+}
--- a/internal/topo/etcdgw/transport.go
+++ b/internal/topo/etcdgw/transport.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/topo"
+	"github.com/jackdawloom/jackdawloom/internal/transport/dialer"
 	"github.com/jackdawloom/jackdawloom/internal/transport/once"
 )
 
@@ -20,7 +21,7 @@
 func newTransport() *http.Transport {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveSeconds * time.Second}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveSeconds * time.Second, Control: dialer.ResetOnClose}
 	return &http.Transport{
 		Proxy:                  nil,
 		DialContext:            dialer.DialContext,
--- a/internal/transport/plainnet/plainnet.go
+++ b/internal/transport/plainnet/plainnet.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/jackdawloom/jackdawloom/internal/transport/dialer"
 	"github.com/jackdawloom/jackdawloom/internal/transport/once"
 )
 
@@ -42,7 +43,7 @@
 // New returns a network that listens at an address after Listen was called. Calls can be sent
 // without it.
 func New(address string, log *slog.Logger) *Net {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: dialer.ResetOnClose}
 	return &Net{address: address, log: log, client: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
--- a/internal/transport/plainnet/plainnet_test.go
+++ b/internal/transport/plainnet/plainnet_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/jackdawloom/jackdawloom/internal/standin/partition"
 	"github.com/jackdawloom/jackdawloom/internal/transport/once"
 )
 
@@ -69,3 +70,52 @@
 		t.Errorf("call to an address without a listener: %v", err)
 	}
 }
+
+// Guards against a call to another daemon that a partition holds up and that arrives after its
+// caller has given it up.
+func TestNoCallArrivesAfterItsTimeout(t *testing.T) {
+	n := New("127.0.0.1:0", slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(context.Background())
+	if err := n.Listen(ctx); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.Serve(ctx, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), func([]byte) {})
+	}()
+	defer func() { cancel(); <-done }()
+	link, err := partition.New(n.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = link.Close() }()
+	client := New("", slog.New(slog.DiscardHandler))
+	call := func(timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "/x", strings.NewReader("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := client.RoundTrip(netip.MustParseAddrPort(link.Address()), req)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+		return err
+	}
+	if err := call(5 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	link.Cut()
+	if err := call(100 * time.Millisecond); err == nil {
+		t.Fatal("a call through a partition was answered")
+	}
+	time.Sleep(50 * time.Millisecond)
+	link.Heal()
+	time.Sleep(100 * time.Millisecond)
+	if held, late := link.Counts(); held == 0 || late > 0 {
+		t.Errorf("%d bytes were held up, and %d of them arrived", held, late)
+	}
+}
