Refuse late requests that a stopping daemon cannot finish

Cause: only connections between two requests are ended by a stop. The first request of a connection, and one whose head or body arrives slowly, was passed on until the process ended.

Why it works: from the time on at which the load balancer has noticed the stop, the dispatcher checks before each send that the request's deadline comes before the end of the process. A request that it sends has a response or its timeout by then; another is refused as not run and told to retry elsewhere after 20 ms.

--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -47,9 +47,13 @@
 		changed := d.config.Views.Changed()
 		v := d.config.Views.Current()
 		t.inputs = SelectionInputs{ConfigVersion: v.Config.Version, CopyAge: d.config.Views.Age()}
-		if t.req.Deadline-clock.Now() < minTimeLeft {
+		now := clock.Now()
+		if t.req.Deadline-now < minTimeLeft {
 			return nil, &Refusal{Reason: DeadlineExceeded}
 		}
+		if d.outlivesDaemon(t.req, now) {
+			return nil, &Refusal{Reason: Stopping}
+		}
 		var ep *endpoint
 		var reason Reason
 		if d.isKeyed(t.req.Service) {
@@ -63,7 +67,7 @@
 		if reason == TargetsFull && d.awaitSlot(ctx, t) {
 			continue
 		}
-		now := clock.Now()
+		now = clock.Now()
 		end := t.req.Arrived + ownerWaitLimit
 		if reason == TargetPaused && t.pausedUntil <= end {
 			wait(ctx, changed, t.pausedUntil-now)
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
@@ -84,13 +85,14 @@
 	CallerDisconnected   Reason = "caller left"
 	NoConfig             Reason = "no configuration known"
 	NoMemory             Reason = "no memory left for the body"
+	Stopping             Reason = "daemon is stopping"
 )
 
 // Reasons returns all values of Reason.
 func Reasons() []Reason {
 	return []Reason{
 		NoTarget, NoOwner, NoKey, TargetsFull, TargetPaused, DeadlineExceeded, TargetUnreachable, TargetReplaced, RetryBudgetExhausted, KeyNotHeld, ConnectionLost, InvalidResponse,
-		CallerDisconnected, NoConfig, NoMemory,
+		CallerDisconnected, NoConfig, NoMemory, Stopping,
 	}
 }
 
@@ -146,6 +148,27 @@
 	mu        sync.Mutex
 	endpoints map[target.Incarnation]*endpoint
 	services  map[string]*serviceState
+
+	stop atomic.Pointer[stopTimes]
+}
+
+// stopTimes are the times of a stopping daemon.
+type stopTimes struct {
+	// lastSend is when requests whose deadline lies after the end are no longer sent.
+	lastSend, end time.Duration
+}
+
+// StopSending prepares for the end of the process. From lastSend on, a request is sent only if its
+// deadline comes before the end; others are refused as not run. Requests that were sent before
+// are not affected. The times are those of package clock.
+func (d *Dispatcher) StopSending(lastSend, end time.Duration) {
+	d.stop.Store(&stopTimes{lastSend: lastSend, end: end})
+}
+
+// outlivesDaemon reports whether a request sent now may still be running when the process ends.
+func (d *Dispatcher) outlivesDaemon(req *Request, now time.Duration) bool {
+	stop := d.stop.Load()
+	return stop != nil && now >= stop.lastSend && req.Deadline+responseGrace > stop.end
 }
 
 // serviceState is the state that is kept for each service.
@@ -262,6 +285,8 @@
 const (
 	retryAfterNoOwner = 250 * time.Millisecond
 	retryAfterFull    = 150 * time.Millisecond
+	// retryAfterStopping only spreads the callers, as the other daemons can serve them at once.
+	retryAfterStopping = 20 * time.Millisecond
 )
 
 // retryAfter returns the delay after which a refused request is likely to be served. A
@@ -269,8 +294,11 @@
 // retrying at the same time.
 func (d *Dispatcher) retryAfter(r Reason, pausedUntil time.Duration) time.Duration {
 	delay := retryAfterFull
-	if r == NoOwner || r == KeyNotHeld || r == NoTarget {
+	switch r {
+	case NoOwner, KeyNotHeld, NoTarget:
 		delay = retryAfterNoOwner
+	case Stopping:
+		delay = retryAfterStopping
 	}
 	jitter := time.Duration(rand.Float64() * float64(delay) / 2)
 	return max(delay, pausedUntil-clock.Now()) + jitter
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -25,6 +25,9 @@
 	// shutdownMargin is reserved between the end of the graceful shutdown and forced
 	// termination.
 	shutdownMargin = 400 * time.Millisecond
+	// responseMargin is the time before the end of the graceful shutdown in which the last
+	// responses reach their callers.
+	responseMargin = 100 * time.Millisecond
 	// cleanupInterval is how often expired registrations and removed targets are
 	// cleaned up and the gauges are updated.
 	cleanupInterval = 500 * time.Millisecond
@@ -163,16 +166,19 @@
 }
 
 // stop gives the load balancer time to notice that the daemon is not ready, then closes
-// the listener and waits for the running requests.
+// the listener and waits for the running requests. Requests that arrive later, on connections
+// that are still open, are served only if they end in time.
 func (d *Daemon) stop(callers *front.Server, listener net.Listener, leaveFleet func()) {
 	start := time.Now()
 	grace := time.Duration(d.gracePeriod.Load())
 	d.log.Info("stopping", "grace_ms", grace.Milliseconds())
 	d.handler.Stopping.Store(true)
 	leaveFleet()
-	acceptTime := min(balancerLeaveTime, grace/2)
+	acceptTime, serveTime := min(balancerLeaveTime, grace/2), grace-shutdownMargin
+	now := clock.Now()
+	d.dispatcher.StopSending(now+acceptTime, now+serveTime-responseMargin)
 	time.Sleep(acceptTime)
-	ctx, cancel := context.WithTimeout(context.Background(), grace-shutdownMargin-time.Since(start))
+	ctx, cancel := context.WithTimeout(context.Background(), serveTime-time.Since(start))
 	defer cancel()
 	if err := listener.Close(); err != nil {
 		d.log.Warn("listener for callers could not be closed", "error", err)
--- a/internal/explain/advice.go
+++ b/internal/explain/advice.go
@@ -26,6 +26,10 @@
 		"every target that could run the request had asked for no requests until a later time",
 		"find the latest line 'target asked for a pause' of the service; the targets decide how long it lasts",
 	},
+	dispatch.Stopping: {
+		"the daemon was being stopped and could not have waited for the response",
+		"the caller has to use another daemon; many of these mean that callers open connections to a daemon that is not ready",
+	},
 	dispatch.NoMemory: {
 		"the bodies of other requests took all the memory that the daemon has for them",
 		"compare the sizes of bodies with limits.memory-mb; callers that send slowly hold what has arrived of their bodies",
--- a/internal/standin/partition/partition.go
+++ b/internal/standin/partition/partition.go
@@ -3,6 +3,7 @@
 package partition
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -30,7 +31,8 @@
 
 // New returns a link at a loopback address to the address far.
 func New(far string) (*Link, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	var config net.ListenConfig
+	l, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -103,7 +105,8 @@
 		k.reset(near)
 		return
 	}
-	far, err := net.DialTimeout("tcp4", k.far, dialTimeout)
+	dialer := net.Dialer{Timeout: dialTimeout}
+	far, err := dialer.DialContext(context.Background(), "tcp4", k.far)
 	if err != nil {
 		return
 	}
