Refuse response heads that consist of two responses

Cause: http.ReadResponse takes the status line of the answer for the end of a reason phrase or of a field's value, and the result has the status of the copy and the ID of the answer.

Evidence: before, TestCutCopies failed at the first cut that net/http accepts, and TestRepeatedFields, TestRequestWithoutIDUsesNewConnection and TestReplyWithoutIDFromTargetThatReturnsIDs failed.

Why it works: the head is read up to its empty line and checked before net/http parses it. One in which a status line stands anywhere but at its beginning, or a field that decides its meaning stands twice, has an unknown outcome.

Ruled out: requiring the value of the field that marks refusals, which leaves 421, 409 and 200 as they are.

--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -73,8 +73,10 @@
 	bodies      *bodybuf.Budget
 	incoming    *limitedReader
 	in          *bufio.Reader
+	head        []byte // buffer for the head of a response
 	out         *bufio.Writer
 	used        bool          // a response has been read
+	returnsIDs  bool          // a response carried the ID of its request
 	lastID      string        // ID of the last request
 	idleTimeout time.Duration // how long the connection may stay idle before it is not reused
 	idleSince   time.Duration
@@ -102,14 +104,21 @@
 	return c, nil
 }
 
-// limitedReader bounds the bytes that the current part of a response takes.
+// limitedReader bounds the bytes that the current part of a response takes. It returns pending
+// bytes first, which were counted before.
 type limitedReader struct {
-	in   io.Reader
-	left int
+	in      io.Reader
+	left    int
+	pending []byte
 }
 
 // Read implements io.Reader.
 func (l *limitedReader) Read(b []byte) (int, error) {
+	if len(l.pending) > 0 {
+		n := copy(b, l.pending)
+		l.pending = l.pending[n:]
+		return n, nil
+	}
 	if l.left <= 0 {
 		return 0, errResponseTooLarge
 	}
@@ -118,14 +127,6 @@
 	return n, err
 }
 
-// readHead reads the head of the next response.
-func (c *conn) readHead(out *http.Request) (*http.Response, error) {
-	c.incoming.left = maxHeadBytes - c.in.Buffered()
-	resp, err := http.ReadResponse(c.in, out)
-	c.incoming.left = maxFramingBytes
-	return resp, err
-}
-
 // bodyReader reads the body of a response, and allows more bytes on the wire as it proceeds.
 type bodyReader struct {
 	c    *conn
@@ -152,7 +153,7 @@
 // reusable reports whether an idle connection is open, within its idle timeout, and has no
 // unread bytes. Bytes that arrived after the last response belong to no request.
 func (c *conn) reusable() bool {
-	if c.in.Buffered() > 0 || clock.Now()-c.idleSince > c.idleTimeout {
+	if c.hasUnread() || clock.Now()-c.idleSince > c.idleTimeout {
 		return false
 	}
 	wouldBlock := false
@@ -200,7 +201,7 @@
 		return nil, false, fmt.Errorf("%w: reading the body: %w", ErrOutcomeUnknown, err)
 	}
 	c.used = true
-	keep = fullyWritten() && !resp.Close && c.in.Buffered() == 0 && c.net.SetDeadline(time.Time{}) == nil
+	keep = fullyWritten() && !resp.Close && !c.hasUnread() && c.net.SetDeadline(time.Time{}) == nil
 	c.updateIdleTimeout(resp.Header)
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body.Bytes(), Trailer: resp.Trailer, body: body}, keep, nil
 }
@@ -240,7 +241,7 @@
 // other requests are skipped.
 func (c *conn) read(req *Request, out *http.Request) (*http.Response, error) {
 	for range maxReadResponses {
-		resp, err := c.readHead(out)
+		resp, err := c.readHead(req, out)
 		if err != nil {
 			return nil, err
 		}
@@ -259,16 +260,22 @@
 
 // answers reports whether a response belongs to the request. A target that refuses a request
 // before it has read the ID cannot return the ID. Such a refusal counts only on a new
-// connection: on one in use again it may be a late copy for an earlier request.
+// connection: on one in use again it may be a late copy for an earlier request. Where the ID is
+// optional, a response without it counts until the target has returned one.
 func (c *conn) answers(resp *http.Response, req *Request) bool {
 	id := resp.Header.Get(req.Names.RequestID)
 	switch {
-	case req.ID == "" || id == req.ID:
+	case req.ID == "":
+		return true // the connection is new
+	case id == req.ID:
+		c.returnsIDs = true
 		return true
 	case id != "":
 		return false
+	case req.EchoOptional:
+		return !c.returnsIDs
 	default:
-		return req.EchoOptional || resp.StatusCode >= http.StatusBadRequest && !c.used
+		return resp.StatusCode >= http.StatusBadRequest && !c.used
 	}
 }
 
--- /dev/null
+++ b/internal/transport/upstream/head.go
@@ -0,0 +1,93 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"slices"
+)
+
+// errAmbiguousHead reports a head that may consist of parts of two responses.
+var errAmbiguousHead = errors.New("response head is ambiguous")
+
+// statusLine matches the beginning of a response.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-9][0-9]{2}(?:[ \r\n]|$)`)
+
+// readHead reads the head of the next response. A target that breaks off within a response and
+// goes on with the next one produces a head that net/http accepts: the status and the first
+// fields of one response, and the other fields and the body of another. Such a head is refused.
+func (c *conn) readHead(req *Request, out *http.Request) (*http.Response, error) {
+	c.incoming.left = maxHeadBytes - c.in.Buffered() - len(c.incoming.pending)
+	head, err := c.readHeadBytes()
+	if err != nil {
+		return nil, err
+	}
+	if m := statusLine.FindIndex(head[1:]); m != nil {
+		return nil, fmt.Errorf("%w: another response begins in it", errAmbiguousHead)
+	}
+	c.unread(head)
+	resp, err := http.ReadResponse(c.in, out)
+	c.incoming.left = maxFramingBytes
+	if err != nil {
+		return nil, err
+	}
+	return resp, req.Names.checkSingleFields(resp.Header)
+}
+
+// readHeadBytes reads up to the end of the first empty line. The result is valid until the next
+// call.
+func (c *conn) readHeadBytes() ([]byte, error) {
+	c.head = c.head[:0]
+	for {
+		lineStart := len(c.head)
+		for {
+			part, err := c.in.ReadSlice('\n')
+			c.head = append(c.head, part...)
+			if err == nil {
+				break
+			}
+			if !errors.Is(err, bufio.ErrBufferFull) {
+				return nil, unexpectedEOF(err)
+			}
+		}
+		if len(c.head) > maxHeadBytes {
+			return nil, errResponseTooLarge
+		}
+		if len(bytes.TrimRight(c.head[lineStart:], "\r\n")) == 0 {
+			return c.head, nil
+		}
+	}
+}
+
+func unexpectedEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// unread puts bytes back in front of those that were not read yet.
+func (c *conn) unread(b []byte) {
+	buffered, _ := c.in.Peek(c.in.Buffered()) // no more than what is buffered
+	c.incoming.pending = slices.Concat(b, buffered, c.incoming.pending)
+	c.in.Reset(c.incoming)
+}
+
+// hasUnread reports whether bytes were received that no one has read.
+func (c *conn) hasUnread() bool { return c.in.Buffered() > 0 || len(c.incoming.pending) > 0 }
+
+// checkSingleFields returns an error if a field that decides what a response means is repeated.
+func (n *HeaderNames) checkSingleFields(h http.Header) error {
+	for _, name := range []string{
+		n.RequestID, n.NotRun, n.TargetID, n.Stamp, n.Leaving, n.Handover, "Content-Length", "Retry-After",
+	} {
+		if name != "" && len(h.Values(name)) > 1 {
+			return fmt.Errorf("%w: %s is repeated", errAmbiguousHead, name)
+		}
+	}
+	return nil
+}
