Take connections after errors of Accept that pass, bound callers' connections

Cause: the accept loop ended at its first error, and the daemon went on without a listener. Callers' connections could take all descriptors.

Why it works: errors that pass are waited out; others make the daemon unready and end its process, for the listeners of callers, readiness checks, operators and daemons and for datagrams. Callers may use a third of the descriptors for connections that are served; beyond that an idle connection makes room, or the requests are refused as not run.

--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -86,13 +86,14 @@
 	NoConfig             Reason = "no configuration known"
 	NoMemory             Reason = "no memory left for the body"
 	Stopping             Reason = "daemon is stopping"
+	TooManyConnections   Reason = "too many connections"
 )
 
 // Reasons returns all values of Reason.
 func Reasons() []Reason {
 	return []Reason{
 		NoTarget, NoOwner, NoKey, TargetsFull, TargetPaused, DeadlineExceeded, TargetUnreachable, TargetReplaced, RetryBudgetExhausted, KeyNotHeld, ConnectionLost, InvalidResponse,
-		CallerDisconnected, NoConfig, NoMemory, Stopping,
+		CallerDisconnected, NoConfig, NoMemory, Stopping, TooManyConnections,
 	}
 }
 
--- a/internal/edge/docs_test.go
+++ b/internal/edge/docs_test.go
@@ -27,7 +27,7 @@
 		documented[m[1]] = true
 	}
 	logged := make(map[string]bool)
-	for _, dir := range []string{".", "../topo/mirror", "../eventlog", "../native", "../transport/plainnet", "../transport/peernet", "../../platform"} {
+	for _, dir := range []string{".", "../topo/mirror", "../eventlog", "../native", "../transport/listener", "../transport/plainnet", "../transport/peernet", "../../platform"} {
 		err := filepath.WalkDir(dir, func(path string, entry os.DirEntry, err error) error {
 			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -7,12 +7,15 @@
 	"context"
 	"crypto/rand"
 	"log/slog"
+	"math"
 	"net/http"
 	"net/netip"
 	"reflect"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/ownership"
 	"github.com/jackdawloom/jackdawloom/internal/edge/coordinator"
@@ -52,6 +55,9 @@
 	// MemoryLimit is the memory of the instance in bytes, of which parts are used for the
 	// bodies of requests and responses; zero means defaultMemoryLimit.
 	MemoryLimit int64
+	// DescriptorLimit is the number of file descriptors of the process, of which callers'
+	// connections may use a part; zero means the limit of the operating system.
+	DescriptorLimit int
 	// Grants, LeaseTTL and GrantTimeout are passed to coordinator.Config.
 	Grants                 ownership.Config
 	LeaseTTL, GrantTimeout time.Duration
@@ -165,6 +171,22 @@
 	return bodybuf.NewBudget(memoryLimit / bodyMemoryFraction), bodybuf.NewBudget(memoryLimit / bodyMemoryFraction)
 }
 
+// callerConnDivisor is the part of the descriptors that callers' connections may use. A request
+// takes at most one connection to a target besides its caller's; the rest is for the store, other
+// daemons, operators and refusals.
+const callerConnDivisor = 3
+
+// maxCallerConns returns the number of callers' connections that are served, or 0 without a
+// limit.
+func maxCallerConns(descriptorLimit int) int {
+	var system unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &system); err == nil && system.Cur < math.MaxInt32 &&
+		(descriptorLimit == 0 || int(system.Cur) < descriptorLimit) {
+		descriptorLimit = int(system.Cur)
+	}
+	return descriptorLimit / callerConnDivisor
+}
+
 // Extend sets the handler served at Settings.AdminAddress, the function that is called
 // for each request that ended, and background tasks that run until the daemon stops. It
 // must be called before Run.
--- a/internal/edge/front/framing.go
+++ b/internal/edge/front/framing.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/clock"
 )
 
 // framingConn checks the framing of the requests on a connection, to prevent request
@@ -21,10 +23,13 @@
 	net.Conn
 	ambiguous atomic.Bool
 	leave     leaveWatch
+	// beyondLimit is true if the requests are to be refused, see admission.
+	beyondLimit bool
 
 	stateMu sync.Mutex
 	// idle is true between two requests, and lastRequest once no further request is accepted.
 	idle, lastRequest bool
+	idleSince         time.Duration
 	// bytesWaiting is true after net/http has read ahead one byte of a pipelined request.
 	bytesWaiting atomic.Bool
 
@@ -59,17 +64,45 @@
 	c.stateMu.Lock()
 	defer c.stateMu.Unlock()
 	if c.lastRequest = true; c.idle {
-		// Ends a Read that is under way. net/http sets the deadline anew for each request,
-		// after it has called setIdle.
-		_ = c.SetReadDeadline(time.Now())
+		c.endRead()
+	}
+}
+
+// endRead ends a Read that is under way. net/http sets the deadline anew for each request, after
+// it has called setIdle.
+func (c *framingConn) endRead() { _ = c.SetReadDeadline(time.Now()) }
+
+// idleTime returns for how long the connection has been idle, or 0 if it is not.
+func (c *framingConn) idleTime(now time.Duration) time.Duration {
+	c.stateMu.Lock()
+	defer c.stateMu.Unlock()
+	if !c.idle || c.lastRequest {
+		return 0
+	}
+	return now - c.idleSince
+}
+
+// endIfIdle ends the connection and frees its descriptor if it is idle, and reports whether it
+// was.
+func (c *framingConn) endIfIdle() bool {
+	c.stateMu.Lock()
+	defer c.stateMu.Unlock()
+	if !c.idle || c.lastRequest {
+		return false
+	}
+	c.lastRequest = true
+	if l, ok := c.Conn.(*lingeringConn); ok {
+		l.closeAtOnce.Store(true)
 	}
+	c.endRead()
+	return true
 }
 
 // setIdle records whether the connection is between two requests.
 func (c *framingConn) setIdle(idle bool) {
 	c.stateMu.Lock()
 	defer c.stateMu.Unlock()
-	c.idle = idle
+	c.idle, c.idleSince = idle, clock.Now()
 }
 
 // ended reports whether no further request is to be read.
--- a/internal/edge/front/framing_test.go
+++ b/internal/edge/front/framing_test.go
@@ -22,7 +22,7 @@
 		t.Fatal(err)
 	}
 	log := slog.New(slog.DiscardHandler)
-	s := NewServer(h, view.NewTracker(nil, log, func() mirror.Status { return mirror.Status{} }), log)
+	s := NewServer(h, view.NewTracker(nil, log, func() mirror.Status { return mirror.Status{} }), 0, log)
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
--- a/internal/edge/front/handler.go
+++ b/internal/edge/front/handler.go
@@ -94,6 +94,11 @@
 	if id != "" {
 		w.Header().Set(h.Names.RequestID, id)
 	}
+	if isBeyondLimit(r.Context()) {
+		w.Header().Set("Connection", "close")
+		h.refuse(w, r, nil, arrived, &dispatch.Refusal{Reason: dispatch.TooManyConnections, RetryAfter: defaultRetryAfter})
+		return
+	}
 	v := h.Views.Current()
 	if v.Config == nil {
 		h.refuse(w, r, nil, arrived, &dispatch.Refusal{Reason: dispatch.NoConfig, RetryAfter: defaultRetryAfter})
@@ -142,7 +147,7 @@
 	w.Header().Set(h.Names.Reason, reason)
 }
 
-// defaultRetryAfter is the Retry-After of refusals while no configuration is known.
+// defaultRetryAfter is the Retry-After of refusals that no route is known for.
 const defaultRetryAfter = 300 * time.Millisecond
 
 func (h *Handler) forward(w http.ResponseWriter, r *http.Request, c *route.Config, match route.Match, arrived time.Duration) {
--- a/internal/edge/front/linger.go
+++ b/internal/edge/front/linger.go
@@ -25,7 +25,11 @@
 type lingeringConn struct {
 	*net.TCPConn
 	lingering *sync.WaitGroup // counts the connections that are still read
+	ended     func()          // called when the connection has no descriptor any more
 	closed    atomic.Bool
+	// closeAtOnce makes Close free the descriptor. It is for connections whose last response was
+	// sent a while ago.
+	closeAtOnce atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -45,12 +49,15 @@
 	if !c.closed.CompareAndSwap(false, true) {
 		return net.ErrClosed
 	}
+	if c.closeAtOnce.Load() {
+		return c.end()
+	}
 	if err := c.CloseWrite(); err != nil {
-		return errors.Join(err, c.TCPConn.Close())
+		return errors.Join(err, c.end())
 	}
 	// The deadline ends a Read that is under way.
 	if err := c.TCPConn.SetReadDeadline(time.Now()); err != nil {
-		return errors.Join(err, c.TCPConn.Close())
+		return errors.Join(err, c.end())
 	}
 	c.lingering.Go(c.linger)
 	return nil
@@ -78,5 +85,10 @@
 		// An error means that the peer is gone or does not end; either way it is over.
 		_, _ = io.Copy(io.Discard, io.LimitReader(c.TCPConn, maxLingerBytes))
 	}
-	_ = c.TCPConn.Close()
+	_ = c.end()
+}
+
+func (c *lingeringConn) end() error {
+	defer c.ended()
+	return c.TCPConn.Close()
 }
--- a/internal/edge/front/server.go
+++ b/internal/edge/front/server.go
@@ -34,6 +34,7 @@
 	views   *view.Tracker
 	log     *slog.Logger
 
+	admission admission
 	lingering sync.WaitGroup
 	served    chan struct{} // closed when Serve has returned
 
@@ -53,12 +54,13 @@
 	open map[*framingConn]struct{} // open connections
 }
 
-// NewServer returns a server that does not accept connections yet.
-func NewServer(h http.Handler, views *view.Tracker, log *slog.Logger) *Server {
-	return &Server{handler: h, views: views, log: log, served: make(chan struct{})}
+// NewServer returns a server that does not accept connections yet. It serves at most maxConns
+// connections at a time; 0 means no limit.
+func NewServer(h http.Handler, views *view.Tracker, maxConns int, log *slog.Logger) *Server {
+	return &Server{handler: h, views: views, admission: newAdmission(maxConns), log: log, served: make(chan struct{})}
 }
 
-// Serve accepts connections until the listener is closed. It must be called once.
+// Serve accepts connections until the listener is closed or fails. It must be called once.
 func (s *Server) Serve(l net.Listener) error {
 	defer close(s.served)
 	for {
@@ -66,10 +68,15 @@
 		if err != nil {
 			return err
 		}
+		verdict := s.admission.admit(s.endIdleConn)
+		if verdict == dropConn {
+			s.drop(c)
+			continue
+		}
 		if tcp, ok := c.(*net.TCPConn); ok {
-			c = &lingeringConn{TCPConn: tcp, lingering: &s.lingering}
+			c = &lingeringConn{TCPConn: tcp, lingering: &s.lingering, ended: s.admission.release}
 		}
-		s.generation(l.Addr()).conns.queue <- &framingConn{Conn: c}
+		s.generation(l.Addr()).conns.queue <- &framingConn{Conn: c, beyondLimit: verdict == refuseConn}
 	}
 }
 
--- a/internal/edge/front/stop_test.go
+++ b/internal/edge/front/stop_test.go
@@ -50,7 +50,7 @@
 		t.Fatal(err)
 	}
 	log := slog.New(slog.DiscardHandler)
-	s := NewServer(h, view.NewTracker(nil, log, func() mirror.Status { return mirror.Status{} }), log)
+	s := NewServer(h, view.NewTracker(nil, log, func() mirror.Status { return mirror.Status{} }), 0, log)
 	return s, &recordingListener{Listener: l, accepted: make(map[string]bool)}
 }
 
--- a/internal/edge/peers/call.go
+++ b/internal/edge/peers/call.go
@@ -16,9 +16,9 @@
 type Network interface {
 	// Listen opens the daemon's address.
 	Listen(ctx context.Context) error
-	// Serve passes calls and hints to the handlers until ctx ends. The bytes of a hint are
-	// valid only until the function returns.
-	Serve(ctx context.Context, calls http.Handler, hints func([]byte))
+	// Serve passes calls and hints to the handlers until ctx ends. It returns an error if it
+	// ends before. The bytes of a hint are valid only until the function returns.
+	Serve(ctx context.Context, calls http.Handler, hints func([]byte)) error
 	// RoundTrip sends a call to a daemon once. It sets the scheme and host of the URL. The
 	// error wraps once.ErrNotSent if no byte of the call left this daemon.
 	RoundTrip(address netip.AddrPort, req *http.Request) (*http.Response, error)
--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -140,7 +140,11 @@
 				}
 			},
 		})
-		wg.Go(func() { network.Serve(ctx, http.NotFoundHandler(), exchanges[i].Receive) })
+		wg.Go(func() {
+			if err := network.Serve(ctx, http.NotFoundHandler(), exchanges[i].Receive); err != nil {
+				t.Error(err)
+			}
+		})
 		wg.Go(func() { exchanges[i].Run(ctx) })
 		for range 5 {
 			exchanges[i].RecordServiceTime(7, 40*time.Millisecond)
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -15,6 +14,7 @@
 	"github.com/jackdawloom/jackdawloom/internal/edge/front"
 	"github.com/jackdawloom/jackdawloom/internal/edge/metrics"
 	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
+	"github.com/jackdawloom/jackdawloom/internal/transport/listener"
 )
 
 // Durations of the shutdown, which are part of the grace period, and of the cleanup.
@@ -37,7 +37,8 @@
 const maxAuxHeaderBytes = 16 << 10
 
 // Run serves until ctx ends, and then until all requests have ended or the grace period
-// is over.
+// is over. It stops in the same way, and returns an error, if it cannot accept connections any
+// more.
 func (d *Daemon) Run(ctx context.Context) error {
 	callers, err := d.listen(ctx, d.options.Settings.CallerAddress)
 	if err != nil {
@@ -71,28 +72,48 @@
 	peerHandler := peers.NewHandler(
 		&peers.FeedHandler{Mirror: d.mirror, Log: d.log}, &peers.RelayHandler{Store: d.options.Store, Log: d.log},
 		&peers.HandoverHandler{Accept: d.coord.ReceiveHandover, Log: d.log})
-	wg.Go(func() { d.options.Network.Serve(tasksCtx, peerHandler, d.statsExchange.Receive) })
+	failed := make(chan error, 1)
+	fail := func(err error) {
+		select {
+		case failed <- err:
+		default: // the daemon stops already
+		}
+	}
+	wg.Go(func() {
+		if err := d.options.Network.Serve(tasksCtx, peerHandler, d.statsExchange.Receive); err != nil {
+			fail(err)
+		}
+	})
 	for _, task := range d.tasks {
 		wg.Go(func() { task(tasksCtx) })
 	}
 	wg.Go(func() { d.serveMetrics(tasksCtx) })
-	front := front.NewServer(d.handler, d.views, d.log)
+	front := front.NewServer(d.handler, d.views, maxCallerConns(d.options.Settings.DescriptorLimit), d.log)
 	wg.Go(func() {
 		if err := front.Serve(callers); !errors.Is(err, net.ErrClosed) {
-			d.log.Error("listener failed", "address", callers.Addr().String(), "error", err)
+			fail(fmt.Errorf("serve callers at %s: %w", callers.Addr(), err))
 		}
 	})
-	wg.Go(func() { readiness.serve(d.log) })
-	wg.Go(func() { admin.serve(d.log) })
+	for _, s := range []*auxServer{readiness, admin} {
+		wg.Go(func() {
+			if err := s.serve(); err != nil {
+				fail(err)
+			}
+		})
+	}
 
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+		d.log.Error("listener failed; stopping", "error", err)
+	}
 	d.stop(front, callers, leaveFleet)
 	_ = readiness.close()
 	_ = admin.close()
 	stopTasks()
 	wg.Wait()
 	d.log.Info("daemon stopped", "name", d.self.Name, "run", d.self.RunID)
-	return nil
+	return err
 }
 
 func (d *Daemon) listen(ctx context.Context, address string) (net.Listener, error) {
@@ -101,7 +122,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen at %s: %w", address, err)
 	}
-	return l, nil
+	return listener.New(l, d.log), nil
 }
 
 // auxServer is an HTTP server for readiness checks, operators or metrics. Without an
@@ -123,13 +144,15 @@
 	return &auxServer{l, &http.Server{Handler: h, ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxAuxHeaderBytes}}, nil
 }
 
-func (s *auxServer) serve(log *slog.Logger) {
+// serve returns nil once the server is closed, and otherwise the error that ended it.
+func (s *auxServer) serve() error {
 	if s.listener == nil {
-		return
+		return nil
 	}
-	if err := s.server.Serve(s.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		log.Error("listener failed", "address", s.listener.Addr().String(), "error", err)
+	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve at %s: %w", s.listener.Addr(), err)
 	}
+	return nil
 }
 
 func (s *auxServer) close() error {
@@ -149,7 +172,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = s.close() })
 	defer stop()
-	s.serve(d.log)
+	if err := s.serve(); err != nil {
+		d.log.Error("listener failed for metrics requests; running without them", "error", err)
+	}
 }
 
 // serveReadiness answers 503 while the daemon cannot serve callers.
--- a/internal/explain/advice.go
+++ b/internal/explain/advice.go
@@ -30,6 +30,10 @@
 		"the daemon was being stopped and could not have waited for the response",
 		"the caller has to use another daemon; many of these mean that callers open connections to a daemon that is not ready",
 	},
+	dispatch.TooManyConnections: {
+		"callers had more connections open to the daemon than it has descriptors for, and none of them was idle",
+		"compare the callers of the daemons; after the loss of most of them the others are full until they are back",
+	},
 	dispatch.NoMemory: {
 		"the bodies of other requests took all the memory that the daemon has for them",
 		"compare the sizes of bodies with limits.memory-mb; callers that send slowly hold what has arrived of their bodies",
--- a/internal/transport/peernet/peernet.go
+++ b/internal/transport/peernet/peernet.go
@@ -95,8 +95,9 @@
 	}
 }
 
-// Serve passes calls and hints to the handlers until ctx ends. Listen must have succeeded.
-func (n *Net) Serve(ctx context.Context, calls http.Handler, hints func([]byte)) {
+// Serve passes calls and hints to the handlers until ctx ends, and returns an error if it ends
+// before. Listen must have succeeded.
+func (n *Net) Serve(ctx context.Context, calls http.Handler, hints func([]byte)) error {
 	n.mu.Lock()
 	listener := n.listener
 	n.mu.Unlock()
@@ -106,11 +107,12 @@
 	server := &http3.Server{Handler: mux, MaxHeaderBytes: maxHeaderBytes}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
+	defer n.close()
 	err := server.ServeListener(listener)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, quic.ErrServerClosed) {
-		n.log.Error("listener failed", "address", n.address, "error", err)
+		return fmt.Errorf("serve daemons at %s: %w", n.address, err)
 	}
-	n.close()
+	return nil
 }
 
 func hintHandler(hints func([]byte)) http.Handler {
--- a/internal/transport/peernet/peernet_test.go
+++ b/internal/transport/peernet/peernet_test.go
@@ -34,7 +34,9 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		n.Serve(ctx, handler, hints)
+		if err := n.Serve(ctx, handler, hints); err != nil {
+			t.Error(err)
+		}
 	}()
 	stop := func() { cancel(); <-done }
 	t.Cleanup(stop)
--- a/internal/transport/plainnet/plainnet.go
+++ b/internal/transport/plainnet/plainnet.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/transport/dialer"
+	"github.com/jackdawloom/jackdawloom/internal/transport/listener"
 	"github.com/jackdawloom/jackdawloom/internal/transport/once"
 )
 
@@ -69,17 +70,17 @@
 
 func (n *Net) listen(ctx context.Context) error {
 	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp4", n.address)
+	tcp, err := config.Listen(ctx, "tcp4", n.address)
 	if err != nil {
 		return fmt.Errorf("listen for daemons: %w", err)
 	}
-	packetConn, err := config.ListenPacket(ctx, "udp4", listener.Addr().String())
+	packetConn, err := config.ListenPacket(ctx, "udp4", tcp.Addr().String())
 	if err != nil {
-		return errors.Join(fmt.Errorf("listen for daemons: %w", err), listener.Close())
+		return errors.Join(fmt.Errorf("listen for daemons: %w", err), tcp.Close())
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.listener, n.packetConn = listener, packetConn
+	n.listener, n.packetConn = listener.New(tcp, n.log), packetConn
 	return nil
 }
 
@@ -90,40 +91,63 @@
 	return n.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// Serve passes calls and hints to the handlers until ctx ends. Listen must have succeeded.
-func (n *Net) Serve(ctx context.Context, calls http.Handler, hints func([]byte)) {
+// Serve passes calls and hints to the handlers until ctx ends, and returns an error if it ends
+// before. Listen must have succeeded.
+func (n *Net) Serve(ctx context.Context, calls http.Handler, hints func([]byte)) error {
 	n.mu.Lock()
 	listener, packets := n.listener, n.packetConn
 	n.mu.Unlock()
 	server := &http.Server{Handler: calls, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	stop := context.AfterFunc(ctx, func() {
+	closeAll := func() {
 		_ = server.Close()
 		_ = packets.Close()
-	})
+	}
+	stop := context.AfterFunc(ctx, closeAll)
 	defer stop()
 	var wg sync.WaitGroup
+	var serveErr, receiveErr error
 	wg.Go(func() {
-		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			n.log.Error("listener failed", "address", listener.Addr().String(), "error", err)
-		}
+		defer closeAll()
+		serveErr = server.Serve(listener)
+	})
+	wg.Go(func() {
+		defer closeAll()
+		receiveErr = n.receive(packets, hints)
 	})
-	wg.Go(func() { n.receive(packets, hints) })
 	wg.Wait()
 	n.client.CloseIdleConnections()
+	if err := errors.Join(serveErr, receiveErr); ctx.Err() == nil {
+		return fmt.Errorf("serve daemons at %s: %w", listener.Addr(), err)
+	}
+	return nil
 }
 
-func (n *Net) receive(packets net.PacketConn, hints func([]byte)) {
+const (
+	// receiveRetryDelay is the delay after a failed attempt to receive a datagram.
+	receiveRetryDelay = 20 * time.Millisecond
+	// maxReceiveFailures is the number of consecutive failures after which the socket counts as
+	// broken.
+	maxReceiveFailures = 500
+)
+
+// receive passes on datagrams until the socket is closed or fails for long.
+func (n *Net) receive(packets net.PacketConn, hints func([]byte)) error {
 	buf := make([]byte, MaxHintBytes)
+	failures := 0
 	for {
 		size, _, err := packets.ReadFrom(buf)
-		if errors.Is(err, net.ErrClosed) {
-			return
+		if err == nil {
+			failures = 0
+			hints(buf[:size])
+			continue
+		}
+		if failures++; errors.Is(err, net.ErrClosed) || failures >= maxReceiveFailures {
+			return err
 		}
-		if err != nil {
+		if failures == 1 {
 			n.log.Warn("receiving a datagram from another daemon failed; waiting for the next", "error", err)
-			continue
 		}
-		hints(buf[:size])
+		time.Sleep(receiveRetryDelay)
 	}
 }
 
--- a/internal/transport/plainnet/plainnet_test.go
+++ b/internal/transport/plainnet/plainnet_test.go
@@ -29,9 +29,12 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		n.Serve(ctx, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		err := n.Serve(ctx, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(w, r.Body)
 		}), func(b []byte) { hints <- string(b) })
+		if err != nil {
+			t.Error(err)
+		}
 	}()
 	client := New("", slog.New(slog.DiscardHandler))
 	call := func(to netip.AddrPort) (*http.Response, error) {
@@ -82,7 +85,9 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		n.Serve(ctx, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), func([]byte) {})
+		if err := n.Serve(ctx, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), func([]byte) {}); err != nil {
+			t.Error(err)
+		}
 	}()
 	defer func() { cancel(); <-done }()
 	link, err := partition.New(n.Addr().String())
