Forward request targets byte for byte

Cause: url.URL.RequestURI, which net/http's writer uses, puts the scheme and a colon before an opaque part that begins with two slashes.

Why it works: the request line is written as it came, or the request is not sent at all. Routes are matched with the bytes that go on, and the absolute form goes on as path and query.

--- a/internal/edge/front/handler.go
+++ b/internal/edge/front/handler.go
@@ -104,8 +104,9 @@
 		h.refuse(w, r, nil, arrived, &dispatch.Refusal{Reason: dispatch.NoConfig, RetryAfter: defaultRetryAfter})
 		return
 	}
+	path, _, _ := strings.Cut(originForm(r.RequestURI), "?")
 	match, err := v.Config.Match(route.Query{
-		Method: r.Method, Host: r.Host, Path: r.URL.EscapedPath(), RawQuery: r.URL.RawQuery, Header: r.Header,
+		Method: r.Method, Host: r.Host, Path: path, RawQuery: r.URL.RawQuery, Header: r.Header,
 	})
 	if err != nil {
 		h.refuseUnrouted(w, r, v.Config, err, arrived)
@@ -114,6 +115,27 @@
 	h.forward(w, r, v.Config, match, arrived)
 }
 
+// originForm returns a request target without the scheme and host of its absolute form, which
+// net/http has moved to Request.Host. Otherwise the target is as the caller sent it.
+func originForm(target string) string {
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	_, rest, isAbsolute := strings.Cut(target, "://")
+	if !isAbsolute {
+		return target
+	}
+	begin := strings.IndexAny(rest, "/?")
+	switch {
+	case begin < 0:
+		return "/"
+	case rest[begin] == '?':
+		return "/" + rest[begin:]
+	default:
+		return rest[begin:]
+	}
+}
+
 // refuseUnrouted refuses a request that no route matches.
 func (h *Handler) refuseUnrouted(w http.ResponseWriter, r *http.Request, c *route.Config, err error, arrived time.Duration) {
 	status := http.StatusNotFound
@@ -188,7 +210,7 @@
 	header := r.Header.Clone()
 	removeHopHeaders(header)
 	req := &dispatch.Request{
-		ID: r.Header.Get(h.Names.RequestID), Method: r.Method, URI: r.RequestURI, Host: r.Host,
+		ID: r.Header.Get(h.Names.RequestID), Method: r.Method, URI: originForm(r.RequestURI), Host: r.Host,
 		Header: header, Body: body, Route: rt, Service: rt.PickService(rand.Float64()),
 		Arrived: arrived, Deadline: deadline,
 	}
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -2,8 +2,7 @@
 //
 // Every request is written at most once, and the caller learns whether any byte of it may
 // have reached the target. http.Transport does not report that, and it cannot read on after
-// a response that belongs to another request. Its parser and writer, http.ReadResponse and
-// Request.Write, are used without it.
+// a response that belongs to another request. Its parser, http.ReadResponse, is used without it.
 package upstream
 
 import (
@@ -181,14 +180,13 @@
 	if req.NotAfter > 0 && clock.Now() >= req.NotAfter {
 		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, errTooLate)
 	}
-	out := req.httpRequest()
-	fullyWritten, err := c.write(req, out)
+	fullyWritten, err := c.write(req)
 	if err != nil {
 		return nil, false, c.writeError(err)
 	}
 	// The body is not closed, because that would read on after an error. The connection is
 	// closed instead.
-	resp, err := c.read(req, out) //nolint:bodyclose // see above
+	resp, err := c.read(req) //nolint:bodyclose // see above
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
@@ -217,16 +215,16 @@
 // write sends the request. A body that exceeds the write buffer is sent by a goroutine, since
 // the target may respond before it has read the body. The returned function reports whether
 // the whole request was sent.
-func (c *conn) write(req *Request, out *http.Request) (func() bool, error) {
+func (c *conn) write(req *Request) (func() bool, error) {
 	if len(req.Body) <= writeBufferSize {
-		if err := errors.Join(out.Write(c.out), c.out.Flush()); err != nil {
+		if err := errors.Join(req.write(c.out), c.out.Flush()); err != nil {
 			return nil, err
 		}
 		return func() bool { return true }, nil
 	}
 	c.written = true
 	done := make(chan error, 1)
-	go func() { done <- errors.Join(out.Write(c.out), c.out.Flush()) }()
+	go func() { done <- errors.Join(req.write(c.out), c.out.Flush()) }()
 	return func() bool {
 		select {
 		case err := <-done:
@@ -239,9 +237,9 @@
 
 // read returns the response that carries the request's ID. Interim responses and responses to
 // other requests are skipped.
-func (c *conn) read(req *Request, out *http.Request) (*http.Response, error) {
+func (c *conn) read(req *Request) (*http.Response, error) {
 	for range maxReadResponses {
-		resp, err := c.readHead(req, out)
+		resp, err := c.readHead(req)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/transport/upstream/head.go
+++ b/internal/transport/upstream/head.go
@@ -20,7 +20,7 @@
 // readHead reads the head of the next response. A target that breaks off within a response and
 // goes on with the next one produces a head that net/http accepts: the status and the first
 // fields of one response, and the other fields and the body of another. Such a head is refused.
-func (c *conn) readHead(req *Request, out *http.Request) (*http.Response, error) {
+func (c *conn) readHead(req *Request) (*http.Response, error) {
 	c.incoming.left = maxHeadBytes - c.in.Buffered() - len(c.incoming.pending)
 	head, err := c.readHeadBytes()
 	if err != nil {
@@ -30,7 +30,7 @@
 		return nil, fmt.Errorf("%w: another response begins in it", errAmbiguousHead)
 	}
 	c.unread(head)
-	resp, err := http.ReadResponse(c.in, out)
+	resp, err := http.ReadResponse(c.in, &http.Request{Method: req.Method})
 	c.incoming.left = maxFramingBytes
 	if err != nil {
 		return nil, err
--- a/internal/transport/upstream/request.go
+++ b/internal/transport/upstream/request.go
@@ -1,10 +1,7 @@
 package upstream
 
 import (
-	"bytes"
-	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -56,7 +53,7 @@
 	// taken for those to other requests.
 	EchoOptional bool
 	Method       string
-	// URI is the path and the query as sent by the caller.
+	// URI is the path and the query as sent by the caller, which go on byte for byte.
 	URI    string
 	Host   string
 	Header http.Header
@@ -70,31 +67,6 @@
 	NotAfter time.Duration
 }
 
-// httpRequest returns the request in the form that net/http writes.
-func (r *Request) httpRequest() *http.Request {
-	h := r.Header.Clone()
-	if h == nil {
-		h = make(http.Header)
-	}
-	if _, ok := h["User-Agent"]; !ok {
-		h["User-Agent"] = []string{""} // prevents net/http from adding its own
-	}
-	if r.Target != "" {
-		h.Set(r.Names.ExpectTarget, r.Target)
-	}
-	if r.TimeLeft > 0 {
-		h.Set(r.Names.TimeLeft, strconv.FormatInt(max(r.TimeLeft.Milliseconds(), 1), 10))
-	}
-	out := &http.Request{
-		Method: r.Method, URL: &url.URL{Opaque: r.URI}, Host: r.Host, Header: h,
-		ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(r.Body)),
-	}
-	if len(r.Body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(r.Body))
-	}
-	return out
-}
-
 // Response is the complete response of a target. Its body counts against the memory budget
 // of the pool until Release is called.
 type Response struct {
