Check the framing of requests behind a chunked body

Cause: the check of the framing paused from the begin of a chunked body until the connection was idle.

Why it works: the scanner follows chunk sizes, chunks and trailers and counts the requests. From the first one on whose framing is ambiguous all are refused and the connection is closed; its body cannot be read to its end. Requests in front of it are served; before, they were refused when they came in the same write.

--- a/internal/edge/front/framing.go
+++ b/internal/edge/front/framing.go
@@ -1,12 +1,9 @@
 package front
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,14 +12,14 @@
 )
 
 // framingConn checks the framing of the requests on a connection, to prevent request
-// smuggling. net/http accepts a head that has both a Content-Length and a
-// Transfer-Encoding, or lines that end in a bare line feed, but another server may
-// parse the same bytes differently. A request that follows such a head must not be
-// served.
+// smuggling: what another server may delimit differently must not be served, nor what follows
+// it.
 type framingConn struct {
 	net.Conn
-	ambiguous atomic.Bool
-	leave     leaveWatch
+	// ambiguousFrom is the number of the first request with ambiguous framing; 0 if there is none.
+	ambiguousFrom atomic.Int64
+	begun         int64 // number of requests passed to the handler
+	leave         leaveWatch
 	// beyondLimit is true if the requests are to be refused, see admission.
 	beyondLimit bool
 
@@ -33,17 +30,9 @@
 	// bytesWaiting is true after net/http has read ahead one byte of a pipelined request.
 	bytesWaiting atomic.Bool
 
-	line             []byte
-	bodyLeft         int64 // remaining bytes of the current body
-	inChunkedBody    bool  // in a chunked body, whose end is not parsed
-	contentLength    int64
-	hasContentLength bool
-	chunked          bool
+	scanner framingScanner // used by Read only
 }
 
-// maxLineBytes limits the buffered part of one header line.
-const maxLineBytes = 256
-
 // framingConnKey is the context key of a request's connection.
 type framingConnKey struct{}
 
@@ -51,10 +40,17 @@
 	return context.WithValue(ctx, framingConnKey{}, c)
 }
 
-// isAmbiguous reports whether a request arrived on a connection with ambiguous framing.
-func isAmbiguous(ctx context.Context) bool {
-	c, ok := ctx.Value(framingConnKey{}).(*framingConn)
-	return ok && c.ambiguous.Load()
+// begin returns the number of a request that is passed to the handler, from 1.
+func (c *framingConn) begin() int64 {
+	c.begun++
+	return c.begun
+}
+
+// isAmbiguous reports whether a request, or one before it, has ambiguous framing as far as it has
+// been read.
+func (c *framingConn) isAmbiguous(request int64) bool {
+	from := c.ambiguousFrom.Load()
+	return from > 0 && request >= from
 }
 
 // refuseNextRequest ends the connection if it is idle, and otherwise after the current request.
@@ -118,7 +114,9 @@
 		return 0, io.EOF
 	}
 	n, err := c.Conn.Read(b)
-	c.scan(b[:n])
+	if c.ambiguousFrom.Load() == 0 && !c.scanner.scan(b[:n]) {
+		c.ambiguousFrom.Store(c.scanner.ended + 1)
+	}
 	// net/http reads ahead one byte during a request, and larger blocks otherwise.
 	readAhead := len(b) == 1 && n == 1
 	c.bytesWaiting.Store(readAhead)
@@ -127,73 +125,3 @@
 	}
 	return n, err
 }
-
-// scan parses bytes read from the connection until they are found to be ambiguous.
-func (c *framingConn) scan(b []byte) {
-	for len(b) > 0 && !c.inChunkedBody && !c.ambiguous.Load() {
-		if c.bodyLeft > 0 {
-			n := min(c.bodyLeft, int64(len(b)))
-			c.bodyLeft -= n
-			b = b[n:]
-			continue
-		}
-		end := bytes.IndexByte(b, '\n')
-		if end < 0 {
-			c.appendLine(b)
-			return
-		}
-		c.appendLine(b[:end])
-		b = b[end+1:]
-		c.endLine()
-	}
-}
-
-func (c *framingConn) appendLine(b []byte) {
-	if room := maxLineBytes - len(c.line); len(b) > room {
-		// The last byte is needed to distinguish a bare line feed from CRLF.
-		c.line = append(c.line, b[:max(room-1, 0)]...)
-		b = b[len(b)-1:]
-		c.line = c.line[:min(len(c.line), maxLineBytes-1)]
-	}
-	c.line = append(c.line, b...)
-}
-
-// endLine parses a complete line of a request head.
-func (c *framingConn) endLine() {
-	line, hasCR := bytes.CutSuffix(c.line, []byte("\r"))
-	text := string(line)
-	c.line = c.line[:0]
-	if !hasCR {
-		c.ambiguous.Store(true)
-		return
-	}
-	if text == "" {
-		c.endHead()
-		return
-	}
-	name, value, found := strings.Cut(text, ":")
-	if !found {
-		return
-	}
-	switch strings.ToLower(name) {
-	case "content-length":
-		n, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
-		if c.hasContentLength || err != nil {
-			c.ambiguous.Store(true)
-		}
-		c.contentLength, c.hasContentLength = n, true
-	case "transfer-encoding":
-		c.chunked = true
-	}
-}
-
-func (c *framingConn) endHead() {
-	if c.hasContentLength && c.chunked {
-		c.ambiguous.Store(true)
-	}
-	c.bodyLeft, c.inChunkedBody = c.contentLength, c.chunked
-	c.contentLength, c.hasContentLength, c.chunked = 0, false, false
-}
-
-// resetAtIdle resumes parsing after a request with a chunked body.
-func (c *framingConn) resetAtIdle() { c.inChunkedBody = false }
--- a/internal/edge/front/server.go
+++ b/internal/edge/front/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -105,7 +106,7 @@
 		served: make(chan struct{}),
 		open:   make(map[*framingConn]struct{}),
 		server: &http.Server{
-			Handler: rejectAmbiguous(cancelOnLeave(h)), Protocols: &protocols, MaxHeaderBytes: l.HeaderBytes,
+			Handler: rejectAmbiguous(cancelOnLeave(h)), DisableGeneralOptionsHandler: true, Protocols: &protocols, MaxHeaderBytes: l.HeaderBytes,
 			ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout + idleTimeoutMargin,
 			ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelInfo), ConnContext: withFramingConn,
 		},
@@ -128,8 +129,6 @@
 	}
 	conn.setIdle(state == http.StateIdle)
 	switch state {
-	case http.StateIdle:
-		conn.resetAtIdle()
 	case http.StateNew:
 		g.mu.Lock()
 		g.open[conn] = struct{}{}
@@ -153,18 +152,45 @@
 }
 
 // rejectAmbiguous answers requests with ambiguous framing with 400 and closes their
-// connections.
+// connections. A body with ambiguous framing cannot be read.
 func rejectAmbiguous(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if isAmbiguous(r.Context()) {
+		conn, ok := r.Context().Value(framingConnKey{}).(*framingConn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		request := conn.begin()
+		if conn.isAmbiguous(request) {
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if r.Body != http.NoBody {
+			r.Body = checkedBody{r.Body, conn, request}
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+var errAmbiguousFraming = errors.New("framing of the body is ambiguous")
+
+// checkedBody is the body of a request that fails once its framing is ambiguous.
+type checkedBody struct {
+	io.ReadCloser
+	conn    *framingConn
+	request int64
+}
+
+// Read implements io.Reader.
+func (b checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.conn.isAmbiguous(b.request) {
+		return 0, errAmbiguousFraming
+	}
+	return n, err
+}
+
 // Shutdown closes idle connections and waits until all requests have ended or ctx is
 // done. The listener must be closed. Connections that were accepted before are served.
 func (s *Server) Shutdown(ctx context.Context) error {
