Make room in a full pool for requests that no idle connection can carry

Their connections were kept as idle ones that no further such request could use, until the pool was full: TestRouteToServicesWithAndWithoutKeys failed at its 90th request. The same could happen to a request that all idle connections had carried before. The oldest idle connection is closed now; TestRequestWithoutIDUsesNewConnection sends five times as many requests as the pool has room for.

--- a/internal/transport/upstream/head_test.go
+++ b/internal/transport/upstream/head_test.go
@@ -141,16 +141,18 @@
 	}
 }
 
-// Guards against taking any response for that to a request without an ID.
+// Guards against taking any response for that to a request without an ID, and against idle
+// connections that keep such requests out of a full pool.
 func TestRequestWithoutIDUsesNewConnection(t *testing.T) {
 	p := serveTarget(t, echo)
-	for range 2 {
+	const requests = 20 // several times the limit of the pool
+	for i := range requests {
 		if _, err := send(t, p, "", 5*time.Second); err != nil {
-			t.Fatal(err)
+			t.Fatalf("request %d: %v", i+1, err)
 		}
 	}
-	if _, dialed := p.Counts(); dialed != 2 {
-		t.Errorf("%d connections for two requests without an ID, want 2", dialed)
+	if open, dialed := p.Counts(); dialed != requests || open > 4 {
+		t.Errorf("%d connections for %d requests without an ID, %d open", dialed, requests, open)
 	}
 }
 
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -68,7 +68,7 @@
 		}
 		p.discard(c)
 	}
-	if !p.reserve() {
+	if !p.reserve() && (!p.closeOldestIdle() || !p.reserve()) {
 		return nil, ErrPoolExhausted
 	}
 	c, err := dial(ctx, p.address, p.bodies)
@@ -98,6 +98,21 @@
 	return nil
 }
 
+// closeOldestIdle makes room for a connection if there are only idle ones that cannot carry the
+// request.
+func (p *Pool) closeOldestIdle() bool {
+	p.mu.Lock()
+	if len(p.idle) == 0 {
+		p.mu.Unlock()
+		return false
+	}
+	c := p.idle[0]
+	p.idle = slices.Delete(p.idle, 0, 1)
+	p.mu.Unlock()
+	p.discard(c)
+	return true
+}
+
 func (p *Pool) reserve() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
