Read the range table from the coordinator when owners do not hold their keys

What callers saw: requests for moved keys were refused as not run for up to 4.6 s while the store answered from an earlier state (TestStoreFaults, once in 8 runs beside load).

Cause: the coordinator's write of a table took effect just as the store began to answer from an earlier state, so that the other daemons could not read it, and went on asking the former owner.

Tried: the fault itself was not played again; it depends on 15 ms of the store's timing.

--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -38,6 +38,9 @@
 	ownerChangeShare = 0.5
 	// maxOwnerSends limits the sends of a request to owners that do not hold its key.
 	maxOwnerSends = 5
+	// staleTableSends is the number of sends after which an owner that does not hold the key
+	// may mean that the table is out of date. In a planned move a newer table follows the first.
+	staleTableSends = 2
 	// minTimeLeft is the shortest remaining time with which a request is still sent.
 	minTimeLeft = 15 * time.Millisecond
 	// responseGrace is how long after the caller's deadline the daemon still waits for
@@ -137,6 +140,9 @@
 	ObserveSend func(service, outcome string, took time.Duration)
 	// ObserveKey is called for each request with a key to a keyed service.
 	ObserveKey func(service string, key uint16)
+	// RefreshTable is called when owners of keys repeatedly do not hold them, with the revision
+	// of the service's range table. It must not block; nil does nothing.
+	RefreshTable func(service string, revision int64)
 	// ObserveServiceTime is called with each measured service time.
 	ObserveServiceTime func(target peers.TargetHash, took time.Duration)
 }
@@ -364,6 +370,9 @@
 	} else {
 		resp.Release()
 	}
+	if outcome.reason == KeyNotHeld && t.sends >= staleTableSends && d.config.RefreshTable != nil {
+		d.config.RefreshTable(req.Service, t.inputs.TableRev)
+	}
 	if outcome.reason == CallerDisconnected || t.sends >= maxSends || !d.allowsAnotherSend(t, ep, outcome) {
 		retry = false
 	}
--- a/internal/edge/dispatch/move_test.go
+++ b/internal/edge/dispatch/move_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,3 +121,28 @@
 		t.Errorf("waited %v of %v", took, left)
 	}
 }
+
+// Guards against requests that are refused for seconds because the store does not show the table
+// that the coordinator has written: the owner that this daemon knows does not hold the key, and
+// no other one becomes known.
+func TestAsksForTableWhenOwnerDoesNotHoldKey(t *testing.T) {
+	var refreshed, arrived atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		arrived.Add(1)
+		if refreshed.Load() == 0 {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		}
+	}))
+	defer server.Close()
+	d := newTestDispatcher(strings.TrimPrefix(server.URL, "http://"), false)
+	d.config.RefreshTable = func(service string, revision int64) {
+		if service != "s" || revision != 1 {
+			t.Errorf("asked for the table of %q after revision %d", service, revision)
+		}
+		refreshed.Add(1)
+	}
+	resp, refusal := d.dispatch(&route.Route{MaxAttempts: 2})
+	if refusal != nil || resp.Status != http.StatusOK || refreshed.Load() != 1 || arrived.Load() != staleTableSends+1 {
+		t.Errorf("response %+v, refusal %+v, asked %d times after %d sends", resp, refusal, refreshed.Load(), arrived.Load())
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -127,8 +127,10 @@
 	}
 	relay := peers.NewRelay(o.Settings.Name, o.Store, o.Network, d.hubs, d.peers, o.Log)
 	d.mirror = mirror.New(feed, o.Documents.Prefix(), o.Log, d.views.Apply)
+	tables := &peers.TableReader{Network: o.Network, Peers: d.peers, Apply: d.views.ApplyWrittenTable, Log: o.Log}
 	d.dispatcher = dispatch.New(dispatch.Config{
-		Names: o.HeaderNames, Domain: o.Settings.Domain, RetryBudget: o.Settings.RetryBudget, Views: d.views, Bodies: responseBodies, Log: o.Log,
+		RefreshTable: tables.Read,
+		Names:        o.HeaderNames, Domain: o.Settings.Domain, RetryBudget: o.Settings.RetryBudget, Views: d.views, Bodies: responseBodies, Log: o.Log,
 		ObserveSend:        o.Metrics.ObserveSend,
 		ObserveKey:         func(service string, key uint16) { d.statsExchange.RecordKey(service, key) },
 		ObserveServiceTime: func(t peers.TargetHash, took time.Duration) { d.statsExchange.RecordServiceTime(t, took) },
--- a/internal/edge/peers/call.go
+++ b/internal/edge/peers/call.go
@@ -67,10 +67,11 @@
 }
 
 // NewHandler returns the handler of all calls from other daemons.
-func NewHandler(feed *FeedHandler, relay *RelayHandler, handover *HandoverHandler) http.Handler {
+func NewHandler(feed *FeedHandler, relay *RelayHandler, handover *HandoverHandler, table *TableHandler) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+feedPath, feed)
 	mux.Handle("POST "+relayPath, relay)
 	mux.Handle("POST "+handoverPath, handover)
+	mux.Handle("GET "+tablePath, table)
 	return mux
 }
--- a/internal/edge/peers/call_test.go
+++ b/internal/edge/peers/call_test.go
@@ -29,7 +29,7 @@
 		t.Errorf("read %d bytes, %v, want %d", len(body), err, limit)
 	}
 
-	handler := NewHandler(&FeedHandler{}, &RelayHandler{Log: slog.New(slog.DiscardHandler)}, &HandoverHandler{Log: slog.New(slog.DiscardHandler)})
+	handler := NewHandler(&FeedHandler{}, &RelayHandler{Log: slog.New(slog.DiscardHandler)}, &HandoverHandler{Log: slog.New(slog.DiscardHandler)}, &TableHandler{Log: slog.New(slog.DiscardHandler)})
 	for path, limit := range map[string]int{relayPath: maxRelaySize, handoverPath: maxHandoverSize} {
 		body := &countingReader{}
 		w := httptest.NewRecorder()
--- a/internal/edge/peers/relay_test.go
+++ b/internal/edge/peers/relay_test.go
@@ -50,7 +50,7 @@
 	var stores []*scriptedStore
 	for i, err := range others {
 		store := &scriptedStore{err: err}
-		server := httptest.NewServer(NewHandler(&FeedHandler{Log: log}, &RelayHandler{Store: store, Log: log}, &HandoverHandler{Accept: func(h Handover) { store.handover.Store(&h) }, Log: log}))
+		server := httptest.NewServer(NewHandler(&FeedHandler{Log: log}, &RelayHandler{Store: store, Log: log}, &HandoverHandler{Accept: func(h Handover) { store.handover.Store(&h) }, Log: log}, &TableHandler{Log: log}))
 		t.Cleanup(server.Close)
 		stores = append(stores, store)
 		list = append(list, Peer{
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -302,8 +302,19 @@
 	close(*tr.changed.Swap(&next))
 }
 
-// ApplyWrittenTable applies a range table that this daemon has just written, before the
-// store reports it as a change.
+// TableEntry returns the store entry of the range table in force for a service, or an entry that
+// does not exist if there is none.
+func (tr *Tracker) TableEntry(service string) (topo.Entry, error) {
+	t := tr.Current().Tables[service]
+	if t == nil {
+		return topo.Entry{}, nil
+	}
+	value, err := t.Encode()
+	return topo.Entry{Key: RangesKey(service), Value: value, CreateRev: t.Rev, ModRev: t.Rev}, err
+}
+
+// ApplyWrittenTable applies a range table that this daemon or the coordinator has written, before
+// the store reports it as a change.
 func (tr *Tracker) ApplyWrittenTable(e topo.Entry) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
