--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -129,8 +129,8 @@
 	d.mirror = mirror.New(feed, o.Documents.Prefix(), o.Log, d.views.Apply)
 	tables := &peers.TableReader{Network: o.Network, Peers: d.peers, Apply: d.views.ApplyWrittenTable, Log: o.Log}
 	d.dispatcher = dispatch.New(dispatch.Config{
-		RefreshTable: tables.Read,
-		Names:        o.HeaderNames, Domain: o.Settings.Domain, RetryBudget: o.Settings.RetryBudget, Views: d.views, Bodies: responseBodies, Log: o.Log,
+		Names: o.HeaderNames, Domain: o.Settings.Domain, RetryBudget: o.Settings.RetryBudget, Views: d.views, Bodies: responseBodies, Log: o.Log,
+		RefreshTable:       tables.Read,
 		ObserveSend:        o.Metrics.ObserveSend,
 		ObserveKey:         func(service string, key uint16) { d.statsExchange.RecordKey(service, key) },
 		ObserveServiceTime: func(t peers.TargetHash, took time.Duration) { d.statsExchange.RecordServiceTime(t, took) },
--- a/internal/edge/front/admission.go
+++ b/internal/edge/front/admission.go
@@ -95,8 +95,19 @@
 	return ok && c.beyondLimit
 }
 
-// drop closes a connection that is not served.
-func (s *Server) drop(c net.Conn) {
-	_ = c.Close()
-	s.admission.release()
+// admitConn returns the connection to be served for an accepted one, or nil if that was closed.
+// Only TCP connections take descriptors.
+func (s *Server) admitConn(c net.Conn) *framingConn {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return &framingConn{Conn: c}
+	}
+	verdict := s.admission.admit(s.endIdleConn)
+	if verdict == dropConn {
+		_ = c.Close()
+		s.admission.release()
+		return nil
+	}
+	lingering := &lingeringConn{TCPConn: tcp, lingering: &s.lingering, ended: s.admission.release}
+	return &framingConn{Conn: lingering, beyondLimit: verdict == refuseConn}
 }
--- a/internal/edge/front/framing_test.go
+++ b/internal/edge/front/framing_test.go
@@ -83,6 +83,7 @@
 		"space before colon":   "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length : 4\r\n\r\nabcd" + smuggled,
 		"signed length":        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: +4\r\n\r\nabcd" + smuggled,
 		"chunks in HTTP/1.0":   "POST /a HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled,
+		"HTTP/1.0, long path":  "POST /a?" + strings.Repeat("x", 2*maxLineBytes) + " HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled,
 		"bare chunk size":      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\nx\r\n0\r\n\r\n" + smuggled,
 		"bare chunk extension": "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;a\nx\r\n0\r\n\r\n" + smuggled,
 		"bare end of a chunk":  "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\n0\r\n\r\n" + smuggled,
@@ -128,10 +129,11 @@
 		"GET /b HTTP/1.1\r\nHost: h\r\n\r\n" +
 		"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na\nb\r\n0\r\n\r\n" +
 		"POST /d HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: Chunked\r\n\r\nA;x=y\r\n\n\n\n\n\n\n\n\n\n\n\r\n0\r\nT: x\r\n\r\n" +
-		"\r\nGET /e HTTP/1.1\r\nHost: h\r\nLong: " + strings.Repeat("x", 3*maxLineBytes) + "\r\n\r\n"
+		"\r\nPOST /e?" + strings.Repeat("x", 3*maxLineBytes) + " HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+		"GET /f HTTP/1.1\r\nHost: h\r\nLong: " + strings.Repeat("x", 3*maxLineBytes) + "\r\n\r\n"
 	statuses := exchange(t, address, text)
-	if len(statuses) != 5 {
-		t.Fatalf("got statuses %v, want five", statuses)
+	if len(statuses) != 6 {
+		t.Fatalf("got statuses %v, want six", statuses)
 	}
 	for _, s := range statuses {
 		if s != http.StatusOK {
--- a/internal/edge/front/scanner.go
+++ b/internal/edge/front/scanner.go
@@ -82,8 +82,13 @@
 }
 
 // appendLine appends to the current line. Of a long line the begin and the last byte are kept,
-// which tells a bare line feed from CRLF.
+// which tells a bare line feed from CRLF, and of a long request line the end with the version.
 func (s *framingScanner) appendLine(b []byte) {
+	if s.part == partRequestLine {
+		s.line = append(s.line, b[max(len(b)-maxLineBytes, 0):]...)
+		s.line = s.line[max(len(s.line)-maxLineBytes, 0):]
+		return
+	}
 	if room := maxLineBytes - len(s.line); len(b) > room {
 		s.truncated = true
 		s.line = append(s.line, b[:max(room-1, 0)]...)
@@ -98,7 +103,7 @@
 	switch s.part {
 	case partRequestLine:
 		if line != "" { // net/http tolerates empty lines between requests
-			s.part, s.http11 = partFields, s.truncated || strings.HasSuffix(line, " HTTP/1.1")
+			s.part, s.http11 = partFields, strings.HasSuffix(line, " HTTP/1.1")
 		}
 		return true
 	case partFields:
--- a/internal/edge/front/server.go
+++ b/internal/edge/front/server.go
@@ -69,15 +69,9 @@
 		if err != nil {
 			return err
 		}
-		verdict := s.admission.admit(s.endIdleConn)
-		if verdict == dropConn {
-			s.drop(c)
-			continue
+		if conn := s.admitConn(c); conn != nil {
+			s.generation(l.Addr()).conns.queue <- conn
 		}
-		if tcp, ok := c.(*net.TCPConn); ok {
-			c = &lingeringConn{TCPConn: tcp, lingering: &s.lingering, ended: s.admission.release}
-		}
-		s.generation(l.Addr()).conns.queue <- &framingConn{Conn: c, beyondLimit: verdict == refuseConn}
 	}
 }
 
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -180,6 +180,9 @@
 	if req.NotAfter > 0 && clock.Now() >= req.NotAfter {
 		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, errTooLate)
 	}
+	if err := req.validate(); err != nil {
+		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	fullyWritten, err := c.write(req)
 	if err != nil {
 		return nil, false, c.writeError(err)
--- a/internal/transport/upstream/write.go
+++ b/internal/transport/upstream/write.go
@@ -15,12 +15,9 @@
 // framingFields are the fields that write sets itself.
 var framingFields = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
 
-// write writes the request. Its target is written as the caller sent it; http.Request.Write
+// write writes a valid request. Its target is written as the caller sent it; http.Request.Write
 // changes one that begins with two slashes.
 func (r *Request) write(w *bufio.Writer) error {
-	if !isVisible(r.Method) || !isVisible(r.URI) || !isVisible(r.Host) {
-		return errInvalidRequest
-	}
 	if _, err := fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host); err != nil {
 		return err
 	}
@@ -40,6 +37,14 @@
 	return err
 }
 
+// validate returns an error if the method, the target or the host would not stay in their place.
+func (r *Request) validate() error {
+	if !isVisible(r.Method) || !isVisible(r.URI) || !isVisible(r.Host) {
+		return errInvalidRequest
+	}
+	return nil
+}
+
 // isVisible reports whether a part of the head is not empty and has neither spaces nor control
 // characters.
 func isVisible(s string) bool {
--- a/internal/transport/upstream/write_test.go
+++ b/internal/transport/upstream/write_test.go
@@ -23,12 +23,12 @@
 		req := &Request{Names: testNames, ID: "1", Method: method, URI: target, Host: host, Header: http.Header{"Id": {"1"}}, Body: body}
 		var out bytes.Buffer
 		w := bufio.NewWriter(&out)
-		if err := errors.Join(req.write(w), w.Flush()); err != nil {
-			if !errors.Is(err, errInvalidRequest) || out.Len() > 0 {
-				t.Fatalf("%v after %d bytes", err, out.Len())
-			}
+		if req.validate() != nil {
 			return
 		}
+		if err := errors.Join(req.write(w), w.Flush()); err != nil {
+			t.Fatal(err)
+		}
 		line, rest, _ := strings.Cut(out.String(), "\r\n")
 		if line != method+" "+target+" HTTP/1.1" {
 			t.Fatalf("request line %q", line)
