--- a/internal/edge/front/admission_test.go
+++ b/internal/edge/front/admission_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"log/slog"
 	"net"
@@ -38,18 +37,7 @@
 		}
 		serve(w, r)
 	}), views, testMaxConns, log)
-	served := make(chan struct{})
-	go func() {
-		defer close(served)
-		_ = s.Serve(l)
-	}()
-	t.Cleanup(func() {
-		_ = l.Close()
-		<-served
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		_ = s.Shutdown(ctx)
-	})
+	serveUntilEnd(t, s, l)
 }
 
 func listenLoopback(t *testing.T) net.Listener {
--- a/internal/edge/front/framing_test.go
+++ b/internal/edge/front/framing_test.go
@@ -23,7 +23,13 @@
 		t.Fatal(err)
 	}
 	log := slog.New(slog.DiscardHandler)
-	s := NewServer(h, view.NewTracker(nil, log, func() mirror.Status { return mirror.Status{} }), 0, log)
+	serveUntilEnd(t, NewServer(h, view.NewTracker(nil, log, func() mirror.Status { return mirror.Status{} }), 0, log), l)
+	return l.Addr().String()
+}
+
+// serveUntilEnd runs a server until the test ends.
+func serveUntilEnd(t *testing.T, s *Server, l net.Listener) {
+	t.Helper()
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
@@ -36,7 +42,6 @@
 		defer cancel()
 		_ = s.Shutdown(ctx)
 	})
-	return l.Addr().String()
 }
 
 // exchange sends raw bytes and returns the status codes of all responses.
