--- a/internal/edge/front/scanner.go
+++ b/internal/edge/front/scanner.go
@@ -81,7 +81,7 @@
 	s.ended++
 }
 
-// appendLine appends to the current line. Of a long line the begin and the last byte are kept,
+// appendLine appends to the current line. Of a long line the beginning and the last byte are kept,
 // which tells a bare line feed from CRLF, and of a long request line the end with the version.
 func (s *framingScanner) appendLine(b []byte) {
 	if s.part == partRequestLine {
