Bound range tables read from the coordinator, and how often they are read

A reply could replace the table by one of any revision and key, the coordinator encoded its table for each read even if it was not newer, and each of n daemons could read four times a second, so the coordinator's work grew with n.

Change: a reply names no key, and counts only with a higher revision than the known one and a size that the store accepts; the handler compares the revision first; all daemons together read a service's table at most 200 times a second. Idle connections to targets keep no buffers of large heads. Ruled out: reading from the hub, whose copy lags for the same reason.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -127,7 +127,9 @@
 	}
 	relay := peers.NewRelay(o.Settings.Name, o.Store, o.Network, d.hubs, d.peers, o.Log)
 	d.mirror = mirror.New(feed, o.Documents.Prefix(), o.Log, d.views.Apply)
-	tables := &peers.TableReader{Network: o.Network, Peers: d.peers, Apply: d.views.ApplyWrittenTable, Log: o.Log}
+	tables := &peers.TableReader{Network: o.Network, Peers: d.peers, Log: o.Log, Apply: func(service string, table []byte, rev int64) {
+		d.views.ApplyWrittenTable(topo.Entry{Key: view.RangesKey(service), Value: table, CreateRev: rev, ModRev: rev})
+	}}
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Names: o.HeaderNames, Domain: o.Settings.Domain, RetryBudget: o.Settings.RetryBudget, Views: d.views, Bodies: responseBodies, Log: o.Log,
 		RefreshTable:       tables.Read,
--- a/internal/edge/peers/table.go
+++ b/internal/edge/peers/table.go
@@ -19,20 +19,41 @@
 // Limits of reads of a range table from the coordinator.
 const (
 	tableTimeout = 300 * time.Millisecond
-	// tableInterval is the shortest time between two reads of a service's table.
-	tableInterval = 250 * time.Millisecond
-	maxTableSize  = 2 * topo.MaxValueBytes
-	tablePath     = "/table"
+	// minTableInterval is the shortest time between two reads of a service's table by one daemon,
+	// and tableIntervalPerDaemon the time between two reads by all daemons together, so that the
+	// load of the coordinator does not grow with their number.
+	minTableInterval       = 250 * time.Millisecond
+	tableIntervalPerDaemon = 5 * time.Millisecond
+	maxTableSize           = 2 * topo.MaxValueBytes
+	tablePath              = "/table"
 )
 
+// tableReply is a range table with the store revision of its last write.
+type tableReply struct {
+	Value []byte `cbor:"1,keyasint"`
+	Rev   int64  `cbor:"2,keyasint"`
+}
+
+// decodeTableReply returns an error unless the reply has a table that is newer than the known one.
+func decodeTableReply(b []byte, known int64) (tableReply, error) {
+	var reply tableReply
+	if err := cbor.Unmarshal(b, &reply); err != nil {
+		return tableReply{}, err
+	}
+	if reply.Rev <= known || len(reply.Value) == 0 || len(reply.Value) > topo.MaxValueBytes {
+		return tableReply{}, fmt.Errorf("%w: table of %d bytes at revision %d, known is %d", errOutOfRange, len(reply.Value), reply.Rev, known)
+	}
+	return reply, nil
+}
+
 // TableReader reads range tables from the coordinator. It is for the case that the owners which
 // this daemon knows do not hold their keys, while the store does not show the table that the
 // coordinator has written.
 type TableReader struct {
 	Network Network
 	Peers   func() []Peer
-	// Apply is called with the entry of a newer table.
-	Apply func(topo.Entry)
+	// Apply is called with the encoded table and the revision of a newer one.
+	Apply func(service string, table []byte, rev int64)
 	Log   *slog.Logger
 
 	mu       sync.Mutex
@@ -42,10 +63,11 @@
 // Read reads a service's table in the background if the coordinator has a newer one than the given
 // revision. It does nothing if the table was read a moment ago.
 func (r *TableReader) Read(service string, known int64) {
-	if !r.due(service) {
+	all := r.Peers()
+	if !r.due(service, max(minTableInterval, time.Duration(len(all))*tableIntervalPerDaemon)) {
 		return
 	}
-	for _, p := range r.Peers() {
+	for _, p := range all {
 		if p.IsCoordinator {
 			go r.read(p, service, known)
 			return
@@ -53,12 +75,13 @@
 	}
 }
 
-// due reports whether a service's table may be read now.
-func (r *TableReader) due(service string) bool {
+// due reports whether the last read of a service's table began at least an interval ago, and counts
+// the read.
+func (r *TableReader) due(service string, interval time.Duration) bool {
 	now := clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if last, ok := r.lastRead[service]; ok && now-last < tableInterval {
+	if last, ok := r.lastRead[service]; ok && now-last < interval {
 		return false
 	}
 	if r.lastRead == nil {
@@ -76,26 +99,27 @@
 	if err == nil && status == http.StatusNoContent {
 		return
 	}
-	var entry topo.Entry
+	var reply tableReply
 	switch {
 	case err != nil:
 	case status != http.StatusOK:
 		err = fmt.Errorf("daemon answered with status %d", status)
 	default:
-		err = cbor.Unmarshal(body, &entry)
+		reply, err = decodeTableReply(body, known)
 	}
 	if err != nil {
 		r.Log.Info("range table not read from the coordinator", "service", service, "daemon", p.Name, "error", err)
 		return
 	}
-	r.Log.Info("range table read from the coordinator", "service", service, "daemon", p.Name, "revision", entry.ModRev, "known", known)
-	r.Apply(entry)
+	r.Log.Info("range table read from the coordinator", "service", service, "daemon", p.Name, "revision", reply.Rev, "known", known)
+	r.Apply(service, reply.Value, reply.Rev)
 }
 
 // TableHandler serves the range tables of this daemon's view to other daemons.
 type TableHandler struct {
-	// Table returns the entry of a service's table, or one that does not exist.
-	Table func(service string) (topo.Entry, error)
+	// Table returns a service's encoded table and its revision if that is higher than the given
+	// one, and otherwise nil.
+	Table func(service string, after int64) (table []byte, rev int64, err error)
 	Log   *slog.Logger
 }
 
@@ -107,14 +131,14 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	entry, err := h.Table(query.Get("service"))
-	if err == nil && entry.ModRev <= after {
+	table, rev, err := h.Table(query.Get("service"), after)
+	if err == nil && table == nil {
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
 	var body []byte
 	if err == nil {
-		body, err = cbor.Marshal(entry)
+		body, err = cbor.Marshal(tableReply{Value: table, Rev: rev})
 	}
 	if err != nil {
 		h.Log.Error("range table could not be encoded; answering 500", "service", query.Get("service"), "error", err)
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -71,7 +71,7 @@
 	wg.Go(func() { d.cleanUpPeriodically(tasksCtx) })
 	peerHandler := peers.NewHandler(
 		&peers.FeedHandler{Mirror: d.mirror, Log: d.log}, &peers.RelayHandler{Store: d.options.Store, Log: d.log},
-		&peers.HandoverHandler{Accept: d.coord.ReceiveHandover, Log: d.log}, &peers.TableHandler{Table: d.views.TableEntry, Log: d.log})
+		&peers.HandoverHandler{Accept: d.coord.ReceiveHandover, Log: d.log}, &peers.TableHandler{Table: d.views.EncodedTable, Log: d.log})
 	failed := make(chan error, 1)
 	fail := func(err error) {
 		select {
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -302,15 +302,15 @@
 	close(*tr.changed.Swap(&next))
 }
 
-// TableEntry returns the store entry of the range table in force for a service, or an entry that
-// does not exist if there is none.
-func (tr *Tracker) TableEntry(service string) (topo.Entry, error) {
+// EncodedTable returns the encoded range table in force for a service and its revision if that is
+// higher than the given one, and otherwise nil.
+func (tr *Tracker) EncodedTable(service string, after int64) (table []byte, rev int64, err error) {
 	t := tr.Current().Tables[service]
-	if t == nil {
-		return topo.Entry{}, nil
+	if t == nil || t.Rev <= after {
+		return nil, 0, nil
 	}
-	value, err := t.Encode()
-	return topo.Entry{Key: RangesKey(service), Value: value, CreateRev: t.Rev, ModRev: t.Rev}, err
+	table, err = t.Encode()
+	return table, t.Rev, err
 }
 
 // ApplyWrittenTable applies a range table that this daemon or the coordinator has written, before
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -70,7 +70,7 @@
 	net         net.Conn
 	raw         syscall.RawConn
 	bodies      *bodybuf.Budget
-	incoming    *limitedReader
+	incoming    *incomingReader
 	in          *bufio.Reader
 	head        []byte // buffer for the head of a response
 	out         *bufio.Writer
@@ -97,32 +97,34 @@
 		_ = n.Close()
 		return nil, err
 	}
-	c := &conn{net: n, raw: raw, bodies: bodies, incoming: &limitedReader{in: n}, idleTimeout: defaultIdleTimeout}
+	c := &conn{net: n, raw: raw, bodies: bodies, incoming: &incomingReader{in: n}, idleTimeout: defaultIdleTimeout}
 	c.in = bufio.NewReaderSize(c.incoming, readBufferSize)
 	c.out = bufio.NewWriterSize(trackingWriter{c}, writeBufferSize)
 	return c, nil
 }
 
-// limitedReader bounds the bytes that the current part of a response takes. It returns pending
-// bytes first, which were counted before.
-type limitedReader struct {
+// incomingReader reads from the socket and bounds the bytes that the current part of a response
+// takes. It returns the bytes that were put back first, which were counted before.
+type incomingReader struct {
 	in      io.Reader
 	left    int
 	pending []byte
 }
 
 // Read implements io.Reader.
-func (l *limitedReader) Read(b []byte) (int, error) {
-	if len(l.pending) > 0 {
-		n := copy(b, l.pending)
-		l.pending = l.pending[n:]
+func (r *incomingReader) Read(b []byte) (int, error) {
+	if len(r.pending) > 0 {
+		n := copy(b, r.pending)
+		if r.pending = r.pending[n:]; len(r.pending) == 0 {
+			r.pending = nil // an idle connection keeps no memory
+		}
 		return n, nil
 	}
-	if l.left <= 0 {
+	if r.left <= 0 {
 		return 0, errResponseTooLarge
 	}
-	n, err := l.in.Read(b[:min(len(b), l.left)])
-	l.left -= n
+	n, err := r.in.Read(b[:min(len(b), r.left)])
+	r.left -= n
 	return n, err
 }
 
--- a/internal/transport/upstream/head.go
+++ b/internal/transport/upstream/head.go
@@ -26,10 +26,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if m := statusLine.FindIndex(head[1:]); m != nil {
+	if statusLine.Match(head[1:]) {
 		return nil, fmt.Errorf("%w: another response begins in it", errAmbiguousHead)
 	}
 	c.unread(head)
+	if cap(c.head) > readBufferSize {
+		c.head = nil // an idle connection keeps no large buffer
+	}
 	resp, err := http.ReadResponse(c.in, &http.Request{Method: req.Method})
 	c.incoming.left = maxFramingBytes
 	if err != nil {
--- a/internal/transport/upstream/head_test.go
+++ b/internal/transport/upstream/head_test.go
@@ -30,7 +30,7 @@
 }
 
 // scriptedTarget responds to the first request of each connection as it should, and to the second
-// with the text that the last call of set has prepared.
+// with the next text of the channel.
 type scriptedTarget struct{ second chan string }
 
 func (s scriptedTarget) serve(_ int, c net.Conn, in *bufio.Reader) {
