--- a/internal/edge/front/framing.go
+++ b/internal/edge/front/framing.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -125,3 +127,43 @@
 	}
 	return n, err
 }
+
+// rejectAmbiguous answers requests with ambiguous framing with 400 and closes their
+// connections. A body with ambiguous framing cannot be read.
+func rejectAmbiguous(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, ok := r.Context().Value(framingConnKey{}).(*framingConn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		request := conn.begin()
+		if conn.isAmbiguous(request) {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		if r.Body != http.NoBody {
+			r.Body = checkedBody{r.Body, conn, request}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+var errAmbiguousFraming = errors.New("framing of the body is ambiguous")
+
+// checkedBody is the body of a request that fails once its framing is ambiguous.
+type checkedBody struct {
+	io.ReadCloser
+	conn    *framingConn
+	request int64
+}
+
+// Read implements io.Reader.
+func (b checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.conn.isAmbiguous(b.request) {
+		return 0, errAmbiguousFraming
+	}
+	return n, err
+}
--- a/internal/edge/front/server.go
+++ b/internal/edge/front/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -145,46 +144,6 @@
 	return len(g.open)
 }
 
-// rejectAmbiguous answers requests with ambiguous framing with 400 and closes their
-// connections. A body with ambiguous framing cannot be read.
-func rejectAmbiguous(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, ok := r.Context().Value(framingConnKey{}).(*framingConn)
-		if !ok {
-			next.ServeHTTP(w, r)
-			return
-		}
-		request := conn.begin()
-		if conn.isAmbiguous(request) {
-			w.Header().Set("Connection", "close")
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		if r.Body != http.NoBody {
-			r.Body = checkedBody{r.Body, conn, request}
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-var errAmbiguousFraming = errors.New("framing of the body is ambiguous")
-
-// checkedBody is the body of a request that fails once its framing is ambiguous.
-type checkedBody struct {
-	io.ReadCloser
-	conn    *framingConn
-	request int64
-}
-
-// Read implements io.Reader.
-func (b checkedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if b.conn.isAmbiguous(b.request) {
-		return 0, errAmbiguousFraming
-	}
-	return n, err
-}
-
 // Shutdown closes idle connections and waits until all requests have ended or ctx is
 // done. The listener must be closed. Connections that were accepted before are served.
 func (s *Server) Shutdown(ctx context.Context) error {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -73,34 +73,26 @@
 		&peers.FeedHandler{Mirror: d.mirror, Log: d.log}, &peers.RelayHandler{Store: d.options.Store, Log: d.log},
 		&peers.HandoverHandler{Accept: d.coord.ReceiveHandover, Log: d.log}, &peers.TableHandler{Table: d.views.EncodedTable, Log: d.log})
 	failed := make(chan error, 1)
-	fail := func(err error) {
-		select {
-		case failed <- err:
-		default: // the daemon stops already
-		}
+	// serve runs a server without which the daemon stops.
+	serve := func(server func() error) {
+		wg.Go(func() {
+			if err := server(); err != nil {
+				select {
+				case failed <- err:
+				default: // the daemon stops already
+				}
+			}
+		})
 	}
-	wg.Go(func() {
-		if err := d.options.Network.Serve(tasksCtx, peerHandler, d.statsExchange.Receive); err != nil {
-			fail(err)
-		}
-	})
+	serve(func() error { return d.options.Network.Serve(tasksCtx, peerHandler, d.statsExchange.Receive) })
 	for _, task := range d.tasks {
 		wg.Go(func() { task(tasksCtx) })
 	}
 	wg.Go(func() { d.serveMetrics(tasksCtx) })
 	front := front.NewServer(d.handler, d.views, maxCallerConns(d.options.Settings.DescriptorLimit), d.log)
-	wg.Go(func() {
-		if err := front.Serve(callers); !errors.Is(err, net.ErrClosed) {
-			fail(fmt.Errorf("serve callers at %s: %w", callers.Addr(), err))
-		}
-	})
-	for _, s := range []*auxServer{readiness, admin} {
-		wg.Go(func() {
-			if err := s.serve(); err != nil {
-				fail(err)
-			}
-		})
-	}
+	serve(func() error { return serveCallers(front, callers) })
+	serve(readiness.serve)
+	serve(admin.serve)
 
 	select {
 	case <-ctx.Done():
@@ -116,6 +108,14 @@
 	return err
 }
 
+// serveCallers returns nil once the listener is closed, and otherwise the error that ended it.
+func serveCallers(server *front.Server, l net.Listener) error {
+	if err := server.Serve(l); !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("serve callers at %s: %w", l.Addr(), err)
+	}
+	return nil
+}
+
 func (d *Daemon) listen(ctx context.Context, address string) (net.Listener, error) {
 	var config net.ListenConfig
 	l, err := config.Listen(ctx, "tcp4", address)
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -21,7 +21,7 @@
 	net.Listener
 	log    *slog.Logger
 	closed chan struct{}
-	close  sync.Once
+	once   sync.Once // closes closed
 }
 
 // New returns a listener that waits and tries again after errors that pass, such as a lack of
@@ -52,7 +52,7 @@
 
 // Close implements net.Listener.
 func (l *retrying) Close() error {
-	l.close.Do(func() { close(l.closed) })
+	l.once.Do(func() { close(l.closed) })
 	return l.Listener.Close()
 }
 
