Log the requests that a stopping daemon cuts off, and those that it answers

The logs have no line about the requests that were lost, since requests that a target answers at the first send are only counted, and the warning at the end of the grace period names none.

Change: each connection knows the request that it carries. At the end of the grace period a line names each request that gets no answer, with its service, the number of its sends and how long it has run; a stopping daemon also logs the requests that it answers. jackdawctl explain knows the former. Ruled out: the lines in calm as well, which would be one for each request.

--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -66,8 +66,13 @@
 	// Arrived is when the request was received, and Deadline when the caller's
 	// waiting time ends.
 	Arrived, Deadline time.Duration
+
+	sends atomic.Int32
 }
 
+// Sends returns how often the request has been sent so far.
+func (r *Request) Sends() int { return int(r.sends.Load()) }
+
 // Reason is why a request got no usable response from a target.
 type Reason string
 
@@ -312,6 +317,7 @@
 	sendCtx, cancel := context.WithTimeout(sendCtx, limit)
 	defer cancel()
 	t.sends++
+	req.sends.Add(1)
 	t.triedTargets[ep.id] = true
 	load := d.loadBefore(ep)
 	resp, err := ep.pool.Send(sendCtx, &upstream.Request{
--- a/internal/edge/front/framing.go
+++ b/internal/edge/front/framing.go
@@ -24,6 +24,7 @@
 	leave         leaveWatch
 	// beyondLimit is true if the requests are to be refused, see admission.
 	beyondLimit bool
+	running     atomic.Pointer[runningRequest] // nil between requests
 
 	stateMu sync.Mutex
 	// idle is true between two requests, and lastRequest once no further request is accepted.
--- a/internal/edge/front/handler.go
+++ b/internal/edge/front/handler.go
@@ -94,6 +94,8 @@
 	if id != "" {
 		w.Header().Set(h.Names.RequestID, id)
 	}
+	running, end := beginRequest(r.Context(), id, arrived)
+	defer end()
 	if isBeyondLimit(r.Context()) {
 		w.Header().Set("Connection", "close")
 		h.refuse(w, r, nil, arrived, &dispatch.Refusal{Reason: dispatch.TooManyConnections, RetryAfter: defaultRetryAfter})
@@ -112,7 +114,7 @@
 		h.refuseUnrouted(w, r, v.Config, err, arrived)
 		return
 	}
-	h.forward(w, r, v.Config, match, arrived)
+	h.forward(w, r, v.Config, match, running)
 }
 
 // originForm returns a request target without the scheme and host of its absolute form, which
@@ -172,8 +174,8 @@
 // defaultRetryAfter is the Retry-After of refusals that no route is known for.
 const defaultRetryAfter = 300 * time.Millisecond
 
-func (h *Handler) forward(w http.ResponseWriter, r *http.Request, c *route.Config, match route.Match, arrived time.Duration) {
-	rt := match.Route
+func (h *Handler) forward(w http.ResponseWriter, r *http.Request, c *route.Config, match route.Match, running *runningRequest) {
+	rt, arrived := match.Route, running.arrived
 	deadline := arrived + h.timeout(r, rt)
 	body, err := h.readBody(w, r, c.Limits.BodyBytes, deadline)
 	if err != nil {
@@ -182,6 +184,7 @@
 	}
 	defer body.Release()
 	req := h.newRequest(r, match, body.Bytes(), arrived, deadline)
+	running.dispatched.Store(req)
 	resp, refusal := h.Dispatcher.Do(r.Context(), req)
 	if refusal != nil {
 		h.refuse(w, r, req, arrived, refusal)
@@ -189,7 +192,12 @@
 	}
 	defer resp.Release()
 	h.writeResponse(w, resp)
-	h.ObserveRequest(Result{Service: req.Service, Route: rt, Status: resp.Status, Took: clock.Now() - arrived})
+	took := clock.Now() - arrived
+	if h.Stopping.Load() {
+		h.Log.Info("request answered while stopping", "request", req.ID, "service", req.Service, "status", resp.Status,
+			"sends", req.Sends(), "took_ms", took.Milliseconds())
+	}
+	h.ObserveRequest(Result{Service: req.Service, Route: rt, Status: resp.Status, Took: took})
 }
 
 // timeout returns the time that a request may take, from the route and from the caller.
--- a/internal/edge/front/server.go
+++ b/internal/edge/front/server.go
@@ -47,6 +47,7 @@
 // generation is an http.Server with fixed limits and the listener that feeds it.
 type generation struct {
 	server *http.Server
+	log    *slog.Logger
 	conns  *connListener
 	served chan struct{} // closed when the server has taken over all connections
 
@@ -95,6 +96,7 @@
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	g := &generation{
+		log:    log,
 		conns:  &connListener{queue: make(chan net.Conn, connBacklog), address: address},
 		served: make(chan struct{}),
 		open:   make(map[*framingConn]struct{}),
@@ -175,6 +177,7 @@
 	for g.refuseNextRequests() > 0 {
 		select {
 		case <-ctx.Done():
+			g.logCutOff()
 			return errors.Join(ctx.Err(), g.server.Close())
 		case <-ticker.C:
 		}
@@ -182,6 +185,17 @@
 	return g.server.Close()
 }
 
+// logCutOff logs the requests that the open connections carry.
+func (g *generation) logCutOff() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for conn := range g.open {
+		if r := conn.running.Load(); r != nil {
+			r.logCutOff(g.log)
+		}
+	}
+}
+
 // awaitLingering waits until the callers have read the last responses.
 func (s *Server) awaitLingering(ctx context.Context) error {
 	done := make(chan struct{})
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -36,6 +36,8 @@
 	unroutedMessage = "no route matches"
 	// bodyRefusedMessage is logged for a request whose body the daemon did not accept.
 	bodyRefusedMessage = "request body not accepted; refusing the request"
+	// cutOffMessage is logged for a request that got no response because the process ended.
+	cutOffMessage = "request cut off by the end of the grace period"
 )
 
 // maxTableLines limits the related lines about range tables of each source. A busy key can
@@ -99,6 +101,8 @@
 			e.addUnrouted(line)
 		case bodyRefusedMessage:
 			e.addBodyRefusal(line)
+		case cutOffMessage:
+			e.addCutOff(line)
 		}
 	}
 	e.Related = l.relatedLines(e.Lines)
@@ -124,6 +128,13 @@
 	e.NextStep = "413: compare it with the limits of the configuration; 408: the caller sent too slowly; 400: read the line's error"
 }
 
+// addCutOff records that the process ended before the request had a response.
+func (e *Explanation) addCutOff(end Line) {
+	e.Reason, e.MayHaveRun = "process ended", end.Sends > 0
+	e.Cause = "the daemon was stopped, and its grace period was over before the request had a response"
+	e.NextStep = "compare the time of 'stopping' with took_ms: a request that began early outlasted the grace period, one that began late should have been refused"
+}
+
 // addFailedSend records a failed send: a retry that followed it, and a contradiction
 // between its reason and its outcome.
 func (e *Explanation) addFailedSend(send Line) {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -189,6 +189,18 @@
 	}
 }
 
+// Guards against a request that a stopping daemon cut off and that seems not to have run although
+// it was sent.
+func TestExplainsCutOffRequests(t *testing.T) {
+	for sends, mayHaveRun := range []bool{false, true} {
+		files := map[string]string{"edge": logLine(1, cutOffMessage, fmt.Sprintf(`,"request":"r1","sends":%d`, sends))}
+		e, err := readLogs(t, files, "edge").Explain("r1")
+		if err != nil || e.Cause == "" || e.NextStep == "" || e.MayHaveRun != mayHaveRun {
+			t.Errorf("%d sends: %+v, %v", sends, e, err)
+		}
+	}
+}
+
 // Guards against an explanation that shows hardly anything but lines about range tables, as for
 // a request for a key that moves often.
 func TestFewLinesAboutTables(t *testing.T) {
