Serve requests whose heads are arriving when a daemon is stopped

Callers saw: a proper request got 400, or a closed connection, if a part of its head had arrived on a kept connection when a stopping daemon began to end idle connections. A 400 is not retried, so an order was lost without a word about it.

Cause: net/http reports a connection as active only when a whole head has been read. Until then it counted as idle and its read was ended; net/http takes the part of a line before an error for the line and answers 400. The same happened to connections that were ended for others at the bound of connections.

Change: a connection is idle only until a byte of the next request has been read. A request that has begun to arrive is served, or refused as not run, like one that runs already. The scanner of the framing tells where a request begins, so empty lines between requests do not count, and pipelined requests that are read already do.

Ruled out: answering 503 from the connection itself, which would need a second writer beside net/http.

--- a/internal/edge/front/framing.go
+++ b/internal/edge/front/framing.go
@@ -27,7 +27,8 @@
 	running     atomic.Pointer[runningRequest] // nil between requests
 
 	stateMu sync.Mutex
-	// idle is true between two requests, and lastRequest once no further request is accepted.
+	// idle is true between two requests until a byte of the next one has been read, and lastRequest
+	// once no further request is accepted.
 	idle, lastRequest bool
 	idleSince         time.Duration
 	// bytesWaiting is true after net/http has read ahead one byte of a pipelined request.
@@ -56,9 +57,8 @@
 	return from > 0 && request >= from
 }
 
-// refuseNextRequest ends the connection if it is idle, and otherwise after the current request.
-// A request that net/http has already begun to read is dropped before it is passed on, or
-// served.
+// refuseNextRequest ends the connection if it is idle, and otherwise after the current request. A
+// request that has begun to arrive is the current one.
 func (c *framingConn) refuseNextRequest() {
 	c.stateMu.Lock()
 	defer c.stateMu.Unlock()
@@ -97,13 +97,25 @@
 	return true
 }
 
-// setIdle records whether the connection is between two requests.
+// setIdle records whether net/http waits for the next request. If it has read bytes of that
+// already, the connection is not idle.
 func (c *framingConn) setIdle(idle bool) {
+	if idle && (c.scanner.ended > c.begun || c.scanner.inRequest()) {
+		idle = false
+	}
 	c.stateMu.Lock()
 	defer c.stateMu.Unlock()
 	c.idle, c.idleSince = idle, clock.Now()
 }
 
+// arrive records that bytes of a request have been read. Empty lines between two requests do not
+// count.
+func (c *framingConn) arrive() {
+	c.stateMu.Lock()
+	defer c.stateMu.Unlock()
+	c.idle = false
+}
+
 // ended reports whether no further request is to be read.
 func (c *framingConn) ended() bool {
 	c.stateMu.Lock()
@@ -117,9 +129,13 @@
 		return 0, io.EOF
 	}
 	n, err := c.Conn.Read(b)
+	ended := c.scanner.ended
 	if c.ambiguousFrom.Load() == 0 && !c.scanner.scan(b[:n]) {
 		c.ambiguousFrom.Store(c.scanner.ended + 1)
 	}
+	if c.scanner.ended > ended || c.scanner.inRequest() {
+		c.arrive()
+	}
 	// net/http reads ahead one byte during a request, and larger blocks otherwise.
 	readAhead := len(b) == 1 && n == 1
 	c.bytesWaiting.Store(readAhead)
--- a/internal/edge/front/scanner.go
+++ b/internal/edge/front/scanner.go
@@ -67,6 +67,9 @@
 	return true
 }
 
+// inRequest reports whether the last byte belongs to a request that has not ended.
+func (s *framingScanner) inRequest() bool { return s.part != partRequestLine || len(s.line) > 0 }
+
 // endBytes is called at the end of a body with a length or of a chunk.
 func (s *framingScanner) endBytes() {
 	if s.part == partChunk {
