Don't take a response as whole whose reset the writer has seen

Callers could get a 200 with a part of the body, framed as whole: a target that responds without a length before it has read a long request, and whose connection is reset on the way.

Cause: such a body ends with its connection, and a reset must make it incomplete. The kernel reports a reset only once. While a goroutine still writes the request, the write often gets ECONNRESET, and the read then gets the end of the stream, as after an orderly close.

Change: after a body without a length, the send ends the write and looks at its error. Any error other than the deadline that ends the write, or a broken pipe, makes the outcome unknown. A target that has ended its response and only stops reading is still served.

--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -185,7 +186,7 @@
 	if err := req.validate(); err != nil {
 		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	fullyWritten, err := c.write(req)
+	pending, err := c.write(req)
 	if err != nil {
 		return nil, false, c.writeError(err)
 	}
@@ -203,8 +204,14 @@
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: reading the body: %w", ErrOutcomeUnknown, err)
 	}
+	if endsWithConnection := length < 0 && len(resp.TransferEncoding) == 0; endsWithConnection {
+		if err := c.stopWrite(pending); err != nil {
+			body.Release()
+			return nil, false, fmt.Errorf("%w: connection lost before its end: %w", ErrOutcomeUnknown, err)
+		}
+	}
 	c.used = true
-	keep = fullyWritten() && !resp.Close && !c.hasUnread() && c.net.SetDeadline(time.Time{}) == nil
+	keep = pending.isDone() && !resp.Close && !c.hasUnread() && c.net.SetDeadline(time.Time{}) == nil
 	c.updateIdleTimeout(resp.Header)
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body.Bytes(), Trailer: resp.Trailer, body: body}, keep, nil
 }
@@ -217,27 +224,50 @@
 	return fmt.Errorf("%w: %w", ErrNotSent, err)
 }
 
+// pendingWrite receives the error of a write when it ends. It is nil if the write has ended
+// without one.
+type pendingWrite <-chan error
+
+// isDone reports whether the whole request was sent.
+func (p pendingWrite) isDone() bool {
+	if p == nil {
+		return true
+	}
+	select {
+	case err := <-p:
+		return err == nil
+	default:
+		return false
+	}
+}
+
 // write sends the request. A body that exceeds the write buffer is sent by a goroutine, since
-// the target may respond before it has read the body. The returned function reports whether
-// the whole request was sent.
-func (c *conn) write(req *Request) (func() bool, error) {
+// the target may respond before it has read the body.
+func (c *conn) write(req *Request) (pendingWrite, error) {
 	if len(req.Body) <= writeBufferSize {
-		if err := errors.Join(req.write(c.out), c.out.Flush()); err != nil {
-			return nil, err
-		}
-		return func() bool { return true }, nil
+		return nil, errors.Join(req.write(c.out), c.out.Flush())
 	}
 	c.written = true
 	done := make(chan error, 1)
 	go func() { done <- errors.Join(req.write(c.out), c.out.Flush()) }()
-	return func() bool {
-		select {
-		case err := <-done:
-			return err == nil
-		default:
-			return false
-		}
-	}, nil
+	return done, nil
+}
+
+// stopWrite ends a write and returns the error that has broken the connection, if any. The kernel
+// reports a reset once: if the write gets the error, a read gets the end of the stream. A broken
+// pipe is no such error, because the target has ended the stream or the read got the error.
+func (c *conn) stopWrite(pending pendingWrite) error {
+	if pending == nil {
+		return nil
+	}
+	if err := c.net.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return err
+	}
+	err := <-pending
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
+		return nil
+	}
+	return err
 }
 
 // read returns the response that carries the request's ID. Interim responses and responses to
