Report a send that the deadline has ended as such

Callers got 502 in place of 504 when a target did not respond by their deadline.

Cause: front answers 504 for context.DeadlineExceeded. At the deadline a send returned the error of its connection instead, "i/o timeout" or "use of closed network connection", which does not wrap it.

Change: Pool.Send adds the error of the context to these two errors, so that every user of a pool can tell the end of the deadline, and a canceled call, from a lost connection.

--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
+	"os"
 	"slices"
 	"sync"
 
@@ -40,7 +43,8 @@
 }
 
 // Send sends a request once. The error wraps ErrNotSent if the request certainly did not
-// reach the target, and ErrOutcomeUnknown if it may have.
+// reach the target, and ErrOutcomeUnknown if it may have. It wraps the context's error too if that
+// ended the send.
 func (p *Pool) Send(ctx context.Context, req *Request) (*Response, error) {
 	c, err := p.acquire(ctx, req.ID)
 	if err != nil {
@@ -52,7 +56,20 @@
 	} else {
 		p.discard(c)
 	}
-	return resp, err
+	return resp, withContextError(ctx, err)
+}
+
+// withContextError adds the context's error to that of a send which its deadline or its end has
+// broken off. The connection's error alone does not tell that.
+func withContextError(ctx context.Context, err error) error {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fmt.Errorf("%w: %w", err, context.DeadlineExceeded)
+	case errors.Is(err, net.ErrClosed) && ctx.Err() != nil:
+		return fmt.Errorf("%w: %w", err, ctx.Err())
+	default:
+		return err
+	}
 }
 
 // acquire returns a reusable idle connection, or a new one if there is none and the limit
--- a/internal/transport/upstream/pool_test.go
+++ b/internal/transport/upstream/pool_test.go
@@ -216,3 +216,30 @@
 		t.Error("a User-Agent was added")
 	}
 }
+
+// Guards against a send that ends at its deadline with the error of its closed connection: callers
+// got 502 in place of 504.
+func TestSendReportsDeadline(t *testing.T) {
+	p := serveTarget(t, func(_ int, _ net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err == nil {
+			time.Sleep(300 * time.Millisecond) // without reading on
+		}
+	})
+	for _, size := range []int{0, 16 << 20} {
+		for range 20 {
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+			req := request("1")
+			req.Body = make([]byte, size)
+			_, err := p.Send(ctx, req)
+			cancel()
+			if !errors.Is(err, ErrNotSent) && (!errors.Is(err, ErrOutcomeUnknown) || !errors.Is(err, context.DeadlineExceeded)) {
+				t.Errorf("body of %d bytes: %v, want ErrOutcomeUnknown and DeadlineExceeded", size, err)
+			}
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	if _, err := p.Send(ctx, request("1")); !errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("canceled: %v, want Canceled", err)
+	}
+}
