Refuse replies of the store whose head is made of two

A conditional write that the store had refused counted as done, and the other way round: a copy of an earlier reply that breaks off within its head, in front of the next reply on the connection, gave that one its status.

Cause: net/http takes such a head, as a status with a long reason or as a field with a long value.

Change: the check moves to package headcheck, which upstream and the store's client use.

--- a/internal/transport/upstream/head.go
+++ b/internal/transport/upstream/head.go
@@ -4,30 +4,23 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
-	"regexp"
 	"slices"
-)
-
-// errAmbiguousHead reports a head that may consist of parts of two responses.
-var errAmbiguousHead = errors.New("response head is ambiguous")
 
-// statusLine matches the beginning of a response.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-9][0-9]{2}(?:[ \r\n]|$)`)
+	"github.com/jackdawloom/jackdawloom/internal/transport/headcheck"
+)
 
-// readHead reads the head of the next response. A target that breaks off within a response and
-// goes on with the next one produces a head that net/http accepts: the status and the first
-// fields of one response, and the other fields and the body of another. Such a head is refused.
+// readHead reads the head of the next response. A head that may consist of parts of two responses
+// is refused.
 func (c *conn) readHead(req *Request) (*http.Response, error) {
 	c.incoming.left = maxHeadBytes - c.in.Buffered() - len(c.incoming.pending)
 	head, err := c.readHeadBytes()
 	if err != nil {
 		return nil, err
 	}
-	if statusLine.Match(head[1:]) {
-		return nil, fmt.Errorf("%w: another response begins in it", errAmbiguousHead)
+	if err := headcheck.Raw(head); err != nil {
+		return nil, err
 	}
 	c.unread(head)
 	if cap(c.head) > readBufferSize {
@@ -85,12 +78,5 @@
 
 // checkSingleFields returns an error if a field that decides what a response means is repeated.
 func (n *HeaderNames) checkSingleFields(h http.Header) error {
-	for _, name := range []string{
-		n.RequestID, n.NotRun, n.TargetID, n.Stamp, n.Leaving, n.Handover, "Content-Length", "Retry-After",
-	} {
-		if name != "" && len(h.Values(name)) > 1 {
-			return fmt.Errorf("%w: %s is repeated", errAmbiguousHead, name)
-		}
-	}
-	return nil
+	return headcheck.SingleFields(h, n.RequestID, n.NotRun, n.TargetID, n.Stamp, n.Leaving, n.Handover, "Content-Length", "Retry-After")
 }
