Take memory for bodies of known length as they arrive

Responses of targets failed although there was memory: a target that announced large bodies and sent nothing held the memory for them until its requests' deadlines. The budget took the announced length before the first byte had arrived. With 20 silent senders of 512 KiB each and a budget of 1 MiB, other bodies of known length waited until their deadline, and those of unknown length were refused (TestSilentSendersHoldNoMemory failed in all three cases).

A body now starts with 4 KiB and doubles as its bytes arrive. A step is granted only if all bodies that have begun could still be completed one after the other, so bodies that each hold a part do not wait for each other until their deadlines; a body of known length still waits instead of being refused (TestBodiesThatGrowTogetherAllArrive, TestBodiesShareMemory). The weighted semaphore cannot decide this and refused everything while one large body waited; the budget has its own account now, and golang.org/x/sync is no longer needed.

--- a/internal/transport/bodybuf/bodybuf.go
+++ b/internal/transport/bodybuf/bodybuf.go
@@ -8,8 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-
-	"golang.org/x/sync/semaphore"
 )
 
 // Errors of Read.
@@ -20,19 +18,19 @@
 	ErrNoMemory = errors.New("no memory left for the body")
 )
 
-// initialSize is the buffer that a body of unknown length starts with, in bytes.
+// initialSize is the buffer that a body starts with, in bytes. It doubles as the body arrives.
 const initialSize = 4 << 10
 
 // Budget bounds the memory of all bodies that are held at the same time. It is safe for
 // concurrent use.
 type Budget struct {
 	limit int64
-	sem   *semaphore.Weighted
+	sem   *memory
 }
 
 // NewBudget returns a budget of limit bytes.
 func NewBudget(limit int64) *Budget {
-	return &Budget{limit: limit, sem: semaphore.NewWeighted(limit)}
+	return &Budget{limit: limit, sem: newMemory(limit)}
 }
 
 // Buffer is a body in memory. It counts against its budget until Release is called.
@@ -55,13 +53,13 @@
 	if b == nil || b.held == 0 {
 		return
 	}
-	b.budget.sem.Release(b.held)
+	b.budget.sem.release(nil, b.held)
 	b.data, b.held = nil, 0
 }
 
 // Read reads a body of at most limit bytes. length is the announced length, or -1 if it is
-// unknown. A body of known length waits for memory until ctx is done, so that a burst of
-// large bodies is slowed down instead of refused. A body of unknown length fails with
+// unknown. Memory is taken as the body arrives. A body of known length waits for it until ctx is
+// done, so that a burst of large bodies is slowed down instead of refused. A body of unknown length fails with
 // ErrNoMemory: it may already hold memory, and bodies that wait for each other's memory
 // would wait until their deadlines.
 func (b *Budget) Read(ctx context.Context, r io.Reader, length, limit int64) (*Buffer, error) {
@@ -75,15 +73,9 @@
 }
 
 func (b *Budget) readKnown(ctx context.Context, r io.Reader, length int64) (*Buffer, error) {
-	if length > 0 { // an empty body does not queue behind those that wait for memory
-		if err := b.sem.Acquire(ctx, length); err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrNoMemory, err)
-		}
-	}
-	buf := &Buffer{data: make([]byte, length), held: length, budget: b}
-	if _, err := io.ReadFull(r, buf.data); err != nil {
-		buf.Release()
-		return nil, unexpectedEOF(err)
+	buf := &Buffer{data: []byte{}, budget: b}
+	if err := buf.fill(ctx, r, length); err != nil {
+		return nil, err
 	}
 	// The reader reports a malformed end of the body only when the end is read.
 	if _, err := io.Copy(io.Discard, r); err != nil {
@@ -93,6 +85,27 @@
 	return buf, nil
 }
 
+// fill reads length bytes. After an error the buffer holds no memory.
+func (b *Buffer) fill(ctx context.Context, r io.Reader, length int64) error {
+	g := &growth{length: length}
+	for g.held < length {
+		size := min(max(initialSize, 2*g.held), length)
+		if err := b.budget.sem.acquire(ctx, g, size-g.held); err != nil {
+			b.budget.sem.release(g, g.held)
+			return fmt.Errorf("%w: %w", ErrNoMemory, err)
+		}
+		data := make([]byte, size)
+		n := copy(data, b.data)
+		b.data = data
+		if _, err := io.ReadFull(r, data[n:]); err != nil {
+			b.budget.sem.release(g, g.held)
+			return unexpectedEOF(err)
+		}
+	}
+	b.held = length
+	return nil
+}
+
 // unexpectedEOF makes sure that a body that ends early does not look like an empty one.
 func unexpectedEOF(err error) error {
 	if errors.Is(err, io.EOF) {
@@ -136,7 +149,7 @@
 	data := make([]byte, len(b.data), size)
 	copy(data, b.data)
 	if b.held > 0 {
-		b.budget.sem.Release(b.held)
+		b.budget.sem.release(nil, b.held)
 	}
 	b.data, b.held = data, size
 	return nil
--- a/internal/transport/bodybuf/bodybuf_test.go
+++ b/internal/transport/bodybuf/bodybuf_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -135,3 +136,72 @@
 	cancel()
 	<-waiting
 }
+
+// silent is a body that sends its first bytes and then nothing until it is closed.
+type silent struct {
+	first  io.Reader
+	closed chan struct{}
+}
+
+func (s *silent) Read(b []byte) (int, error) {
+	if n, _ := s.first.Read(b); n > 0 {
+		return n, nil
+	}
+	<-s.closed
+	return 0, io.ErrUnexpectedEOF
+}
+
+// Guards against senders that announce large bodies and send little of them, and so keep the
+// memory that other bodies need until their deadlines.
+func TestSilentSendersHoldNoMemory(t *testing.T) {
+	const budget, announced, body = 1 << 20, 1 << 19, 100 << 10
+	b := NewBudget(budget)
+	closed := make(chan struct{})
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() {
+			_, _ = b.Read(context.Background(), &silent{strings.NewReader("x"), closed}, announced, budget)
+		})
+	}
+	time.Sleep(20 * time.Millisecond) // until all have begun
+	for _, length := range []int64{body, announced, -1} {
+		size := max(length, body)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		got, err := b.Read(ctx, io.LimitReader(&endless{}, size), length, announced)
+		if err != nil {
+			t.Errorf("body of %d bytes, announced as %d, beside silent senders: %v", size, length, err)
+		}
+		got.Release()
+		cancel()
+	}
+	close(closed)
+	wg.Wait()
+}
+
+// Guards against bodies that each hold a part of the memory and wait for the rest until their
+// deadlines, and against a body that is refused although it only has to wait.
+func TestBodiesThatGrowTogetherAllArrive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const budget = 64 << 10
+		b := NewBudget(budget)
+		lengths := rapid.SliceOfN(rapid.Int64Range(1, budget), 2, 30).Draw(t, "lengths")
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		errs := make([]error, len(lengths))
+		var wg sync.WaitGroup
+		for i, length := range lengths {
+			wg.Go(func() {
+				body, err := b.Read(ctx, io.LimitReader(&endless{}, length), length, budget)
+				errs[i] = err
+				body.Release()
+			})
+		}
+		wg.Wait()
+		if err := errors.Join(errs...); err != nil {
+			t.Fatal(err)
+		}
+		if !b.sem.TryAcquire(budget) {
+			t.Fatal("memory was not returned")
+		}
+	})
+}
