Keep daemons that start with their hub from leaving it

Daemons that started before their hub had read the store took its 503 for a failure, chose another hub for three seconds and, if they were next in order, read the store themselves. In the peers' tests, most starts of nine daemons logged this for several of them, and daemon 1 did so in 8 of about 50; the tests begin to count calls a second after the start, when the three seconds are not over. That is one cause of "daemon 1 called the store N times, want calls by the primary hub only".

A daemon that has not read the store yet now answers 425, which its readers count like a copy that is too old: they read the store, and choose another hub only after the third time in a row. TestDaemonsThatStartBeforeTheirHubReadThroughIt failed in 5 of 5 runs before (two calls of daemon 1 in the second that it counts) and passes in 5 of 5.

--- a/internal/edge/peers/feed.go
+++ b/internal/edge/peers/feed.go
@@ -56,8 +56,11 @@
 // errOldCopy reports a daemon whose copy of the store is older than allowed.
 var errOldCopy = errors.New("daemon's copy of the store is too old")
 
-// maxOldCopies is the number of consecutive reads of an old copy after which another hub is
-// chosen.
+// errStarting reports a daemon that has not read the store yet.
+var errStarting = errors.New("daemon has no copy of the store yet")
+
+// maxOldCopies is the number of consecutive reads of an old copy, or of none yet, after which
+// another hub is chosen.
 const maxOldCopies = 3
 
 // Feed reads the store through other daemons: the daemons of a domain through their hub,
@@ -73,7 +76,7 @@
 	Network Network
 	Log     *slog.Logger
 
-	oldCopies int // consecutive reads of a copy that was too old
+	oldCopies int // consecutive reads of a copy that was too old or not there yet
 }
 
 // source returns the daemon to read from. It returns false if the store is to be read
@@ -159,8 +162,9 @@
 		return
 	}
 	f.Log.Info("hub not used; reading the store", "hub", hub.Name, "error", err)
-	if errors.Is(err, errOldCopy) {
-		// The hub works but lags. To leave it takes many calls to the store.
+	if errors.Is(err, errOldCopy) || errors.Is(err, errStarting) {
+		// The hub works but lags, or starts at the same time. To leave it takes many calls to
+		// the store.
 		if f.oldCopies++; f.oldCopies < maxOldCopies {
 			return
 		}
@@ -179,6 +183,8 @@
 		return nil, err
 	case status == http.StatusGone:
 		return nil, topo.ErrCompacted
+	case status == http.StatusTooEarly:
+		return nil, errStarting
 	case status != http.StatusOK:
 		return nil, fmt.Errorf("%w: status %d", errNoCurrentCopy, status)
 	}
@@ -205,8 +211,12 @@
 
 // ServeHTTP implements http.Handler.
 func (h *FeedHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.Mirror.Status().Rev == 0 {
+		w.WriteHeader(http.StatusTooEarly)
+		return
+	}
 	query := r.URL.Query()
-	allowStale := query.Has(anyAge) && h.Mirror.Status().Rev > 0
+	allowStale := query.Has(anyAge)
 	if !h.Mirror.Status().Up && !allowStale {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/edge/peers/feed_test.go
+++ b/internal/edge/peers/feed_test.go
@@ -23,6 +23,8 @@
 	state *sharedState
 	calls atomic.Int64
 	down  atomic.Bool
+	// snapshotDelay is how long a snapshot takes.
+	snapshotDelay time.Duration
 }
 
 type sharedState struct {
@@ -45,6 +47,7 @@
 
 func (c *countingStore) Snapshot(context.Context, string) ([]topo.Entry, topo.Progress, error) {
 	c.calls.Add(1)
+	time.Sleep(c.snapshotDelay)
 	if c.down.Load() {
 		return nil, topo.Progress{}, topo.ErrUnavailable
 	}
@@ -81,6 +84,12 @@
 }
 
 func startFeeds(t *testing.T, daemons, domains int) *feedFleet {
+	t.Helper()
+	return startFeedsWith(t, daemons, domains, func(*feedFleet) {})
+}
+
+// startFeedsWith is startFeeds with a function that is called before the mirrors run.
+func startFeedsWith(t *testing.T, daemons, domains int, prepare func(*feedFleet)) *feedFleet {
 	t.Helper()
 	f := &feedFleet{state: &sharedState{rev: 1}}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -107,6 +116,7 @@
 		handlers[i].Mirror = m
 		f.stores, f.mirrors = append(f.stores, store), append(f.mirrors, m)
 	}
+	prepare(f)
 	for _, m := range f.mirrors {
 		wg.Go(func() { m.Run(ctx) })
 	}
@@ -242,3 +252,27 @@
 		t.Errorf("a copy was %v old, want at most %v", oldest, inForce)
 	}
 }
+
+// storeCalls returns the number of calls of each daemon to the store.
+func (f *feedFleet) storeCalls() []int64 {
+	calls := make([]int64, len(f.stores))
+	for i, s := range f.stores {
+		calls[i] = s.calls.Load()
+	}
+	return calls
+}
+
+// Guards against daemons that start before their hub has a copy, take it for failed and read
+// the store for seconds.
+func TestDaemonsThatStartBeforeTheirHubReadThroughIt(t *testing.T) {
+	f := startFeedsWith(t, 9, 3, func(f *feedFleet) { f.stores[0].snapshotDelay = 200 * time.Millisecond })
+	f.await(t, 1, 5*time.Second)
+	time.Sleep(700 * time.Millisecond) // until calls to the store that have begun have ended
+	before := f.storeCalls()
+	time.Sleep(time.Second)
+	for i, n := range f.storeCalls() {
+		if n -= before[i]; i > 0 && n > 0 {
+			t.Errorf("daemon %d called the store %d times, want calls by the primary hub only", i, n)
+		}
+	}
+}
