Let one body take the whole memory for bodies

Requests with a body of more than about a third of the memory for bodies were refused with 503 each time, although the configuration allows them and the memory was free: on an instance of 284 MB with a configured limit of 64 MiB those of more than 16 MiB. The buffer doubles, and the old and the new one were counted together; 16 and 32 MiB do not fit 35 MiB.

A step now takes the difference only, as bodies of known length do, and the last one what is left of the budget: the old buffer lives for the copy alone. A request whose announced length is beyond the budget is refused at once and as not run, where it was read up to the budget first; it stays a 503, as another instance may have more memory.

TestOneBodyMayTakeTheWholeBudget and TestBodiesOfHalfTheMemoryAndMore failed for each length before (503; 408 for the announced body) and pass; the tests of the heap's peak in internal/transport/upstream pass.

--- a/internal/edge/front/body.go
+++ b/internal/edge/front/body.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"os"
 	"time"
@@ -41,6 +42,9 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
+	if r.ContentLength > h.Bodies.Limit() && r.ContentLength <= limit {
+		return nil, fmt.Errorf("%w: %d bytes", bodybuf.ErrNoMemory, r.ContentLength)
+	}
 	left := deadline - clock.Now()
 	ctx, cancel := context.WithTimeout(r.Context(), left)
 	defer cancel()
--- a/internal/edge/front/body_test.go
+++ b/internal/edge/front/body_test.go
@@ -83,6 +83,37 @@
 	}
 }
 
+// Guards against a body that the configuration allows and the memory could hold, but that is
+// refused each time. One that the instance cannot hold is refused before it is read.
+func TestBodiesOfHalfTheMemoryAndMore(t *testing.T) {
+	const memory, limit = 355 << 10, 640 << 10
+	address := startServer(t, newBodyHandler(memory, limit))
+	for _, size := range []int{160 << 10, 200 << 10, 350 << 10} {
+		body := strings.Repeat("x", size)
+		for kind, reader := range map[string]io.Reader{"with a length": strings.NewReader(body), "in chunks": io.MultiReader(strings.NewReader(body))} {
+			resp, err := http.Post("http://"+address+"/a", "", reader)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				t.Errorf("%d bytes %s: status %d, want 200", size, kind, resp.StatusCode)
+			}
+		}
+	}
+	c, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 400000\r\n\r\n")
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	answer := make([]byte, 64)
+	if n, err := c.Read(answer); err != nil || !strings.HasPrefix(string(answer[:n]), "HTTP/1.1 503") {
+		t.Errorf("body beyond the memory: %q, %v, want 503 before it is sent", answer[:n], err)
+	}
+}
+
 // Guards against a caller that sends its body too slowly and keeps its request beyond the
 // deadline.
 func TestSlowBodyIsRefusedAtTheDeadline(t *testing.T) {
--- a/internal/transport/bodybuf/bodybuf.go
+++ b/internal/transport/bodybuf/bodybuf.go
@@ -33,6 +33,9 @@
 	return &Budget{limit: limit, sem: newMemory(limit)}
 }
 
+// Limit returns the size of the budget in bytes.
+func (b *Budget) Limit() int64 { return b.limit }
+
 // Buffer is a body in memory. It counts against its budget until Release is called.
 type Buffer struct {
 	data   []byte
@@ -135,22 +138,18 @@
 	}
 }
 
-// grow doubles the capacity. One byte above the limit distinguishes a body of exactly the
-// limit from a larger one.
+// grow doubles the capacity, up to the whole budget. One byte above the limit distinguishes a
+// body of exactly the limit from a larger one. The old buffer does not count while it is copied.
 func (b *Buffer) grow(limit int64) error {
 	if int64(len(b.data)) > limit {
 		return fmt.Errorf("%w: more than %d bytes", ErrTooLarge, limit)
 	}
-	size := min(max(initialSize, 2*int64(cap(b.data))), limit+1)
-	// Both the old and the new buffer are in memory until the data is copied.
-	if !b.budget.sem.TryAcquire(size) {
+	size := min(max(initialSize, 2*b.held), limit+1, b.budget.limit)
+	if size == b.held || !b.budget.sem.TryAcquire(size-b.held) {
 		return ErrNoMemory
 	}
 	data := make([]byte, len(b.data), size)
 	copy(data, b.data)
-	if b.held > 0 {
-		b.budget.sem.release(nil, b.held)
-	}
 	b.data, b.held = data, size
 	return nil
 }
--- a/internal/transport/bodybuf/bodybuf_test.go
+++ b/internal/transport/bodybuf/bodybuf_test.go
@@ -205,3 +205,16 @@
 		}
 	})
 }
+
+// Guards against a body of unknown length that is refused although it fits the memory.
+func TestOneBodyMayTakeTheWholeBudget(t *testing.T) {
+	const budget = 36 << 10 // more than half of it is not a power of two times the first buffer
+	for _, size := range []int64{17 << 10, 20 << 10, 33 << 10, budget - 1} {
+		b := NewBudget(budget)
+		body, err := b.Read(context.Background(), io.LimitReader(&endless{}, size), -1, 1<<20)
+		if err != nil || int64(len(body.Bytes())) != size {
+			t.Errorf("body of %d bytes with a budget of %d: read %d, %v", size, budget, len(body.Bytes()), err)
+		}
+		body.Release()
+	}
+}
