Reserve a part of a short grace period at the stop

Callers of a daemon with a short grace period lost requests: the daemon always reserved 0.4 s, so with a grace period below 2.4 s it ended before the last sixth of it, and closed connections whose requests targets were about to answer.

The reserve is now at most a tenth of the grace period, and the margin for the last responses a quarter of the reserve. From 4 s on both are as before.

--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -22,12 +22,14 @@
 	// balancerLeaveTime is how long a stopping daemon continues to accept connections.
 	// By then the load balancer has noticed that the daemon is not ready.
 	balancerLeaveTime = 2500 * time.Millisecond
-	// shutdownMargin is reserved between the end of the graceful shutdown and forced
-	// termination.
-	shutdownMargin = 400 * time.Millisecond
-	// responseMargin is the time before the end of the graceful shutdown in which the last
-	// responses reach their callers.
-	responseMargin = 100 * time.Millisecond
+	// maxShutdownMargin is reserved between the end of the graceful shutdown and forced
+	// termination. Of a short grace period only the part 1/shutdownMarginDivisor is reserved, as
+	// requests are to be served for most of it.
+	maxShutdownMargin     = 400 * time.Millisecond
+	shutdownMarginDivisor = 10
+	// responseMarginDivisor is the part of that margin, before the end of the graceful
+	// shutdown, in which the last responses reach their callers.
+	responseMarginDivisor = 4
 	// cleanupInterval is how often expired registrations and removed targets are
 	// cleaned up and the gauges are updated.
 	cleanupInterval = 500 * time.Millisecond
@@ -199,9 +201,10 @@
 	d.log.Info("stopping", "grace_ms", grace.Milliseconds())
 	d.handler.Stopping.Store(true)
 	leaveFleet()
-	acceptTime, serveTime := min(balancerLeaveTime, grace/2), grace-shutdownMargin
+	margin := min(maxShutdownMargin, grace/shutdownMarginDivisor)
+	acceptTime, serveTime := min(balancerLeaveTime, grace/2), grace-margin
 	now := clock.Now()
-	d.dispatcher.StopSending(now+acceptTime, now+serveTime-responseMargin)
+	d.dispatcher.StopSending(now+acceptTime, now+serveTime-margin/responseMarginDivisor)
 	time.Sleep(acceptTime)
 	ctx, cancel := context.WithTimeout(context.Background(), serveTime-time.Since(start))
 	defer cancel()
