Refuse a request that outlives the daemon before waiting to repeat it

A stopping daemon checked whether another send of a request may still end in time only after it had waited for a new owner of the key, up to 0.64 s. A request that a target refused shortly before the end was still waiting when the process ended, so its caller got a closed connection instead of a refusal. With 6 s, such a request has been at its target for most of the grace period.

The check now also comes before the waits.

--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -30,6 +30,9 @@
 
 // choose selects a target for the request's next send and reserves capacity there.
 func (d *Dispatcher) choose(ctx context.Context, t *requestState) (*endpoint, *Refusal) {
+	if d.outlivesDaemon(t.req, clock.Now()) {
+		return nil, &Refusal{Reason: Stopping}
+	}
 	if t.sends > 0 && (t.last.Reason == KeyNotHeld || t.last.Reason == TargetUnreachable && d.isKeyed(t.req.Service)) {
 		d.awaitOwnerChange(ctx, t)
 	}
