Stop by the grace period in the settings at the time of SIGTERM

A daemon whose settings file changed shortly before SIGTERM, with or without SIGHUP, planned its stop by the grace period that it had read earlier, and read the file only afterwards. With a shorter grace period it was killed while it still passed on requests and waited for responses, so callers lost them; with a longer one it broke off requests early.

The watcher now applies a change that was made before its context ended, and the command starts the stop only then. Reading the file delays the stop by at most 0.1 s.

--- a/cmd/jackdawloomd/platform.go
+++ b/cmd/jackdawloomd/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"os"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -43,12 +44,23 @@
 		Settings: set.Edge, Store: store, Documents: platform.Documents{}, GrantProtocol: platform.GrantProtocol{},
 		Network: plainnet.New(set.Edge.PeerAddress, log), HeaderNames: &platform.HeaderNames, Log: log, Metrics: daemonMetrics, LogCounts: lines.Counts,
 	})
+	apply := func(s *platform.Settings) { d.Reload(s.Edge) }
 	watchCtx, stopWatching := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWatching()
-	go watcher.Run(watchCtx, log, func(s *platform.Settings) { d.Reload(s.Edge) })
-	return d.Run(ctx)
+	daemonCtx, stopDaemon := context.WithCancel(watchCtx)
+	go func() {
+		// The stop depends on the grace period in the settings at the time of SIGTERM.
+		watcher.Run(ctx, log, apply)
+		stopDaemon()
+		watcher.Run(watchCtx, log, apply)
+	}()
+	context.AfterFunc(ctx, func() { time.AfterFunc(maxStopDelay, stopDaemon) })
+	return d.Run(daemonCtx)
 }
 
+// maxStopDelay bounds how long reading the settings delays a stop, as the disk may be slow.
+const maxStopDelay = 100 * time.Millisecond
+
 // writeLog writes the log to the standard output in the background. The returned
 // function stops the writer and waits for it.
 func writeLog(ctx context.Context, lines *eventlog.Log) (end func()) {
