Refuse requests that wait for memory when a stopping daemon ends

A request whose small body waited for memory did so until its deadline. If that was after the end of a stopping daemon, its caller, who had sent all of it, got a closed connection without a response, although the request had not been passed on.

The budget for the bodies of requests can now be closed, which ends the waits as a lack of memory does: with 503 and a promise that the request has not run. A stopping daemon closes it when the last responses are due.

--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -203,8 +203,10 @@
 	leaveFleet()
 	margin := min(maxShutdownMargin, grace/shutdownMarginDivisor)
 	acceptTime, serveTime := min(balancerLeaveTime, grace/2), grace-margin
-	now := clock.Now()
-	d.dispatcher.StopSending(now+acceptTime, now+serveTime-margin/responseMarginDivisor)
+	now, responseTime := clock.Now(), serveTime-margin/responseMarginDivisor
+	d.dispatcher.StopSending(now+acceptTime, now+responseTime)
+	// Requests that still wait for memory then are refused.
+	defer time.AfterFunc(responseTime, d.handler.Bodies.Close).Stop()
 	time.Sleep(acceptTime)
 	ctx, cancel := context.WithTimeout(context.Background(), serveTime-time.Since(start))
 	defer cancel()
--- a/internal/transport/bodybuf/bodybuf.go
+++ b/internal/transport/bodybuf/bodybuf.go
@@ -33,6 +33,10 @@
 	return &Budget{limit: limit, sem: newMemory(limit)}
 }
 
+// Close ends all waits for memory, also those that would begin later, with ErrNoMemory. Memory that
+// is left can still be used.
+func (b *Budget) Close() { b.sem.endWaits() }
+
 // Limit returns the size of the budget in bytes.
 func (b *Budget) Limit() int64 { return b.limit }
 
--- a/internal/transport/bodybuf/bodybuf_test.go
+++ b/internal/transport/bodybuf/bodybuf_test.go
@@ -218,3 +218,22 @@
 		body.Release()
 	}
 }
+
+// Guards against bodies that wait for memory after the budget was closed.
+func TestCloseEndsWaits(t *testing.T) {
+	b := NewBudget(10)
+	held, err := b.Read(context.Background(), strings.NewReader("0123456789"), 10, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(20*time.Millisecond, b.Close)
+	for range 2 {
+		if _, err := b.Read(context.Background(), strings.NewReader("x"), 1, 10); !errors.Is(err, ErrNoMemory) {
+			t.Errorf("got %v, want ErrNoMemory", err)
+		}
+	}
+	held.Release()
+	if _, err := b.Read(context.Background(), strings.NewReader("x"), 1, 10); err != nil {
+		t.Errorf("with memory left: %v", err)
+	}
+}
--- a/internal/transport/bodybuf/memory.go
+++ b/internal/transport/bodybuf/memory.go
@@ -13,6 +13,9 @@
 // part and wait for the rest would otherwise wait forever.
 type memory struct {
 	limit int64
+	// closed is done once no step waits any more.
+	closed   context.Context
+	endWaits context.CancelFunc
 
 	mu      sync.Mutex
 	used    int64
@@ -32,7 +35,9 @@
 }
 
 func newMemory(limit int64) *memory {
-	return &memory{limit: limit, growing: make(map[*growth]struct{})}
+	m := &memory{limit: limit, growing: make(map[*growth]struct{})}
+	m.closed, m.endWaits = context.WithCancel(context.Background())
+	return m
 }
 
 // TryAcquire takes memory for a body of unknown length, and reports whether there was enough.
@@ -46,7 +51,8 @@
 	return true
 }
 
-// acquire takes memory for the next step of a body, and waits for it until ctx is done.
+// acquire takes memory for the next step of a body, and waits for it until ctx is done or the
+// waits are ended.
 func (m *memory) acquire(ctx context.Context, g *growth, size int64) error {
 	m.mu.Lock()
 	if m.grant(g, size) {
@@ -60,6 +66,7 @@
 	case <-s.granted:
 		return nil
 	case <-ctx.Done():
+	case <-m.closed.Done():
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -68,7 +75,7 @@
 		return nil // granted meanwhile
 	}
 	m.waiting = slices.Delete(m.waiting, i, i+1)
-	return ctx.Err()
+	return cmp.Or(ctx.Err(), m.closed.Err())
 }
 
 // release returns memory. g is the body that it belonged to, or nil if the body was complete or
