--- a/internal/state/route/route.go
+++ b/internal/state/route/route.go
@@ -13,7 +13,7 @@
 // WeightedService is a service and its weight among the services of a route.
 type WeightedService struct {
 	Service string
-	Weight  int
+	Weight  float64
 }
 
 // Route describes how requests for one host and path prefix are handled.
@@ -165,13 +165,13 @@
 // PickService selects a service by weight: the one whose share of the total weight
 // contains fraction, which is in [0, 1).
 func (r *Route) PickService(fraction float64) string {
-	total := 0
+	total := 0.0
 	for _, ws := range r.WeightedServices {
 		total += ws.Weight
 	}
-	remaining := fraction * float64(total)
+	remaining := fraction * total
 	for _, ws := range r.WeightedServices {
-		remaining -= float64(ws.Weight)
+		remaining -= ws.Weight
 		if remaining < 0 {
 			return ws.Service
 		}
