Ask a hub that stalls again before reading the store

Beside load, daemons read the store past their hub, daemon 1 up to 17 times in four seconds (TestCopiesOfHubsStayYoungEnough, TestOneDaemonReadsTheStore; calls are charged for). One late response, 450 ms at a hub and 800 ms elsewhere, made a daemon avoid its hub for three seconds. The next in order after the primary hub is then the primary hub of its own, so it read the store until the three seconds were over; the others left for one call each.

A daemon whose hub is late, starts or has an old copy now asks it again while its own copy is young: up to 1.7 s, and up to 1.35 s at a hub, so that its domain need not give up as well. Then it reads the store once and tries the hub without retries; it avoids the hub after the third time in a row, as it did for old copies. Other errors are retried once.

--- a/internal/edge/peers/feed.go
+++ b/internal/edge/peers/feed.go
@@ -28,6 +28,14 @@
 	maxSeedCopyAge = 15 * time.Second
 	// feedMargin is added to the requested wait to get the timeout of a call to a hub.
 	feedMargin = 300 * time.Millisecond
+	// A failed call to a hub is repeated after hubRetryDelay while the daemon's own copy is
+	// younger than maxMemberRetryAge, or maxHubRetryAge if the daemon is the hub of its domain:
+	// a hub that stalls for a moment would otherwise send its daemons to the store. Hubs give up
+	// first, so that their domains need not, and the daemons early enough to read the store
+	// within the 2 s in which a change must be in force.
+	hubRetryDelay     = 50 * time.Millisecond
+	maxHubRetryAge    = 1350 * time.Millisecond
+	maxMemberRetryAge = 1700 * time.Millisecond
 	// maxFeedWait is the longest time for which a daemon may ask to wait for changes.
 	maxFeedWait = 30 * time.Second
 	maxFeedSize = 8 << 20
@@ -59,9 +67,15 @@
 // errStarting reports a daemon that has not read the store yet.
 var errStarting = errors.New("daemon has no copy of the store yet")
 
-// maxOldCopies is the number of consecutive reads of an old copy, or of none yet, after which
-// another hub is chosen.
-const maxOldCopies = 3
+// errNoHub reports that this daemon has no hub and reads the store itself.
+var errNoHub = errors.New("no hub to read from")
+
+// errLate reports a daemon that did not answer in time.
+var errLate = errors.New("daemon did not answer in time")
+
+// maxHubStalls is the number of consecutive reads of a hub that is late, starts or has an old
+// copy after which another hub is chosen.
+const maxHubStalls = 3
 
 // Feed reads the store through other daemons: the daemons of a domain through their hub,
 // and hubs through the primary hub. Only the primary hub, and daemons that find no
@@ -76,7 +90,8 @@
 	Network Network
 	Log     *slog.Logger
 
-	oldCopies int // consecutive reads of a copy that was too old or not there yet
+	currentAt time.Duration // latest time at which the last read copy is known to be current
+	stalls    int           // consecutive reads of the store because the hub stalled or started
 }
 
 // source returns the daemon to read from. It returns false if the store is to be read
@@ -95,12 +110,13 @@
 	if hub, ok := f.source(); ok {
 		reply, err := f.call(ctx, hub.Address, "", maxCopyAge, feedMargin*2)
 		if err == nil {
+			f.currentAt = clock.Now() - reply.Age
 			return reply.Entries, topo.Progress{Rev: reply.Rev, Age: reply.Age, Relayed: true}, nil
 		}
 		f.hubFailed(ctx, hub, err)
 	}
 	entries, progress, err := f.Store.Snapshot(ctx, prefix)
-	f.noteStoreError(ctx, err)
+	f.noteStoreResult(ctx, err)
 	if err != nil && len(f.Peers()) == 0 {
 		if reply, ok := f.copyFromSeeds(ctx); ok {
 			return reply.Entries, topo.Progress{Rev: reply.Rev, Age: reply.Age, Relayed: true}, nil
@@ -125,33 +141,75 @@
 
 // Changes implements topo.Feed.
 func (f *Feed) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]topo.Event, topo.Progress, error) {
-	if hub, ok := f.source(); ok {
+	reply, err := f.changesFromHub(ctx, after, wait)
+	switch {
+	case err != nil && ctx.Err() != nil, errors.Is(err, topo.ErrCompacted):
+		return nil, topo.Progress{}, err
+	case err == nil:
+		events := make([]topo.Event, len(reply.Entries))
+		for i, e := range reply.Entries {
+			events[i] = topo.Event{Entry: e}
+		}
+		f.stalls, f.currentAt = 0, clock.Now()-reply.Age
+		return events, topo.Progress{Rev: max(reply.Rev, after), Age: reply.Age, Relayed: true}, nil
+	}
+	events, progress, err := f.Store.Changes(ctx, prefix, after, wait)
+	f.noteStoreResult(ctx, err)
+	return events, progress, err
+}
+
+// changesFromHub reads the changes from this daemon's hub. It repeats a call that failed while
+// this daemon's copy is young enough: once, or until then if the error may pass. After that it
+// repeats no call until one succeeds, so that changes are not late for long.
+func (f *Feed) changesFromHub(ctx context.Context, after int64, wait time.Duration) (*feedReply, error) {
+	timeout := wait + feedMargin
+	for retried := false; ; retried = true {
+		hub, ok := f.source()
+		if !ok {
+			return nil, errNoHub
+		}
+		maxAge := maxMemberRetryAge
 		if hub.Domain != f.Domain {
+			maxAge = maxHubRetryAge
 			wait = min(wait, maxHubWait)
+			timeout = min(timeout, wait+feedMargin)
 		}
 		query := "?after=" + strconv.FormatInt(after, 10) + "&wait=" + strconv.FormatInt(wait.Milliseconds(), 10)
-		reply, err := f.call(ctx, hub.Address, query, maxCopyAge, wait+feedMargin)
-		if err == nil {
-			events := make([]topo.Event, len(reply.Entries))
-			for i, e := range reply.Entries {
-				events[i] = topo.Event{Entry: e}
-			}
-			f.oldCopies = 0
-			return events, topo.Progress{Rev: max(reply.Rev, after), Age: reply.Age, Relayed: true}, nil
+		reply, err := f.call(ctx, hub.Address, query, maxCopyAge, timeout)
+		if err == nil || errors.Is(err, topo.ErrCompacted) || ctx.Err() != nil {
+			return reply, err
 		}
-		if errors.Is(err, topo.ErrCompacted) {
-			return nil, topo.Progress{}, err
+		left := maxAge - hubRetryDelay - (clock.Now() - f.currentAt)
+		if left <= 0 || f.stalls > 0 || retried && !mayPass(err) {
+			f.hubFailed(ctx, hub, err)
+			return nil, err
 		}
-		f.hubFailed(ctx, hub, err)
+		pause(ctx, hubRetryDelay)
+		wait, timeout = 0, min(left, feedMargin) // a copy without changes is current as well
 	}
-	events, progress, err := f.Store.Changes(ctx, prefix, after, wait)
-	f.noteStoreError(ctx, err)
-	return events, progress, err
 }
 
-// noteStoreError marks this daemon as failed if the store does not serve it. The daemon
+// mayPass reports whether the error of a call to a hub is that of a hub that stalls or starts.
+func mayPass(err error) bool {
+	return errors.Is(err, errLate) || errors.Is(err, errOldCopy) || errors.Is(err, errStarting)
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// noteStoreResult marks this daemon as failed if the store does not serve it. The daemon
 // then reads through other daemons, which the store may still serve.
-func (f *Feed) noteStoreError(ctx context.Context, err error) {
+func (f *Feed) noteStoreResult(ctx context.Context, err error) {
+	if err == nil {
+		f.currentAt = clock.Now()
+	}
 	if err != nil && !errors.Is(err, topo.ErrCompacted) && ctx.Err() == nil {
 		f.Hubs.MarkFailed(f.Self)
 	}
@@ -162,14 +220,13 @@
 		return
 	}
 	f.Log.Info("hub not used; reading the store", "hub", hub.Name, "error", err)
-	if errors.Is(err, errOldCopy) || errors.Is(err, errStarting) {
-		// The hub works but lags, or starts at the same time. To leave it takes many calls to
-		// the store.
-		if f.oldCopies++; f.oldCopies < maxOldCopies {
+	if mayPass(err) {
+		// The next read of changes tries the hub again. To leave it takes many calls to the store.
+		if f.stalls++; f.stalls < maxHubStalls {
 			return
 		}
 	}
-	f.oldCopies = 0
+	f.stalls = 0
 	f.Hubs.MarkFailed(hub.Name)
 }
 
@@ -179,6 +236,8 @@
 	defer cancel()
 	status, body, err := get(ctx, f.Network, address, feedPath+query, maxFeedSize)
 	switch {
+	case err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return nil, fmt.Errorf("%w: %w", errLate, err)
 	case err != nil:
 		return nil, err
 	case status == http.StatusGone:
--- a/internal/edge/peers/feed_test.go
+++ b/internal/edge/peers/feed_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,6 +23,7 @@
 // countingStore is a feed with one entry. It counts the calls of one daemon.
 type countingStore struct {
 	state *sharedState
+	stall *stall
 	calls atomic.Int64
 	down  atomic.Bool
 	// snapshotDelay is how long a snapshot takes.
@@ -61,6 +64,9 @@
 		if c.down.Load() {
 			return nil, topo.Progress{}, topo.ErrUnavailable
 		}
+		if c.stall != nil {
+			c.stall.wait()
+		}
 		if e := c.state.entry(); e.ModRev > after {
 			return []topo.Event{{Entry: e}}, topo.Progress{Rev: e.ModRev}, nil
 		}
@@ -81,6 +87,49 @@
 	stores  []*countingStore
 	mirrors []*mirror.Mirror
 	servers []*httptest.Server
+	stalls  []*stall
+}
+
+// stall holds up the calls of other daemons to a daemon, and the daemon's calls to the store.
+type stall struct {
+	mu   sync.Mutex
+	end  time.Time
+	next time.Duration // delay of the next call of another daemon
+}
+
+// begin holds up all calls from now on.
+func (s *stall) begin(duration time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.end = time.Now().Add(duration)
+}
+
+// delayNext holds up the next call of another daemon only.
+func (s *stall) delayNext(duration time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next = duration
+}
+
+func (s *stall) wait() {
+	s.mu.Lock()
+	left := time.Until(s.end)
+	s.mu.Unlock()
+	time.Sleep(left)
+}
+
+// handler passes calls on to h after the delay that is due.
+func (s *stall) handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		delay := s.next
+		s.next = 0
+		s.mu.Unlock()
+		time.Sleep(delay)
+		s.wait()
+		h.ServeHTTP(w, r)
+		s.wait()
+	})
 }
 
 func startFeeds(t *testing.T, daemons, domains int) *feedFleet {
@@ -99,7 +148,8 @@
 	handlers := make([]*FeedHandler, daemons)
 	for i := range daemons {
 		handlers[i] = &FeedHandler{Log: log}
-		server := httptest.NewServer(handlers[i])
+		f.stalls = append(f.stalls, &stall{})
+		server := httptest.NewServer(f.stalls[i].handler(handlers[i]))
 		f.servers = append(f.servers, server)
 		list = append(list, Peer{
 			Name: fmt.Sprint("d", i), Domain: fmt.Sprint("z", i%domains), Capacity: float64(daemons - i),
@@ -107,7 +157,7 @@
 		})
 	}
 	for i := range daemons {
-		store := &countingStore{state: f.state}
+		store := &countingStore{state: f.state, stall: f.stalls[i]}
 		feed := &Feed{
 			Self: list[i].Name, Domain: list[i].Domain, Store: store, Hubs: NewHubSelector(), Peers: func() []Peer { return list },
 			Network: plainnet.New("", log), Log: log,
@@ -262,6 +312,16 @@
 	return calls
 }
 
+// checkPrimaryOnly checks that only the primary hub has called the store since before.
+func (f *feedFleet) checkPrimaryOnly(t *testing.T, before []int64) {
+	t.Helper()
+	for i, n := range f.storeCalls() {
+		if n -= before[i]; i > 0 && n > 0 {
+			t.Errorf("daemon %d called the store %d times, want calls by the primary hub only", i, n)
+		}
+	}
+}
+
 // Guards against daemons that start before their hub has a copy, take it for failed and read
 // the store for seconds.
 func TestDaemonsThatStartBeforeTheirHubReadThroughIt(t *testing.T) {
@@ -270,9 +330,58 @@
 	time.Sleep(700 * time.Millisecond) // until calls to the store that have begun have ended
 	before := f.storeCalls()
 	time.Sleep(time.Second)
-	for i, n := range f.storeCalls() {
-		if n -= before[i]; i > 0 && n > 0 {
-			t.Errorf("daemon %d called the store %d times, want calls by the primary hub only", i, n)
+	f.checkPrimaryOnly(t, before)
+}
+
+// Guards against daemons that leave their hub because of one late response, and then read the
+// store for seconds.
+func TestLateResponseOfHubKeepsDaemonsOffTheStore(t *testing.T) {
+	f := startFeeds(t, 9, 3)
+	f.await(t, 1, 5*time.Second)
+	time.Sleep(time.Second) // by now, daemons that started before their hub read through the hub
+	before := f.storeCalls()
+	for hub := range 3 {
+		f.stalls[hub].delayNext(700 * time.Millisecond)
+		time.Sleep(time.Second)
+		f.await(t, f.state.change(), inForce)
+	}
+	time.Sleep(time.Second)
+	f.checkPrimaryOnly(t, before)
+}
+
+// Guards against a short stall of the primary hub after which other daemons read the store for
+// seconds, and against changes that come late because of it.
+func TestStallOfPrimaryHubKeepsDaemonsOffTheStore(t *testing.T) {
+	f := startFeeds(t, 9, 3)
+	f.await(t, 1, 5*time.Second)
+	time.Sleep(time.Second) // by now, daemons that started before their hub read through the hub
+	for range 2 {
+		before := f.storeCalls()
+		f.stalls[0].begin(700 * time.Millisecond)
+		f.await(t, f.state.change(), inForce)
+		time.Sleep(2 * time.Second)
+		for i, n := range f.storeCalls() {
+			if n -= before[i]; i > 0 && n > 1 {
+				t.Errorf("daemon %d called the store %d times for one stall, want at most one", i, n)
+			}
 		}
 	}
 }
+
+// Guards against changes that reach daemons late because they ask a hub that is silent for long
+// again and again.
+func TestChangesArriveWhileAHubIsSilent(t *testing.T) {
+	for hub := range 2 {
+		t.Run(fmt.Sprint("hub ", hub), func(t *testing.T) {
+			t.Parallel()
+			f := startFeeds(t, 9, 3)
+			f.await(t, 1, 5*time.Second)
+			time.Sleep(time.Second) // by now, daemons that started before their hub read through the hub
+			f.stalls[hub].begin(5 * time.Second)
+			others := &feedFleet{mirrors: slices.Delete(slices.Clone(f.mirrors), hub, hub+1)}
+			for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				others.await(t, f.state.change(), inForce)
+			}
+		})
+	}
+}
