--- a/internal/transport/upstream/bounds_test.go
+++ b/internal/transport/upstream/bounds_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -150,6 +151,44 @@
 	}
 }
 
+// Guards against responses that announce large bodies and send nothing, and so keep the memory
+// that other responses need until their deadlines.
+func TestSilentResponsesHoldNoMemory(t *testing.T) {
+	const silent = 4
+	announced := make(chan struct{}, silent)
+	done := make(chan struct{})
+	p := serveTarget(t, func(n int, conn net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		if n > silent {
+			_, _ = io.WriteString(conn, responseText("1", strings.Repeat("x", 100<<10)))
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: s\r\nContent-Length: %d\r\n\r\n", testBodyMemory/2)
+		announced <- struct{}{}
+		<-done
+	})
+	p.SetLimit(2 * silent)
+	var wg sync.WaitGroup
+	for range silent {
+		wg.Go(func() {
+			if _, err := send(t, p, "1", 20*time.Second); !errors.Is(err, ErrOutcomeUnknown) {
+				t.Errorf("silent response: %v, want ErrOutcomeUnknown", err)
+			}
+		})
+	}
+	for range silent {
+		<-announced
+	}
+	time.Sleep(50 * time.Millisecond) // until the heads are read
+	if r, err := send(t, p, "1", 2*time.Second); err != nil || len(r.Body) != 100<<10 {
+		t.Errorf("response beside silent ones: %v", err)
+	}
+	close(done)
+	wg.Wait()
+}
+
 // Guards against a response that breaks off halfway and counts as complete.
 func TestBrokenOffResponses(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: s\r\n"
