Number the calls between daemons on plain networks

A copy of an earlier reply of a daemon, in front of the next one on the connection, was taken for that one: a relayed write that failed could count as done, and a reader could get another daemon's list or status.

Cause: the replies carry no identification, and net/http takes the first that arrives, also one whose head is made of two.

Change: each call has a number that its reply repeats. A reply with another number, or with a head that may consist of two, is an error, and the connection is closed. Replies without a number are accepted, because daemons of older versions send them. HTTP/3 needs no numbers, as each call has a stream of its own.

--- a/internal/transport/plainnet/plainnet.go
+++ b/internal/transport/plainnet/plainnet.go
@@ -11,10 +11,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/transport/dialer"
+	"github.com/jackdawloom/jackdawloom/internal/transport/headcheck"
 	"github.com/jackdawloom/jackdawloom/internal/transport/listener"
 	"github.com/jackdawloom/jackdawloom/internal/transport/once"
 )
@@ -26,6 +29,8 @@
 	headerTimeout = time.Second
 	// maxHeaderBytes bounds the header of a call and of its response.
 	maxHeaderBytes = 16 << 10
+	// callIDField carries the number of a call, which the reply repeats.
+	callIDField = "Call-Id"
 	// MaxHintBytes is the size of the largest hint in bytes; it fits one packet at the usual MTU.
 	MaxHintBytes = 1400
 )
@@ -35,6 +40,7 @@
 	address string
 	log     *slog.Logger
 	client  *http.Transport
+	lastID  atomic.Uint64 // number of the last call
 
 	mu         sync.Mutex
 	listener   net.Listener
@@ -97,7 +103,7 @@
 	n.mu.Lock()
 	listener, packets := n.listener, n.packetConn
 	n.mu.Unlock()
-	server := &http.Server{Handler: calls, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{Handler: withCallID(calls), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	closeAll := func() {
 		_ = server.Close()
 		_ = packets.Close()
@@ -151,16 +157,50 @@
 	}
 }
 
+// withCallID makes replies repeat the number of their call.
+func withCallID(calls http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(callIDField); id != "" {
+			w.Header().Set(callIDField, id)
+		}
+		calls.ServeHTTP(w, r)
+	})
+}
+
+// errOtherCall reports a reply to another call of the connection.
+var errOtherCall = errors.New("reply to another call")
+
+// checkReply returns an error if a reply may not be the one to a call. A daemon of an older version
+// does not repeat the number.
+func checkReply(resp *http.Response, id string) error {
+	if err := errors.Join(headcheck.Response(resp), headcheck.SingleFields(resp.Header, callIDField)); err != nil {
+		return err
+	}
+	if got := resp.Header.Get(callIDField); got != "" && got != id {
+		return errOtherCall
+	}
+	return nil
+}
+
 // RoundTrip sends a call to a daemon once. The error wraps once.ErrNotSent if no connection
 // was established.
 func (n *Net) RoundTrip(address netip.AddrPort, req *http.Request) (*http.Response, error) {
 	req.URL.Scheme, req.URL.Host = "http", address.String()
+	id := strconv.FormatUint(n.lastID.Add(1), 36)
+	req.Header.Set(callIDField, id)
 	resp, err := n.client.RoundTrip(req)
 	var dial *net.OpError
 	if errors.As(err, &dial) && dial.Op == "dial" {
 		return nil, fmt.Errorf("%w: %w", once.ErrNotSent, err)
 	}
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	if err := checkReply(resp, id); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
 }
 
 // SendHint sends a hint to a daemon. It may be lost.
