Bound the time for a head from its first byte on

Callers saw: with one byte of a request on each connection at the bound of connections, new callers got 503 for up to 17 s.

Cause: net/http waits for the first four bytes of a request as long as for the request itself, and begins the time for the head with the fourth.

Change: a read between two requests ends when the time for the head, counted from the first byte, is over.

Ruled out: ending such connections as idle ones again, which drops requests that are arriving.

--- a/internal/edge/front/admission_test.go
+++ b/internal/edge/front/admission_test.go
@@ -86,6 +86,31 @@
 	}
 }
 
+// Guards against kept connections that keep new callers out with one byte of a request each, for
+// longer than callers have for a head.
+func TestBegunHeadsMakeRoom(t *testing.T) {
+	l := listenLoopback(t)
+	startLimitedServer(t, l, func(http.ResponseWriter, *http.Request) {})
+	for range testMaxConns {
+		c := dialCaller(t, l)
+		if r := requestOn(c); r == nil || r.StatusCode != http.StatusOK {
+			t.Fatalf("got %+v, want 200", r)
+		}
+		if _, err := io.WriteString(c, "G"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for end := time.Now().Add(defaultLimits.HeaderTimeout + time.Second); ; time.Sleep(100 * time.Millisecond) {
+		r := requestOn(dialCaller(t, l))
+		if r != nil && r.StatusCode == http.StatusOK {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("a new caller is not served although the others exceed the time for a head")
+		}
+	}
+}
+
 // Guards against callers that take the descriptors of connections to targets, against a
 // connection that is neither served nor refused, and against refusing once there is room.
 func TestBusyConnectionsAreBounded(t *testing.T) {
--- a/internal/edge/front/framing.go
+++ b/internal/edge/front/framing.go
@@ -27,10 +27,12 @@
 	running     atomic.Pointer[runningRequest] // nil between requests
 
 	stateMu sync.Mutex
-	// idle is true between two requests until a byte of the next one has been read, and lastRequest
-	// once no further request is accepted.
-	idle, lastRequest bool
-	idleSince         time.Duration
+	// waiting is true while net/http waits for the next request, idle until a byte of that has been
+	// read, and lastRequest once no further request is accepted.
+	waiting, idle, lastRequest bool
+	idleSince                  time.Duration
+	headBegan                  time.Time // when the first byte of the next request was read
+	headTimeout                time.Duration
 	// bytesWaiting is true after net/http has read ahead one byte of a pipelined request.
 	bytesWaiting atomic.Bool
 
@@ -68,7 +70,7 @@
 }
 
 // endRead ends a Read that is under way. net/http sets the deadline anew for each request, after
-// it has called setIdle.
+// it has called setWaiting.
 func (c *framingConn) endRead() { _ = c.SetReadDeadline(time.Now()) }
 
 // idleTime returns for how long the connection has been idle, or 0 if it is not.
@@ -97,15 +99,16 @@
 	return true
 }
 
-// setIdle records whether net/http waits for the next request. If it has read bytes of that
+// setWaiting records whether net/http waits for the next request. If it has read bytes of that
 // already, the connection is not idle.
-func (c *framingConn) setIdle(idle bool) {
-	if idle && (c.scanner.ended > c.begun || c.scanner.inRequest()) {
-		idle = false
-	}
+func (c *framingConn) setWaiting(waiting bool) {
+	begun := waiting && (c.scanner.ended > c.begun || c.scanner.inRequest())
 	c.stateMu.Lock()
 	defer c.stateMu.Unlock()
-	c.idle, c.idleSince = idle, clock.Now()
+	c.waiting, c.idle, c.idleSince = waiting, waiting && !begun, clock.Now()
+	if begun {
+		c.headBegan = time.Now()
+	}
 }
 
 // arrive records that bytes of a request have been read. Empty lines between two requests do not
@@ -113,19 +116,25 @@
 func (c *framingConn) arrive() {
 	c.stateMu.Lock()
 	defer c.stateMu.Unlock()
-	c.idle = false
+	if c.idle {
+		c.idle, c.headBegan = false, time.Now()
+	}
 }
 
-// ended reports whether no further request is to be read.
-func (c *framingConn) ended() bool {
+// beginRead reports whether there is anything to read. It bounds the time for the head of the next
+// request from its first byte on; net/http does so from the fourth.
+func (c *framingConn) beginRead() bool {
 	c.stateMu.Lock()
 	defer c.stateMu.Unlock()
-	return c.idle && c.lastRequest
+	if c.waiting && !c.idle && c.headTimeout > 0 {
+		_ = c.SetReadDeadline(c.headBegan.Add(c.headTimeout))
+	}
+	return !c.idle || !c.lastRequest
 }
 
 // Read implements net.Conn.
 func (c *framingConn) Read(b []byte) (int, error) {
-	if c.ended() {
+	if !c.beginRead() {
 		return 0, io.EOF
 	}
 	n, err := c.Conn.Read(b)
--- a/internal/edge/front/server.go
+++ b/internal/edge/front/server.go
@@ -122,9 +122,10 @@
 	if !ok {
 		return
 	}
-	conn.setIdle(state == http.StateIdle)
+	conn.setWaiting(state == http.StateIdle)
 	switch state {
 	case http.StateNew:
+		conn.headTimeout = g.server.ReadHeaderTimeout
 		g.mu.Lock()
 		g.open[conn] = struct{}{}
 		g.mu.Unlock()
