Set deadlines of connections without the time of day

Change: the time for a head is kept in the daemon's clock, and one place sets the deadline of a read; the end of a write uses a time that is not taken from a clock.

--- a/internal/edge/front/framing.go
+++ b/internal/edge/front/framing.go
@@ -31,7 +31,7 @@
 	// read, and lastRequest once no further request is accepted.
 	waiting, idle, lastRequest bool
 	idleSince                  time.Duration
-	headBegan                  time.Time // when the first byte of the next request was read
+	headBegan                  time.Duration // when the first byte of the next request was read
 	headTimeout                time.Duration
 	// bytesWaiting is true after net/http has read ahead one byte of a pipelined request.
 	bytesWaiting atomic.Bool
@@ -65,13 +65,13 @@
 	c.stateMu.Lock()
 	defer c.stateMu.Unlock()
 	if c.lastRequest = true; c.idle {
-		c.endRead()
+		c.endReadIn(0)
 	}
 }
 
-// endRead ends a Read that is under way. net/http sets the deadline anew for each request, after
-// it has called setWaiting.
-func (c *framingConn) endRead() { _ = c.SetReadDeadline(time.Now()) }
+// endReadIn ends a Read that is under way, or the next one, after a time. net/http sets the deadline
+// anew for each request, after it has called setWaiting.
+func (c *framingConn) endReadIn(after time.Duration) { _ = c.SetReadDeadline(time.Now().Add(after)) }
 
 // idleTime returns for how long the connection has been idle, or 0 if it is not.
 func (c *framingConn) idleTime(now time.Duration) time.Duration {
@@ -95,7 +95,7 @@
 	if l, ok := c.Conn.(*lingeringConn); ok {
 		l.closeAtOnce.Store(true)
 	}
-	c.endRead()
+	c.endReadIn(0)
 	return true
 }
 
@@ -107,7 +107,7 @@
 	defer c.stateMu.Unlock()
 	c.waiting, c.idle, c.idleSince = waiting, waiting && !begun, clock.Now()
 	if begun {
-		c.headBegan = time.Now()
+		c.headBegan = clock.Now()
 	}
 }
 
@@ -117,7 +117,7 @@
 	c.stateMu.Lock()
 	defer c.stateMu.Unlock()
 	if c.idle {
-		c.idle, c.headBegan = false, time.Now()
+		c.idle, c.headBegan = false, clock.Now()
 	}
 }
 
@@ -127,7 +127,7 @@
 	c.stateMu.Lock()
 	defer c.stateMu.Unlock()
 	if c.waiting && !c.idle && c.headTimeout > 0 {
-		_ = c.SetReadDeadline(c.headBegan.Add(c.headTimeout))
+		c.endReadIn(c.headBegan + c.headTimeout - clock.Now())
 	}
 	return !c.idle || !c.lastRequest
 }
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -253,6 +253,9 @@
 	return done, nil
 }
 
+// past is a deadline that is over. The zero time would mean none.
+var past = time.Time{}.Add(1)
+
 // stopWrite ends a write and returns the error that has broken the connection, if any. The kernel
 // reports a reset once: if the write gets the error, a read gets the end of the stream. A broken
 // pipe is no such error, because the target has ended the stream or the read got the error.
@@ -260,7 +263,7 @@
 	if pending == nil {
 		return nil
 	}
-	if err := c.net.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+	if err := c.net.SetWriteDeadline(past); err != nil {
 		return err
 	}
 	err := <-pending
