Carry out an operator's move of keys that are in motion

Callers of jackdawctl saw: a move was accepted and never made, so the command ended with exit code 6 after its wait.

Cause: a move skipped spans that were just being moved as a part of a larger span than the one that the operator named. Nothing took it up once they had arrived.

Change: the keys' pin remembers the target, and each round of planning goes on with the move until all of the keys have begun to move, the target is gone or the pin has ended.

Before: TestMoveOfKeysInMotion finds the keys at the target of the first move, in each run. After: it passes, as do the package's properties with the race detector. That this was the cause of the process test's one failure is inferred: the log shows ranges around the shard in motion all the time, but its kept part begins after the request.

--- a/internal/coordination/ownership/move_test.go
+++ b/internal/coordination/ownership/move_test.go
@@ -51,6 +51,34 @@
 	}
 }
 
+// Guards against an accepted move that is never made because the keys are just being moved as a part
+// of a larger span.
+func TestMoveOfKeysInMotion(t *testing.T) {
+	f := newFleet(3)
+	for range 60 {
+		f.step(nil)
+	}
+	owner := f.table.Lookup(30000).Owner
+	var others []string
+	for _, id := range []string{"a", "b", "c"} {
+		if id != owner {
+			others = append(others, id)
+		}
+	}
+	f.Move(29000, 31000, others[0], time.Minute, f.now)
+	if !f.Move(30000, 30100, others[1], time.Minute, f.now) {
+		t.Fatal("move not accepted")
+	}
+	for range 100 {
+		f.step(nil)
+	}
+	for key, want := range map[uint16]string{30000: others[1], 30100: others[1], 30500: others[0]} {
+		if got := f.table.Lookup(key).Owner; got != want {
+			t.Errorf("key %d belongs to %q, want %q", key, got, want)
+		}
+	}
+}
+
 // Guards against a lost target that keeps the keys that an operator had moved to the
 // target.
 func TestMovedKeysLeaveLostTarget(t *testing.T) {
--- a/internal/coordination/ownership/plan.go
+++ b/internal/coordination/ownership/plan.go
@@ -107,6 +107,7 @@
 		return
 	}
 	e.plannedAt = now
+	e.continueMoves(now)
 	e.mergeSpans()
 	if !e.noBalancing {
 		e.rebalance(now)
