--- a/internal/state/route/route.go
+++ b/internal/state/route/route.go
@@ -49,6 +49,11 @@
 	Keyed bool
 	// Warmup is the time for which a key remains slow after a move without a handover.
 	Warmup time.Duration
+	// ColdStart is the time for which a target is cold after its start, and ColdRate the
+	// requests per second of all daemons together that a cold target tolerates; 0 means that
+	// cold targets tolerate any rate.
+	ColdStart time.Duration
+	ColdRate  float64
 	// ShedsLoad states that targets refuse requests that exceed their slots instead of
 	// queueing them. Daemons then hold requests until a slot is free.
 	ShedsLoad bool
--- a/internal/transport/upstream/request.go
+++ b/internal/transport/upstream/request.go
@@ -32,6 +32,9 @@
 	// Stamp carries the target's signature of a response. It is empty if targets do not sign
 	// responses.
 	Stamp string
+	// Load carries a target's load report, and ColdRemaining the milliseconds for which the
+	// target stays cold; empty if targets do not report them.
+	Load, ColdRemaining string
 	// Handover carries the value that accompanies keys from one owner to the next.
 	Handover string
 	// Outcome and Reason tell callers whether a refused request ran, and why it was refused. If
