Move everything out of a failure domain that operators evacuate

Cause: operators ask in the store that nothing be sent to the targets of a failure domain.

Change: view.Documents names the key of such a request. In the view, targets of services without keys there become draining at once, and those of keyed services leaving, so that the coordinator moves their keys, until half a second before the bound of the settings. The bound counts from the last copy of the store without the request. Requests of a service whose targets are all evacuated are refused at once.

--- a/internal/edge/coordinator/coordinator_test.go
+++ b/internal/edge/coordinator/coordinator_test.go
@@ -119,6 +119,8 @@
 func (documents) ConfigKey() string     { return "config" }
 func (documents) TargetsPrefix() string { return "targets/" }
 
+func (documents) EvacuatedDomain(string) (string, bool) { return "", false }
+
 func (documents) DecodeConfig([]byte) (*route.Config, error) {
 	return route.New(1, nil, []route.Service{{Name: "s", Keyed: true}}, route.Limits{}), nil
 }
--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -159,6 +159,9 @@
 	span := table.Lookup(t.req.Key)
 	t.fence = span.Fence
 	record, known := v.Targets.Get(span.Owner)
+	if known && record.State == target.Draining && v.AllEvacuated(t.req.Service) {
+		return nil, NoTarget
+	}
 	if !span.Owned() || !known || record.Incarnation() != span.Incarnation() || record.State == target.Draining {
 		return nil, NoOwner
 	}
--- a/internal/edge/dispatch/move_test.go
+++ b/internal/edge/dispatch/move_test.go
@@ -22,9 +22,12 @@
 // noDocuments rejects every configuration and target record.
 type noDocuments struct{}
 
-func (noDocuments) Prefix() string                             { return "" }
-func (noDocuments) ConfigKey() string                          { return "config" }
-func (noDocuments) TargetsPrefix() string                      { return "targets/" }
+func (noDocuments) Prefix() string        { return "" }
+func (noDocuments) ConfigKey() string     { return "config" }
+func (noDocuments) TargetsPrefix() string { return "targets/" }
+func (noDocuments) EvacuatedDomain(key string) (string, bool) {
+	return strings.CutPrefix(key, "evacuate/")
+}
 func (noDocuments) DecodeConfig([]byte) (*route.Config, error) { return nil, topo.ErrBadReply }
 func (noDocuments) DecodeTarget(string, []byte) (target.Record, error) {
 	return target.Record{}, topo.ErrBadReply
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -52,6 +52,9 @@
 	// DrainTime is the time after which a target that said that it is leaving gets no more
 	// requests, even for keys that it still holds; zero means the default of package view.
 	DrainTime time.Duration
+	// EvacuationTime is the time within which the targets of an evacuated failure domain must
+	// get no more requests; zero means the default of package view.
+	EvacuationTime time.Duration
 	// MemoryLimit is the memory of the instance in bytes, of which parts are used for the
 	// bodies of requests and responses; zero means defaultMemoryLimit.
 	MemoryLimit int64
@@ -119,6 +122,9 @@
 	if o.Settings.DrainTime > 0 {
 		d.views.SetDrainTime(o.Settings.DrainTime)
 	}
+	if o.Settings.EvacuationTime > 0 {
+		d.views.SetEvacuationTime(o.Settings.EvacuationTime)
+	}
 	requestBodies, responseBodies := bodyBudgets(o.Settings.MemoryLimit)
 	d.hubs = peers.NewHubSelector()
 	feed := &peers.Feed{
@@ -199,15 +205,18 @@
 }
 
 // Reload applies the settings that can change while the daemon runs: the grace period, the
-// drain time and the retry budget.
+// drain and evacuation times, and the retry budget.
 func (d *Daemon) Reload(s Settings) {
 	if s.DrainTime > 0 {
 		d.views.SetDrainTime(s.DrainTime)
 	}
+	if s.EvacuationTime > 0 {
+		d.views.SetEvacuationTime(s.EvacuationTime)
+	}
 	d.gracePeriod.Store(int64(s.GracePeriod))
 	d.dispatcher.SetRetryBudget(s.RetryBudget)
 	fixed := d.options.Settings
-	fixed.GracePeriod, fixed.DrainTime, fixed.RetryBudget = s.GracePeriod, s.DrainTime, s.RetryBudget
+	fixed.GracePeriod, fixed.DrainTime, fixed.EvacuationTime, fixed.RetryBudget = s.GracePeriod, s.DrainTime, s.EvacuationTime, s.RetryBudget
 	d.log.Info("settings in force", "grace_ms", s.GracePeriod.Milliseconds(), "repeat_ratio", s.RetryBudget.Ratio,
 		"repeat_slack", s.RetryBudget.Slack, "restart_needed", !reflect.DeepEqual(fixed, s))
 }
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -154,15 +154,17 @@
 
 // Gauges are a daemon's gauge values.
 type Gauges struct {
-	StoreUp         bool
-	CopyAge         time.Duration
-	ConfigVersion   uint64
-	Targets         int
-	Daemons         int
-	Coordinating    bool
-	LogLinesDropped uint64
-	LogLinesOmitted uint64
-	Services        map[string]ServiceGauges
+	StoreUp       bool
+	CopyAge       time.Duration
+	ConfigVersion uint64
+	Targets       int
+	Daemons       int
+	// EvacuatedDomains is the number of failure domains whose evacuation is requested.
+	EvacuatedDomains int
+	Coordinating     bool
+	LogLinesDropped  uint64
+	LogLinesOmitted  uint64
+	Services         map[string]ServiceGauges
 }
 
 // ServiceGauges are the gauge values of one service.
@@ -187,6 +189,7 @@
 	set("config_version", float64(g.ConfigVersion))
 	set("targets", float64(g.Targets))
 	set("daemons", float64(g.Daemons))
+	set("evacuated_domains", float64(g.EvacuatedDomains))
 	set("coordinating", boolValue(g.Coordinating))
 	set("log_lines_dropped", float64(g.LogLinesDropped))
 	set("log_lines_omitted", float64(g.LogLinesOmitted))
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -223,7 +223,8 @@
 	status := d.mirror.Status()
 	g := metrics.Gauges{
 		StoreUp: status.Up, CopyAge: clock.Now() - status.CurrentAt, Targets: v.Targets.Len(), Daemons: len(v.Daemons),
-		Coordinating: coordinator.Holder(v) == d.self.Name, Services: d.dispatcher.Gauges(),
+		EvacuatedDomains: len(v.EvacuatedDomains),
+		Coordinating:     coordinator.Holder(v) == d.self.Name, Services: d.dispatcher.Gauges(),
 	}
 	g.LogLinesDropped, g.LogLinesOmitted = d.options.LogCounts()
 	if v.Config != nil {
--- a/internal/edge/view/leaving_test.go
+++ b/internal/edge/view/leaving_test.go
@@ -19,6 +19,8 @@
 func (epochDocs) ConfigKey() string     { return "config" }
 func (epochDocs) TargetsPrefix() string { return "targets/" }
 
+func (epochDocs) EvacuatedDomain(string) (string, bool) { return "", false }
+
 func (epochDocs) DecodeConfig([]byte) (*route.Config, error) { return nil, topo.ErrBadReply }
 
 func (epochDocs) DecodeTarget(key string, b []byte) (target.Record, error) {
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -43,6 +43,9 @@
 	TargetsPrefix() string
 	DecodeConfig(b []byte) (*route.Config, error)
 	DecodeTarget(key string, b []byte) (target.Record, error)
+	// EvacuatedDomain returns the failure domain whose evacuation an entry with this key
+	// requests, and whether it is such a key.
+	EvacuatedDomain(key string) (domain string, ok bool)
 }
 
 // Table is a range table with the store revision of its last write.
@@ -59,6 +62,9 @@
 	Tables      map[string]*Table
 	Coordinator topo.Entry
 	Daemons     map[string]topo.Entry
+	// EvacuatedDomains are the failure domains to whose targets nothing may be sent. The states
+	// of their targets say what is still allowed.
+	EvacuatedDomains map[string]bool
 	// Synced is set once all watched keys have been read from the store.
 	Synced bool
 }
@@ -69,9 +75,10 @@
 	log    *slog.Logger
 	status func() mirror.Status
 
-	mu      sync.Mutex
-	targets map[string]registration
-	leaving leavingTargets
+	mu          sync.Mutex
+	targets     map[string]registration
+	leaving     leavingTargets
+	evacuations evacuations
 	draft
 
 	current atomic.Pointer[View]
@@ -99,7 +106,7 @@
 func NewTracker(docs Documents, log *slog.Logger, status func() mirror.Status) *Tracker {
 	tr := &Tracker{
 		docs: docs, log: log, status: status, targets: make(map[string]registration), leaving: newLeavingTargets(),
-		draft: draft{tables: make(map[string]*Table), daemons: make(map[string]topo.Entry)},
+		evacuations: newEvacuations(), draft: draft{tables: make(map[string]*Table), daemons: make(map[string]topo.Entry)},
 	}
 	tr.current.Store(&View{Targets: target.NewSet(nil)})
 	ch := make(chan struct{})
@@ -126,25 +133,30 @@
 	defer tr.mu.Unlock()
 	if c.Snapshot {
 		tr.deleteMissing(c.Entries)
+		tr.markMissingEvacuations(c.Entries)
 		tr.synced = true
 	}
 	for _, e := range c.Entries {
 		tr.applyEntry(e)
 	}
+	tr.evacuations.currentAt = tr.status().CurrentAt
 	tr.publish()
 }
 
 // Expire removes the targets whose registration lapsed and that did not register again
-// within reregistrationWindow, and withdraws the targets that have been leaving for the drain
-// time.
+// within reregistrationWindow, ends the evacuations that are missing in the store for as long,
+// and withdraws the targets that have been leaving for the drain
+// time, or longer than the evacuation time in an evacuated failure domain.
 func (tr *Tracker) Expire() {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	now := clock.Now()
 	dropped := tr.dropLapsed(now)
-	if tr.leaving.drained(now) || dropped {
+	ended := tr.endMissingEvacuations(now)
+	if tr.leaving.drained(now) || tr.evacuations.drained(now) || dropped || ended {
 		tr.publish()
 	}
+	tr.evacuations.currentAt = tr.status().CurrentAt
 }
 
 func (tr *Tracker) dropLapsed(now time.Duration) bool {
@@ -185,6 +197,10 @@
 }
 
 func (tr *Tracker) applyEntry(e topo.Entry) {
+	if domain, ok := tr.docs.EvacuatedDomain(e.Key); ok {
+		tr.applyEvacuation(domain, e)
+		return
+	}
 	switch {
 	case e.Key == tr.docs.ConfigKey():
 		tr.applyConfig(e)
@@ -285,11 +301,14 @@
 	now := clock.Now()
 	records := make([]target.Record, 0, len(tr.targets))
 	for _, r := range tr.targets {
-		records = append(records, tr.leaving.apply(r.record, now))
+		record := tr.leaving.apply(r.record, now)
+		records = append(records, tr.evacuations.apply(record, tr.keyed(record.Service), now))
 	}
+	tr.evacuations.publishedAt = now
 	v := &View{
 		Config: tr.config, Targets: target.NewSet(records), Coordinator: tr.coordinator, Synced: tr.synced,
-		Tables: make(map[string]*Table, len(tr.tables)), Daemons: make(map[string]topo.Entry, len(tr.daemons)),
+		EvacuatedDomains: tr.evacuations.domains(),
+		Tables:           make(map[string]*Table, len(tr.tables)), Daemons: make(map[string]topo.Entry, len(tr.daemons)),
 	}
 	for s, t := range tr.tables {
 		v.Tables[s] = t
@@ -302,6 +321,11 @@
 	close(*tr.changed.Swap(&next))
 }
 
+// keyed reports whether a service is keyed by the configuration in force.
+func (tr *Tracker) keyed(service string) bool {
+	return tr.config != nil && tr.config.Services[service].Keyed
+}
+
 // EncodedTable returns the encoded range table in force for a service and its revision if that is
 // higher than the given one, and otherwise nil.
 func (tr *Tracker) EncodedTable(service string, after int64) (table []byte, rev int64, err error) {
--- a/internal/native/documents.go
+++ b/internal/native/documents.go
@@ -76,6 +76,9 @@
 // TargetsPrefix returns the prefix of the target registrations.
 func (Documents) TargetsPrefix() string { return topo.PrefixTargets }
 
+// EvacuatedDomain returns false, because manifests have no evacuations.
+func (Documents) EvacuatedDomain(string) (domain string, ok bool) { return "", false }
+
 // DecodeConfig decodes a stored manifest.
 func (d Documents) DecodeConfig(b []byte) (*route.Config, error) {
 	accepted, err := manifest.DecodeAccepted(b)
