Send nothing to an evacuated domain from daemons that have just started

Cause: a daemon that found an evacuation in its first copy of the store let owners serve their keys for half of the evacuation time, although it cannot know how old the request is. If all daemons restart late in an evacuation, requests would reach targets of the domain after the bound. Found in review.

Change: only a daemon that was following the store when the request appeared counts from its last copy without it; for others, and for copies older than the bound, the evacuation is due at once.

--- a/internal/edge/view/evacuation.go
+++ b/internal/edge/view/evacuation.go
@@ -14,10 +14,6 @@
 	// evacuationMargin is subtracted from the evacuation time, so that requests that are under
 	// way at its end still arrive in time.
 	evacuationMargin = 500 * time.Millisecond
-	// unseenShare is the longest part of the evacuation time that is assumed to have passed
-	// before a daemon learns of the evacuation. A daemon whose copy of the store was older than
-	// that still lets the owners serve their keys while they move.
-	unseenShare = 0.5
 	// maxEvacuations bounds the evacuated failure domains, far above the number of domains.
 	maxEvacuations = 256
 )
@@ -28,8 +24,9 @@
 type evacuations struct {
 	limit    time.Duration
 	byDomain map[string]evacuation
-	// currentAt is a time at which the copy of the store matched the store, before the change
-	// that is being applied.
+	// following is true once a copy of the store has been applied, and currentAt a time at which
+	// the copy matched the store, before the change that is being applied.
+	following bool
 	currentAt time.Duration
 	// publishedAt is the time of the last view, whose states depend on the time.
 	publishedAt time.Duration
@@ -109,10 +106,12 @@
 		tr.log.Warn("too many failure domains evacuated; ignoring the request for another", "domain", domain, "revision", e.ModRev)
 	default:
 		now := clock.Now()
-		unseen := time.Duration(unseenShare * float64(tr.evacuations.limit))
-		since := max(tr.evacuations.currentAt, now-unseen)
+		since := tr.evacuations.currentAt
+		if !tr.evacuations.following {
+			since = now - tr.evacuations.limit // its age is not known
+		}
 		tr.evacuations.byDomain[domain] = evacuation{since: since}
-		end := tr.evacuations.drainedAt(since) - now
+		end := max(tr.evacuations.drainedAt(since)-now, 0)
 		tr.log.Info("failure domain evacuated", "domain", domain, "revision", e.ModRev, "until_last_send_ms", end.Milliseconds())
 		time.AfterFunc(end, tr.Expire)
 	}
--- a/internal/edge/view/evacuation_test.go
+++ b/internal/edge/view/evacuation_test.go
@@ -121,13 +121,26 @@
 	checkStates(t, tr, "when the request stays missing", map[string]target.State{"k-a": target.Ready, "p-a": target.Ready})
 }
 
+// Guards against requests to an evacuated domain after the evacuation time from daemons that
+// start during the evacuation: they cannot know when it was requested.
+func TestEvacuationInFirstSnapshot(t *testing.T) {
+	tr := NewTracker(domainDocs{}, slog.New(slog.DiscardHandler), func() mirror.Status {
+		return mirror.Status{Up: true, CurrentAt: clock.Now()}
+	})
+	tr.SetEvacuationTime(time.Minute)
+	tr.Apply(mirror.Change{Snapshot: true, Entries: append([]topo.Entry{entry("evacuate/a", 2)}, domainEntries...)})
+	checkStates(t, tr, "first snapshot", map[string]target.State{"k-a": target.Draining, "p-a": target.Draining, "k-b": target.Ready})
+	tr.Apply(mirror.Change{Entries: []topo.Entry{entry("evacuate/b", 3)}})
+	checkStates(t, tr, "change after it", map[string]target.State{"k-a": target.Draining, "k-b": target.Leaving})
+}
+
 // Guards against counting the evacuation time from when the daemon learns of the request: the
 // operators count from the store's response.
 func TestEvacuationTimeCountsFromTheWrite(t *testing.T) {
 	const limit = 10 * time.Second
 	for _, c := range []struct{ age, least, most time.Duration }{
 		{age: time.Second, least: 8400 * time.Millisecond, most: 8600 * time.Millisecond},
-		{age: time.Hour, least: 4400 * time.Millisecond, most: 4600 * time.Millisecond},
+		{age: time.Hour, least: -2 * time.Hour, most: 0},
 	} {
 		age := c.age
 		tr := newDomainTracker(limit, &age)
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -139,7 +139,7 @@
 	for _, e := range c.Entries {
 		tr.applyEntry(e)
 	}
-	tr.evacuations.currentAt = tr.status().CurrentAt
+	tr.evacuations.following, tr.evacuations.currentAt = true, tr.status().CurrentAt
 	tr.publish()
 }
 
