Compute the shares of daemons in the rate that a cold target tolerates

Cause: a target that is cold tolerates a low rate of requests from all daemons together and fails above it. No daemon knows what the others send.

Change: package coldstart, without I/O. For services without keys a hash of the target and the daemons' names gives turns to as many daemons as the rate has requests per second. For keyed services a daemon admits the fraction of its requests that follows from the demand of all daemons, by priority, or from an estimate by its own requests. Nothing uses it yet.

--- /dev/null
+++ b/internal/coordination/coldstart/coldstart.go
@@ -0,0 +1,203 @@
+// Package coldstart bounds the requests that all daemons together send to a target that is
+// cold: such a target tolerates a low rate and may fail above it. Daemons do not ask each other
+// before they send. Time and random numbers are arguments; the package keeps no clock and does
+// no I/O.
+//
+// For services without keys any daemon can use another target. A hash names the few daemons that
+// may send to a cold target, and each of them keeps an interval between its sends (Turn).
+// For keyed services every daemon may need the owner. Each daemon admits a fraction of its
+// requests that follows from the demand of all daemons (Admission).
+package coldstart
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// intervalMargin makes intervals a little longer than the rate requires, so that the sends of
+// one daemon within any second are at most as many as its share.
+const intervalMargin = 1.02
+
+// Turns states which daemons may send to a cold target and how often.
+type Turns struct {
+	// Senders is the number of daemons, and Interval the shortest time between two sends of
+	// one of them. In any second all of them together send at most the tolerated rate, or one
+	// request if the rate is lower than that.
+	Senders  int
+	Interval time.Duration
+}
+
+// NewTurns divides the tolerated rate, in requests per second, among as many daemons as possible.
+// With one request per second of each daemon, the sum grows by just one request for each daemon
+// that counts itself among the senders by mistake, and a daemon without callers leaves little
+// unused.
+func NewTurns(rate float64, daemons int) Turns {
+	if rate <= 0 || daemons <= 0 {
+		return Turns{}
+	}
+	t := Turns{Senders: max(min(int(rate), daemons), 1)}
+	perSecond := float64(int(rate) / t.Senders)
+	if perSecond == 0 {
+		perSecond = rate
+	}
+	t.Interval = time.Duration(intervalMargin / perSecond * float64(time.Second))
+	return t
+}
+
+// Includes reports whether the daemon self is among the senders to a target, by rendezvous
+// hashing of the known daemons: daemons whose knowledge of the fleet differs by a few names
+// disagree on as few senders. The target is named by the hash of its incarnation.
+func (t Turns) Includes(target uint64, daemons []string, self string) bool {
+	own := rank(target, self)
+	before := 0
+	for _, name := range daemons {
+		if name != self && compareRanks(rank(target, name), name, own, self) < 0 {
+			if before++; before >= t.Senders {
+				return false
+			}
+		}
+	}
+	return t.Senders > 0
+}
+
+func rank(target uint64, daemon string) uint64 {
+	return xxhash.Sum64String(strconv.FormatUint(target, 16) + "/" + daemon)
+}
+
+func compareRanks(a uint64, nameA string, b uint64, nameB string) int {
+	return cmp.Or(cmp.Compare(a, b), cmp.Compare(nameA, nameB))
+}
+
+// OwnerShare is the part of the tolerated rate up to which daemons admit requests to a cold owner
+// of keys: their sends vary by chance.
+const OwnerShare = 0.8
+
+// Classes is the number of priorities that are told apart. Lower priorities count as the last.
+const Classes = 4
+
+// Class returns the class of a route's priority, of which 0 is the highest.
+func Class(priority int) int { return min(max(priority, 0), Classes-1) }
+
+// Demand is the number of requests per second for a target, by class.
+type Demand [Classes]float64
+
+// Admission returns the fraction of the requests of a class that may be sent so that the sends
+// of all classes together stay within OwnerShare of the tolerated rate. Requests of a class are admitted only as far as
+// higher classes leave room.
+func (d Demand) Admission(class int, rate float64) float64 {
+	rate *= OwnerShare
+	for _, higher := range d[:class] {
+		rate -= higher
+	}
+	switch {
+	case rate <= 0:
+		return 0
+	case d[class] <= rate:
+		return 1
+	}
+	return rate / d[class]
+}
+
+// Total returns the demand of all classes.
+func (d Demand) Total() float64 {
+	sum := 0.0
+	for _, x := range d {
+		sum += x
+	}
+	return sum
+}
+
+// HasRoom reports whether a cold owner with the given requests of all daemons may get another.
+// The demand tells of a key that becomes busy only about a second later, requests in flight
+// after a fraction of that.
+func HasRoom(inFlight, slots int) bool { return inFlight <= max(slots, 1) }
+
+const (
+	// bucket is the resolution of a Counter, and buckets the number of them that it keeps.
+	bucket  = 125 * time.Millisecond
+	buckets = 32
+	// recentBuckets are the buckets of Recent, of which the last is still in progress. A shorter
+	// time would make the demand for a quiet owner too uncertain, a longer one would tell of a
+	// key that becomes busy too late.
+	recentBuckets = 5
+)
+
+// Counter counts a daemon's requests for one target by class over the last seconds.
+type Counter struct {
+	counts [buckets][Classes]int
+	last   int64 // number of the current bucket
+}
+
+// Add counts a request.
+func (c *Counter) Add(now time.Duration, class int) {
+	c.advance(now)
+	c.counts[c.last%buckets][class]++
+}
+
+// advance clears the buckets that have passed.
+func (c *Counter) advance(now time.Duration) {
+	current := int64(now / bucket)
+	for n := max(c.last+1, current-buckets+1); n <= current; n++ {
+		c.counts[n%buckets] = [Classes]int{}
+	}
+	c.last = max(c.last, current)
+}
+
+// RecentDemand returns the demand that the sums of Recent over all daemons amount to.
+func RecentDemand(sums [Classes]int) Demand {
+	const window = (recentBuckets - 0.5) * float64(bucket) / float64(time.Second)
+	var out Demand
+	for class, n := range sums {
+		out[class] = float64(n) / window
+	}
+	return out
+}
+
+// Recent returns the latest requests, by class.
+func (c *Counter) Recent(now time.Duration) [Classes]int { return c.sum(now, recentBuckets) }
+
+func (c *Counter) sum(now time.Duration, n int) [Classes]int {
+	c.advance(now)
+	var out [Classes]int
+	for i := range n {
+		at := c.last - int64(i)
+		if at < 0 {
+			break
+		}
+		for class, count := range c.counts[at%buckets] {
+			out[class] += count
+		}
+	}
+	return out
+}
+
+// Estimate returns the demand of all daemons as estimated from this daemon's requests, with a
+// request of the given class just counted. The other requests in the window stand for those that
+// each daemon has; the one just counted stands for itself only, or else a single request would
+// make the demand look as large as the fleet.
+func (c *Counter) Estimate(now time.Duration, class, daemons int) Demand {
+	const window = float64(buckets) * float64(bucket) / float64(time.Second)
+	var out Demand
+	for i, n := range c.sum(now, buckets) {
+		if i == class {
+			n--
+		}
+		out[i] = float64(max(n, 0)) * float64(max(daemons, 1)) / window
+	}
+	out[class]++
+	return out
+}
+
+// SortedNames returns the names of the daemons in order, so that two sets can be compared.
+func SortedNames[V any](daemons map[string]V) []string {
+	names := make([]string, 0, len(daemons))
+	for name := range daemons {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
