Give targets with a maximum rate no more keys than it allows

Cause: a domain that returned cold got its full share of the keys back at once, and targets fell over.

Change: ownership.Target has MaxRate. The engine lowers the capacity of such a target so that its fair share of the measured load stays within the rate, gives it no keys that exceed it while others can take them, and moves load away when it is one standard deviation above.

Targets without a rate are treated as before.

--- a/internal/coordination/ownership/assign.go
+++ b/internal/coordination/ownership/assign.go
@@ -50,7 +50,7 @@
 	for _, h := range unowned {
 		for _, s := range e.splitUnassigned(h.span) {
 			weight := e.spanWeight(w, s)
-			owner := e.chooseOwner(w, h.nextOwner, e.adjacentOwner(w, &t, s, weight))
+			owner := e.chooseOwner(w, weight, h.nextOwner, e.adjacentOwner(w, &t, s, weight))
 			w.byTarget[owner.ID] += weight
 			assigned := t.Assign(s.From, s.To, owner)
 			e.pendingHandovers[keyRange{assigned.From, assigned.To}] = h.handover
@@ -140,20 +140,33 @@
 }
 
 // chooseOwner returns the first of the preferred targets that is eligible, or else the
-// eligible target with the least load per capacity.
-func (e *Engine) chooseOwner(w *weights, preferred ...string) target.Incarnation {
+// eligible target with the least load per capacity. It passes over targets that would exceed
+// their maximum rate with the weight, if there are others.
+func (e *Engine) chooseOwner(w *weights, weight float64, preferred ...string) target.Incarnation {
 	for _, id := range preferred {
 		if t, ok := e.targets[id]; ok && e.eligible(t) {
 			return t.Incarnation
 		}
 	}
-	var best Target
-	least := math.Inf(1)
+	var best, exceeding Target
+	least, leastExceeding := math.Inf(1), math.Inf(1)
 	for _, id := range e.targetIDs() {
 		t := e.targets[id]
-		if u := w.byTarget[id] / max(t.Capacity, 0.01); e.eligible(t) && u < least {
+		if !e.eligible(t) {
+			continue
+		}
+		u := w.byTarget[id] / max(t.Capacity, 0.01)
+		switch {
+		case t.exceeds(w.byTarget[id] + weight):
+			if u < leastExceeding {
+				leastExceeding, exceeding = u, t
+			}
+		case u < least:
 			least, best = u, t
 		}
 	}
+	if best.Incarnation == (target.Incarnation{}) {
+		best = exceeding
+	}
 	return best.Incarnation
 }
--- a/internal/coordination/ownership/engine.go
+++ b/internal/coordination/ownership/engine.go
@@ -58,6 +58,9 @@
 	Incarnation target.Incarnation
 	// Capacity is the relative amount of work that the target takes.
 	Capacity float64
+	// MaxRate is the number of requests per second that the target may be expected to get, below
+	// what follows from its capacity; 0 means no limit.
+	MaxRate float64
 	// Leaving targets give up their keys and get no new ones.
 	Leaving bool
 }
@@ -133,10 +136,12 @@
 
 // Engine assigns the keys of one service. It is not safe for concurrent use.
 type Engine struct {
-	config           Config
-	table            ranges.Table
-	spans            []*spanState
+	config Config
+	table  ranges.Table
+	spans  []*spanState
+	// targets have capacities that are lowered to their maximum rates.
 	targets          map[string]Target
+	capacities       map[string]float64 // as set, by target ID
 	load             keyLoads
 	pending          *ranges.Table
 	pendingHandovers map[keyRange]string // handover data for the owners in the pending table
@@ -232,11 +237,13 @@
 // SetTargets replaces the targets of the service.
 func (e *Engine) SetTargets(list []Target, now time.Duration) {
 	e.targets = make(map[string]Target, len(list))
+	e.capacities = make(map[string]float64, len(list))
 	if len(list) > 0 && e.firstTargetAt == 0 {
 		e.firstTargetAt = now
 	}
 	for _, t := range list {
 		e.targets[t.Incarnation.ID] = t
+		e.capacities[t.Incarnation.ID] = t.Capacity
 	}
 }
 
@@ -260,6 +267,7 @@
 // Tick returns the actions that are due at time now.
 func (e *Engine) Tick(now time.Duration) Actions {
 	e.decayLoad(now)
+	e.limitCapacities()
 	e.plan(now)
 	var a Actions
 	for _, h := range e.spans {
--- a/internal/coordination/ownership/evacuation_test.go
+++ b/internal/coordination/ownership/evacuation_test.go
@@ -8,6 +8,8 @@
 	"github.com/jackdawloom/jackdawloom/internal/state/ranges"
 )
 
+const evacuationTargets = 30
+
 // evacuationFleet is a fleet whose targets answer a release only when the requests that run on
 // its keys have ended.
 type evacuationFleet struct {
@@ -23,8 +25,8 @@
 	endsAt time.Duration
 }
 
-func newEvacuationFleet(targets int, releaseIn time.Duration) *evacuationFleet {
-	f := &evacuationFleet{fleet: newFleet(targets), releaseIn: releaseIn, rng: rand.New(rand.NewPCG(1, 2))}
+func newEvacuationFleet(releaseIn time.Duration) *evacuationFleet {
+	f := &evacuationFleet{fleet: newFleet(evacuationTargets), releaseIn: releaseIn, rng: rand.New(rand.NewPCG(1, 2))}
 	for _, id := range f.targetIDs() {
 		f.all = append(f.all, f.targets[id])
 	}
@@ -106,7 +108,7 @@
 func TestEvacuatedDomainsGiveUpKeysInTime(t *testing.T) {
 	for _, releaseIn := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond, time.Second} {
 		for domains := 1; domains <= 2; domains++ {
-			f := newEvacuationFleet(30, releaseIn)
+			f := newEvacuationFleet(releaseIn)
 			f.evacuate(domains)
 			f.run(moveLimit)
 			if n := f.keysAtLeaving(); n > 0 {
@@ -120,7 +122,7 @@
 // Guards against keys without an owner when an evacuation ends while they move, when it is
 // requested again at once, and when the coordinator changes halfway.
 func TestInterruptedEvacuation(t *testing.T) {
-	f := newEvacuationFleet(30, 300*time.Millisecond)
+	f := newEvacuationFleet(300*time.Millisecond)
 	f.evacuate(1)
 	f.run(400 * time.Millisecond)
 	f.evacuate(0)
--- a/internal/coordination/ownership/plan.go
+++ b/internal/coordination/ownership/plan.go
@@ -240,7 +240,7 @@
 			return
 		}
 		toEmptyTarget := w.byTarget[low.Incarnation.ID] < e.emptyTargetThreshold(w, low)
-		if !toEmptyTarget && (w.total < minRequestCount || w.byTarget[high.Incarnation.ID] <= overloadRatio*w.fairShare(high)) {
+		if !toEmptyTarget && (w.total < minRequestCount || w.byTarget[high.Incarnation.ID] <= overloadThreshold(high)*w.fairShare(high)) {
 			return
 		}
 		if !e.moveBetween(w, high, low, toEmptyTarget, now) {
@@ -255,7 +255,7 @@
 // moveBetween starts a move from one target to another. It returns false if there
 // is no move that improves the balance.
 func (e *Engine) moveBetween(w *weights, high, low Target, toEmptyTarget bool, now time.Duration) bool {
-	if !toEmptyTarget && !overloaded(w.byTarget[high.Incarnation.ID], w.fairShare(high)) {
+	if !toEmptyTarget && !overloaded(high, w.byTarget[high.Incarnation.ID], w.fairShare(high)) {
 		return false
 	}
 	room := w.fairShare(low) - w.byTarget[low.Incarnation.ID]
@@ -271,6 +271,9 @@
 	if since, moved := e.movedAway[high.Incarnation.ID]; hot && moved && now-since < moveEffectTime {
 		return false
 	}
+	if low.exceeds(w.byTarget[low.Incarnation.ID] + p.weight) {
+		return false
+	}
 	after := (w.byTarget[low.Incarnation.ID] + p.weight) / low.Capacity
 	if !toEmptyTarget && after >= w.byTarget[high.Incarnation.ID]/high.Capacity {
 		return false
@@ -293,10 +296,22 @@
 	return w.fairShare(t) * emptyTargetShare
 }
 
-// overloaded reports whether a weight is too far above the fair share. It takes the weight
-// as a Poisson count, whose standard deviation is the square root of the mean.
-func overloaded(weight, fair float64) bool {
-	return weight > overloadRatio*fair && weight > fair+overloadSigma*math.Sqrt(fair)
+// overloaded reports whether a target's weight is too far above the fair share. It takes the
+// weight as a Poisson count, whose standard deviation is the square root of the mean.
+func overloaded(t Target, weight, fair float64) bool {
+	sigma := overloadSigma
+	if t.MaxRate > 0 {
+		sigma = limitedSigma
+	}
+	return weight > overloadThreshold(t)*fair && weight > fair+sigma*math.Sqrt(fair)
+}
+
+// overloadThreshold returns the multiple of its fair share from which a target may be overloaded.
+func overloadThreshold(t Target) float64 {
+	if t.MaxRate > 0 {
+		return 1
+	}
+	return overloadRatio
 }
 
 // mostAndLeastLoaded returns the targets with the most and the least load per capacity.
