Limit what all daemons send to a cold target

Change: the view knows until when a target is cold, from registrations (once for each revision), responses, and for some time after an evacuation. The dispatcher sends to cold targets of services without keys in turns and admits requests to cold owners by the demand of all daemons, which the messages of loads carry under further hashes. The coordinator sets the rate as the maximum of cold targets. All of it acts only for services that state a rate.

--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -315,7 +315,7 @@
 		if e == nil {
 			e = c.openEngine(v, name, now)
 		}
-		e.SetTargets(c.ownershipTargets(v, name), now)
+		e.SetTargets(c.ownershipTargets(v, name, now), now)
 		e.SetBalancing(c.config.Views.StoreUp())
 		c.execute(ctx, name, e, e.Tick(now))
 	}
@@ -340,7 +340,7 @@
 	maxSpeedFactor = 2.5
 )
 
-func (c *Coordinator) ownershipTargets(v *view.View, service string) []ownership.Target {
+func (c *Coordinator) ownershipTargets(v *view.View, service string, now time.Duration) []ownership.Target {
 	records := v.Targets.Service(service)
 	serviceTimes := c.config.TargetStats.ServiceTimes()
 	var sum time.Duration
@@ -351,12 +351,16 @@
 			n++
 		}
 	}
+	coldRate := v.Config.Services[service].ColdRate
 	out := make([]ownership.Target, 0, len(records))
 	for _, r := range records {
 		t := ownership.Target{Incarnation: r.Incarnation(), Capacity: float64(r.Slots), Leaving: r.State != target.Ready}
 		if s := serviceTimes[r.ID]; s > 0 && n > 0 {
 			t.Capacity *= min(max(float64(sum)/float64(n)/float64(s), minSpeedFactor), maxSpeedFactor)
 		}
+		if coldRate > 0 && r.ColdUntil > now {
+			t.MaxRate = coldRate
+		}
 		out = append(out, t)
 	}
 	return out
@@ -454,6 +458,9 @@
 	if req.Names.IsLeaving(response.Header) && response.Status != http.StatusMisdirectedRequest {
 		c.config.Views.MarkLeaving(endpoint.record.Incarnation(), "response to the coordinator")
 	}
+	if remaining, ok := req.Names.ColdTime(response.Header); ok && remaining > 0 {
+		c.config.Views.MarkCold(endpoint.record.Incarnation(), remaining, "response to the coordinator")
+	}
 	result, handover := c.config.GrantProtocol.ParseResult(response)
 	return result, handover, nil
 }
--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -65,7 +65,11 @@
 			ep, reason = d.chooseAny(v, t)
 		}
 		if reason == "" {
-			return ep, nil
+			if d.takeColdTurn(ep) {
+				return ep, nil
+			}
+			d.releaseReservation(ep)
+			continue
 		}
 		if reason == TargetsFull && d.awaitSlot(ctx, t) {
 			continue
@@ -77,7 +81,7 @@
 			continue
 		}
 		if reason != NoOwner || now >= end {
-			return nil, &Refusal{Reason: reason}
+			return nil, &Refusal{Reason: t.cold.reason(reason)}
 		}
 		wait(ctx, changed, end-now)
 	}
@@ -176,6 +180,9 @@
 		t.pausedUntil = ep.pausedUntil
 		return nil, TargetPaused
 	}
+	if reason := d.admitToColdOwner(t, ep, len(v.Daemons)); reason != "" {
+		return nil, reason
+	}
 	return d.admit(t, ep)
 }
 
@@ -206,7 +213,7 @@
 // request, and the number of targets in that state. d.mu must be held.
 func (d *Dispatcher) candidates(v *view.View, t *requestState, state target.State) (eps []*endpoint, inState int) {
 	now := clock.Now()
-	t.pausedUntil = 0
+	t.pausedUntil, t.cold.skipped = 0, false
 	for _, r := range v.Targets.Service(t.req.Service) {
 		if r.State != state {
 			continue
@@ -216,9 +223,10 @@
 		switch {
 		case t.triedTargets[r.ID] || ep.replaced || ep.estimate.Running >= ep.limit:
 		case now < ep.pausedUntil:
-			if t.pausedUntil == 0 || ep.pausedUntil < t.pausedUntil {
-				t.pausedUntil = ep.pausedUntil
-			}
+			t.deferUntil(ep.pausedUntil)
+		case !d.mayUseCold(v, ep, now):
+			t.cold.skipped = true
+			t.deferUntil(ep.cold.usableAt(now))
 		default:
 			eps = append(eps, ep)
 		}
--- a/internal/edge/dispatch/classify.go
+++ b/internal/edge/dispatch/classify.go
@@ -122,6 +122,9 @@
 	if d.config.Names.IsLeaving(resp.Header) {
 		d.config.Views.MarkLeaving(ep.incarnation, "response to a request")
 	}
+	if remaining, ok := d.config.Names.ColdTime(resp.Header); ok && remaining > 0 {
+		d.config.Views.MarkCold(ep.incarnation, remaining, "response to a request")
+	}
 	pause := resp.Pause()
 	if pause == 0 {
 		return
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -83,6 +83,7 @@
 	NoKey                Reason = "key missing"
 	TargetsFull          Reason = "targets full"
 	TargetPaused         Reason = "target asked for a pause"
+	TargetCold           Reason = "target is cold"
 	DeadlineExceeded     Reason = "time is up"
 	TargetUnreachable    Reason = "target not reached"
 	TargetReplaced       Reason = "address has another target"
@@ -100,7 +101,7 @@
 // Reasons returns all values of Reason.
 func Reasons() []Reason {
 	return []Reason{
-		NoTarget, NoOwner, NoKey, TargetsFull, TargetPaused, DeadlineExceeded, TargetUnreachable, TargetReplaced, RetryBudgetExhausted, KeyNotHeld, ConnectionLost, InvalidResponse,
+		NoTarget, NoOwner, NoKey, TargetsFull, TargetPaused, TargetCold, DeadlineExceeded, TargetUnreachable, TargetReplaced, RetryBudgetExhausted, KeyNotHeld, ConnectionLost, InvalidResponse,
 		CallerDisconnected, NoConfig, NoMemory, Stopping, TooManyConnections,
 	}
 }
@@ -134,10 +135,11 @@
 
 // Config configures a Dispatcher.
 type Config struct {
-	Names       *upstream.HeaderNames
-	Domain      string
-	RetryBudget budget.Bound
-	Views       *view.Tracker
+	Names *upstream.HeaderNames
+	// Name and Domain are those of the daemon.
+	Name, Domain string
+	RetryBudget  budget.Bound
+	Views        *view.Tracker
 	// Bodies is the memory for the bodies of responses; nil means defaultBodyMemory.
 	Bodies *bodybuf.Budget
 	Log    *slog.Logger
@@ -160,6 +162,7 @@
 	mu        sync.Mutex
 	endpoints map[target.Incarnation]*endpoint
 	services  map[string]*serviceState
+	fleet     fleetNames
 
 	stop atomic.Pointer[stopTimes]
 }
@@ -210,6 +213,7 @@
 	// pausedUntil is when the first target that asked for a pause can be used again, of
 	// those that the last choice left out; 0 if there was none.
 	pausedUntil time.Duration
+	cold        coldChoice
 }
 
 // Do sends the request until a target's response can be returned or no further send
--- a/internal/edge/dispatch/endpoint.go
+++ b/internal/edge/dispatch/endpoint.go
@@ -41,6 +41,7 @@
 	// pausedUntil is the end of the time for which the target wants no requests.
 	pausedUntil time.Duration
 	hash        peers.TargetHash
+	cold        coldState
 }
 
 // endpoint returns the endpoint of a target, and creates it if it is missing or the
@@ -51,6 +52,7 @@
 	sheds := v.Config.Services[r.Service].ShedsLoad
 	if ep != nil && ep.pool.Address() == r.Address {
 		ep.record, ep.sheds = r, sheds
+		ep.updateCold(v.Config.Services[r.Service])
 		if ep.limit != limit {
 			ep.limit = limit
 			ep.pool.SetLimit(limit)
@@ -64,6 +66,7 @@
 	ep.estimate.Slots = r.Slots
 	ep.estimate.SameDomain = r.Domain == d.config.Domain
 	ep.estimate.ColdUntil = clock.Now() + r.WarmupRemaining
+	ep.updateCold(v.Config.Services[r.Service])
 	d.endpoints[r.Incarnation()] = ep
 	return ep
 }
@@ -98,10 +101,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := make(peers.Loads)
+	now := clock.Now()
+	targets := d.config.Views.Current().Targets
 	for _, ep := range d.endpoints {
 		if ep.estimate.Running > 0 {
 			out[ep.hash] = ep.estimate.Running
 		}
+		if r, known := targets.Get(ep.id); known && r.Incarnation() == ep.incarnation {
+			ep.record.ColdSince, ep.record.ColdUntil = r.ColdSince, r.ColdUntil
+		}
+		ep.addColdDemand(out, now)
 	}
 	return out
 }
@@ -109,10 +118,12 @@
 // SetFleetLoads records the running requests of all daemons by target. The loads include
 // this daemon's requests as it last reported them.
 func (d *Dispatcher) SetFleetLoads(loads peers.Loads) {
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, ep := range d.endpoints {
 		ep.estimate.RunningElsewhere = max(loads[ep.hash]-ep.estimate.Running, 0)
+		ep.setFleetDemand(loads, now)
 	}
 }
 
@@ -179,6 +190,9 @@
 		if ep.estimate.Suspect(now) {
 			g.Suspect++
 		}
+		if ep.coldUntil() > now {
+			g.Cold++
+		}
 		out[ep.record.Service] = g
 	}
 	return out
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -137,7 +137,7 @@
 		d.views.ApplyWrittenTable(topo.Entry{Key: view.RangesKey(service), Value: table, CreateRev: rev, ModRev: rev})
 	}}
 	d.dispatcher = dispatch.New(dispatch.Config{
-		Names: o.HeaderNames, Domain: o.Settings.Domain, RetryBudget: o.Settings.RetryBudget, Views: d.views, Bodies: responseBodies, Log: o.Log,
+		Names: o.HeaderNames, Name: o.Settings.Name, Domain: o.Settings.Domain, RetryBudget: o.Settings.RetryBudget, Views: d.views, Bodies: responseBodies, Log: o.Log,
 		RefreshTable:       tables.Read,
 		ObserveSend:        o.Metrics.ObserveSend,
 		ObserveKey:         func(service string, key uint16) { d.statsExchange.RecordKey(service, key) },
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -179,6 +179,8 @@
 	Slots, Connections int
 	// Suspect is the number of targets that are avoided after failures.
 	Suspect int
+	// Cold is the number of targets that are known as cold and tolerate a limited rate.
+	Cold int
 }
 
 // SetGauges records the gauge values.
@@ -201,6 +203,7 @@
 		scope.Gauge("target_slots").Update(float64(s.Slots))
 		scope.Gauge("target_connections").Update(float64(s.Connections))
 		scope.Gauge("targets_suspect").Update(float64(s.Suspect))
+		scope.Gauge("targets_cold").Update(float64(s.Cold))
 	}
 }
 
--- a/internal/edge/view/evacuation.go
+++ b/internal/edge/view/evacuation.go
@@ -122,6 +122,7 @@
 		return
 	}
 	delete(tr.evacuations.byDomain, domain)
+	tr.markDomainCold(domain)
 	tr.log.Info("evacuation of failure domain ended", "domain", domain, "reason", reason)
 }
 
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -89,6 +89,7 @@
 // unreachable is kept until the target has had time to register again.
 type registration struct {
 	record   target.Record
+	rev      int64         // revision of the entry
 	lapsedAt time.Duration // 0 while registered
 }
 
@@ -254,7 +255,7 @@
 		}
 		return
 	}
-	tr.targets[id] = registration{record: r}
+	tr.targets[id] = registration{record: withColdTime(r, e.ModRev, previous, existed), rev: e.ModRev}
 	switch {
 	case !existed || previous.record.Incarnation() != r.Incarnation():
 		tr.log.Info("target registered", "target", id, "service", r.Service, "address", r.Address,
--- a/internal/explain/advice.go
+++ b/internal/explain/advice.go
@@ -26,6 +26,10 @@
 		"every target that could run the request had asked for no requests until a later time",
 		"find the latest line 'target asked for a pause' of the service; the targets decide how long it lasts",
 	},
+	dispatch.TargetCold: {
+		"the targets that could run the request were cold, and more requests than they tolerate were waiting for them",
+		"look for 'target registered' and 'target is cold' of the service, and for an evacuation that ended; the configuration states the rate of cold targets",
+	},
 	dispatch.Stopping: {
 		"the daemon was being stopped and could not have waited for the response",
 		"the caller has to use another daemon; many of these mean that callers open connections to a daemon that is not ready",
--- a/internal/state/target/target.go
+++ b/internal/state/target/target.go
@@ -36,10 +36,24 @@
 	// WarmupRemaining is the warm-up time that remained when the target last registered.
 	// Until it has passed, the target is slow.
 	WarmupRemaining time.Duration
+	// ColdSince and ColdUntil are the times on package clock between which the target is cold, as
+	// far as the daemon knows. They are not part of the registration.
+	ColdSince, ColdUntil time.Duration
 	// Epoch distinguishes incarnations with the same ID.
 	Epoch int64
 }
 
+// SetCold records at the time now that the target is cold for the remaining time.
+func (r *Record) SetCold(now, remaining time.Duration) {
+	if r.ColdUntil <= now {
+		if remaining == 0 {
+			return
+		}
+		r.ColdSince = now
+	}
+	r.ColdUntil = now + remaining
+}
+
 // Incarnation identifies one run of a target's process.
 type Incarnation struct {
 	ID    string
--- a/internal/transport/upstream/loadreport.go
+++ b/internal/transport/upstream/loadreport.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // LoadReport is what a target says about its load in a response.
@@ -24,6 +25,22 @@
 	usualPercent        = 100
 )
 
+// maxColdMillis bounds the time for which a target may say that it stays cold.
+const maxColdMillis = int64(time.Hour / time.Millisecond)
+
+// ColdTime returns how long the target that sent a response stays cold, and whether the response
+// says that.
+func (n *HeaderNames) ColdTime(h http.Header) (time.Duration, bool) {
+	if n.ColdRemaining == "" {
+		return 0, false
+	}
+	ms, err := strconv.ParseInt(strings.TrimSpace(h.Get(n.ColdRemaining)), 10, 64)
+	if err != nil || ms < 0 || ms > maxColdMillis {
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
+
 // LoadReport returns the load report in the header of a response, and whether there is a valid
 // one: running and waiting requests, slots and, optionally, the time that work takes in percent
 // of the usual time, separated by commas.
--- a/internal/transport/upstream/loadreport_test.go
+++ b/internal/transport/upstream/loadreport_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 )
 
 // A report that is not one must not change what is known of a target's load.
@@ -27,3 +28,21 @@
 		t.Error("report accepted without a name of its header")
 	}
 }
+
+// A text that is not a time must not make a target look cold.
+func TestColdTime(t *testing.T) {
+	names := HeaderNames{ColdRemaining: "Cold"}
+	for value, want := range map[string]time.Duration{"0": 0, " 1500 ": 1500 * time.Millisecond} {
+		if got, ok := names.ColdTime(http.Header{"Cold": {value}}); !ok || got != want {
+			t.Errorf("%q: got %v, %v, want %v", value, got, ok, want)
+		}
+	}
+	for _, value := range []string{"", "-1", "1.5", "NaN", "99999999999999999999", "7200000"} {
+		if got, ok := names.ColdTime(http.Header{"Cold": {value}}); ok {
+			t.Errorf("%q: accepted as %v", value, got)
+		}
+	}
+	if _, ok := (&HeaderNames{}).ColdTime(http.Header{"": {"1"}}); ok {
+		t.Error("time accepted without a name of its header")
+	}
+}
