--- a/internal/coordination/ownership/evacuation_test.go
+++ b/internal/coordination/ownership/evacuation_test.go
@@ -122,7 +122,7 @@
 // Guards against keys without an owner when an evacuation ends while they move, when it is
 // requested again at once, and when the coordinator changes halfway.
 func TestInterruptedEvacuation(t *testing.T) {
-	f := newEvacuationFleet(300*time.Millisecond)
+	f := newEvacuationFleet(300 * time.Millisecond)
 	f.evacuate(1)
 	f.run(400 * time.Millisecond)
 	f.evacuate(0)
--- a/internal/coordination/ownership/limit_test.go
+++ b/internal/coordination/ownership/limit_test.go
@@ -33,7 +33,7 @@
 // share of the load back while it tolerates little.
 func TestColdTargetsGetLittleLoad(t *testing.T) {
 	const maxRate = 4.0
-	f := newEvacuationFleet(50*time.Millisecond) // 1,000 requests a second, 33 at each
+	f := newEvacuationFleet(50 * time.Millisecond) // 1,000 requests a second, 33 at each
 	f.evacuate(1)
 	f.run(4 * time.Second)
 	f.limit(1, maxRate)
@@ -58,7 +58,7 @@
 // Guards against taking keys from an owner that becomes cold but tolerates their load, and against
 // leaving it a load that it does not tolerate.
 func TestOwnerThatBecomesCold(t *testing.T) {
-	f := newEvacuationFleet(50*time.Millisecond)
+	f := newEvacuationFleet(50 * time.Millisecond)
 	f.run(3 * time.Second)
 	keys := func() int {
 		n := 0
@@ -86,7 +86,7 @@
 
 // Guards against keys without an owner when all targets are cold.
 func TestAllTargetsCold(t *testing.T) {
-	f := newEvacuationFleet(50*time.Millisecond)
+	f := newEvacuationFleet(50 * time.Millisecond)
 	f.limit(3, 4)
 	f.run(2 * time.Second)
 	f.SetTargets(append([]Target(nil), f.all[1:]...), f.now) // one is lost
