--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -154,15 +154,17 @@
 
 // Gauges are a daemon's gauge values.
 type Gauges struct {
-	StoreUp         bool
-	CopyAge         time.Duration
-	ConfigVersion   uint64
-	Targets         int
-	Daemons         int
-	Coordinating    bool
-	LogLinesDropped uint64
-	LogLinesOmitted uint64
-	Services        map[string]ServiceGauges
+	StoreUp       bool
+	CopyAge       time.Duration
+	ConfigVersion uint64
+	Targets       int
+	Daemons       int
+	// EvacuatedDomains is the number of failure domains whose evacuation is requested.
+	EvacuatedDomains int
+	Coordinating     bool
+	LogLinesDropped  uint64
+	LogLinesOmitted  uint64
+	Services         map[string]ServiceGauges
 }
 
 // ServiceGauges are the gauge values of one service.
@@ -177,6 +179,8 @@
 	Slots, Connections int
 	// Suspect is the number of targets that are avoided after failures.
 	Suspect int
+	// Cold is the number of targets that are known as cold and tolerate a limited rate.
+	Cold int
 }
 
 // SetGauges records the gauge values.
@@ -187,6 +191,7 @@
 	set("config_version", float64(g.ConfigVersion))
 	set("targets", float64(g.Targets))
 	set("daemons", float64(g.Daemons))
+	set("evacuated_domains", float64(g.EvacuatedDomains))
 	set("coordinating", boolValue(g.Coordinating))
 	set("log_lines_dropped", float64(g.LogLinesDropped))
 	set("log_lines_omitted", float64(g.LogLinesOmitted))
@@ -198,6 +203,7 @@
 		scope.Gauge("target_slots").Update(float64(s.Slots))
 		scope.Gauge("target_connections").Update(float64(s.Connections))
 		scope.Gauge("targets_suspect").Update(float64(s.Suspect))
+		scope.Gauge("targets_cold").Update(float64(s.Cold))
 	}
 }
 
