Probe targets that report their load before a request is sent

Cause: a daemon of a large fleet sends a target of a service without keys less than one request per second, so what it knows of the target's load and speed is stale. Change: requests to services whose targets report their load are preceded by rounds of probes at the health path; the best of the targets that answered gets the request. Load reports in responses update the estimates, of owners of keys too.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -41,6 +41,9 @@
 	serviceTimeShared bool          // serviceTime was measured by all daemons
 	failures          int
 	suspectUntil      time.Duration // the target is avoided until this time
+
+	reportedAt time.Duration // time of the last load report; 0 if there was none
+	slowdown   float64       // of the last load report
 }
 
 // Load returns the number of requests at the target from all daemons.
@@ -103,6 +106,9 @@
 	if now < e.ColdUntil {
 		service *= coldFactor
 	}
+	if e.reportedWithin(now, slowdownLifetime) {
+		service *= e.slowdown
+	}
 	slots := max(e.Slots, 1)
 	if queued := e.Load() - slots + 1; queued > 0 {
 		service *= 1 + float64(queued)/float64(slots)
--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -62,7 +62,8 @@
 		if d.isKeyed(t.req.Service) {
 			ep, reason = d.chooseOwner(v, t)
 		} else {
-			ep, reason = d.chooseAny(v, t)
+			d.probe(ctx, t)
+			ep, reason = d.chooseAny(d.config.Views.Current(), t)
 		}
 		if reason == "" {
 			return ep, nil
@@ -188,7 +189,10 @@
 	if inState == 0 {
 		return nil, NoTarget
 	}
-	ep := pick(eps, clock.Now(), d.serviceState(t.req.Service).avgServiceTime)
+	ep := d.pickProbed(v, t, eps)
+	if ep == nil {
+		ep = pick(eps, clock.Now(), d.serviceState(t.req.Service).avgServiceTime)
+	}
 	switch {
 	case ep != nil:
 		return d.admit(t, ep)
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/probing"
 	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/state/route"
@@ -150,6 +151,8 @@
 	RefreshTable func(service string, revision int64)
 	// ObserveServiceTime is called with each measured service time.
 	ObserveServiceTime func(target peers.TargetHash, took time.Duration)
+	// ObserveProbe is called after each probe of a target's load; nil does nothing.
+	ObserveProbe func(service, outcome string)
 }
 
 // Dispatcher sends requests to targets. It is safe for concurrent use.
@@ -171,6 +174,12 @@
 	// slotFreed is closed when a send to the service ends. It is nil if no request has
 	// started to wait for a slot since the last send ended.
 	slotFreed chan struct{}
+	probes    probing.Service
+	// probed is whether the targets were probed when that was last decided.
+	probed bool
+	// meanSlowdown is the mean slowdown in the load reports of responses. Service times are
+	// measured under it.
+	meanSlowdown float64
 }
 
 // SetRetryBudget changes the limit of retries. A change resets the retry budgets and
@@ -333,6 +342,7 @@
 		outcome = sendOutcome{kind: unknown, reason: CallerDisconnected}
 	}
 	d.recordOutcome(ep, outcome, took, load)
+	d.recordResponseReport(ep, resp, outcome)
 	d.recordSignals(t, ep, resp, outcome)
 	d.config.ObserveSend(req.Service, outcome.String(), took)
 	return d.handleOutcome(t, ep, resp, outcome, took, err)
@@ -419,7 +429,9 @@
 func (d *Dispatcher) countRequest(name string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.serviceState(name).budget.RecordRequest(clock.Now())
+	s := d.serviceState(name)
+	s.budget.RecordRequest(clock.Now())
+	s.probes.RecordRequest()
 }
 
 func (d *Dispatcher) takeRetryBudget(name string) bool {
@@ -434,7 +446,7 @@
 func (d *Dispatcher) serviceState(name string) *serviceState {
 	s := d.services[name]
 	if s == nil {
-		s = &serviceState{budget: budget.New(d.config.RetryBudget, d.started), avgServiceTime: defaultServiceTime}
+		s = &serviceState{budget: budget.New(d.config.RetryBudget, d.started), avgServiceTime: defaultServiceTime, meanSlowdown: 1}
 		d.services[name] = s
 	}
 	return s
--- a/internal/edge/dispatch/endpoint.go
+++ b/internal/edge/dispatch/endpoint.go
@@ -7,6 +7,7 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/balance"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/probing"
 	"github.com/jackdawloom/jackdawloom/internal/edge/metrics"
 	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
@@ -41,6 +42,8 @@
 	// pausedUntil is the end of the time for which the target wants no requests.
 	pausedUntil time.Duration
 	hash        peers.TargetHash
+	// probe is guarded by Dispatcher.mu.
+	probe probing.Target
 }
 
 // endpoint returns the endpoint of a target, and creates it if it is missing or the
@@ -111,8 +114,9 @@
 func (d *Dispatcher) SetFleetLoads(loads peers.Loads) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := clock.Now()
 	for _, ep := range d.endpoints {
-		ep.estimate.RunningElsewhere = max(loads[ep.hash]-ep.estimate.Running, 0)
+		ep.estimate.SetFleetLoad(now, loads[ep.hash])
 	}
 }
 
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -146,6 +146,11 @@
 	m.observeDuration(seriesKey{name: "send_time", label1: service}, map[string]string{"service": service}, took)
 }
 
+// ObserveProbe counts a probe of a target's load by its outcome.
+func (m *Metrics) ObserveProbe(service, outcome string) {
+	m.incCounter(seriesKey{name: "probes", label1: service, label2: outcome}, map[string]string{"service": service, "outcome": outcome})
+}
+
 // CountStoreCall counts a call to the store; status 0 means that there was no response.
 func (m *Metrics) CountStoreCall(verb string, status int) {
 	code := strconv.Itoa(status)
--- a/internal/state/route/route.go
+++ b/internal/state/route/route.go
@@ -42,6 +42,8 @@
 // Service describes the properties that the targets of a service have in common.
 type Service struct {
 	Name string
+	// HealthPath is the path at which targets report their health; empty if there is none.
+	HealthPath string
 	// MaxConnections is the number of connections that one target accepts from all
 	// daemons together.
 	MaxConnections int
