Play probing in tests and tell probes without a connection from unanswered ones

Cause: a probe that finds no connection says nothing about its target. Change: such a probe makes its target neither silent nor its service suspended.

--- a/internal/coordination/probing/probing.go
+++ b/internal/coordination/probing/probing.go
@@ -56,15 +56,31 @@
 // Begin records the start of a probe.
 func (t *Target) Begin() { t.probing = true }
 
+// Result is how a probe ended.
+type Result uint8
+
+// Results of probes.
+const (
+	// Answered: the target has reported its load.
+	Answered Result = iota
+	// Unanswered: there was no usable answer in time.
+	Unanswered
+	// NotSent: this daemon had no connection for the probe.
+	NotSent
+)
+
 // End records the end of a probe. A target without a usable answer has not failed a request, but
 // is not probed again for a while.
-func (t *Target) End(now time.Duration, answered bool) {
+func (t *Target) End(now time.Duration, r Result) {
 	t.probing = false
-	if !answered {
+	if r == Unanswered {
 		t.silentUntil = now + silentTime
 	}
 }
 
+// Available reports whether the target may be probed.
+func (t *Target) Available(now time.Duration) bool { return !t.probing && now >= t.silentUntil }
+
 // RecordReport records a load report, of a probe or of another response.
 func (t *Target) RecordReport() { t.uses = 0 }
 
@@ -133,7 +149,7 @@
 func (d Decision) Round(now time.Duration, candidates []Candidate, round int) []int {
 	var local, connected, others []int
 	for i, c := range candidates {
-		if c.Target.probing || now < c.Target.silentUntil || c.hasRecentReport(now) {
+		if !c.Target.Available(now) || c.hasRecentReport(now) {
 			continue
 		}
 		if c.Estimate.SameDomain {
--- a/internal/coordination/probing/service.go
+++ b/internal/coordination/probing/service.go
@@ -34,12 +34,14 @@
 func (s *Service) RecordReport(now time.Duration) { s.lastReport = now }
 
 // RecordProbe records the end of a probe.
-func (s *Service) RecordProbe(now time.Duration, answered bool) {
-	if answered {
+func (s *Service) RecordProbe(now time.Duration, r Result) {
+	switch r {
+	case Answered:
 		s.unanswered = 0
-		return
+	case Unanswered:
+		s.unanswered++
 	}
-	if s.unanswered++; s.unanswered >= maxUnanswered {
+	if s.unanswered >= maxUnanswered {
 		s.unanswered, s.suspendedUntil = 0, now+suspendTime
 	}
 }
--- a/internal/edge/dispatch/probe.go
+++ b/internal/edge/dispatch/probe.go
@@ -165,18 +165,24 @@
 	defer resp.Release()
 	report, outcome := d.probeResult(ep, resp, err)
 	now := clock.Now()
-	if outcome == probeAnswered && now-started > roundTimeout {
+	result := probing.Unanswered
+	switch outcome {
+	case probeAnswered:
+		result = probing.Answered
+	case probeNoConnection:
+		result = probing.NotSent
+	}
+	if result == probing.Answered && now-started > roundTimeout {
 		outcome = probeLate
 	}
-	answered := outcome == probeAnswered || outcome == probeLate
 	if resp != nil && outcome != probeOtherTarget && names.IsLeaving(resp.Header) {
 		d.config.Views.MarkLeaving(ep.incarnation, "response to a probe")
 	}
 	d.mu.Lock()
 	s := d.serviceState(ep.record.Service)
-	ep.probe.End(now, answered)
-	s.probes.RecordProbe(now, answered)
-	if answered {
+	ep.probe.End(now, result)
+	s.probes.RecordProbe(now, result)
+	if result == probing.Answered {
 		d.recordReport(ep, report, now)
 	}
 	d.mu.Unlock()
--- a/internal/edge/dispatch/signals_test.go
+++ b/internal/edge/dispatch/signals_test.go
@@ -39,8 +39,13 @@
 
 // newUnkeyedDispatcher returns a dispatcher for a service without keys with the given targets.
 func newUnkeyedDispatcher(targets map[string]*httptest.Server) *Dispatcher {
+	return newUnkeyedDispatcherOf(addressDocs{}, targets)
+}
+
+// newUnkeyedDispatcherOf is newUnkeyedDispatcher with documents that decode the service.
+func newUnkeyedDispatcherOf(docs view.Documents, targets map[string]*httptest.Server) *Dispatcher {
 	log := slog.New(slog.DiscardHandler)
-	views := view.NewTracker(addressDocs{}, log, func() mirror.Status { return mirror.Status{Up: true} })
+	views := view.NewTracker(docs, log, func() mirror.Status { return mirror.Status{Up: true} })
 	entries := []topo.Entry{{Key: "config", CreateRev: 1, ModRev: 1}, {Key: view.DaemonKey("d"), CreateRev: 1, ModRev: 1}}
 	for id, server := range targets {
 		entries = append(entries, topo.Entry{Key: "targets/" + id, Value: []byte(strings.TrimPrefix(server.URL, "http://")), CreateRev: 1, ModRev: 1})
