Tell the speed of a target's machine from its service time and read health responses without IDs

Cause: a trial with debug lines showed that a fifth of the probes waited 250 ms for a response that was there: health responses carry no request ID, and were skipped on connections on which the target had returned IDs. Reports in responses count the request itself. The reported slowdown contains the speed of the target, which the measured time contains too. Change: probes accept responses without an ID; the request itself is not counted; service times of probed services are measured per unit of slowdown.

--- a/internal/coordination/balance/balance.go
+++ b/internal/coordination/balance/balance.go
@@ -36,14 +36,19 @@
 	Running, RunningElsewhere int
 	// ColdUntil is when a newly started target has warmed up.
 	ColdUntil time.Duration
+	// Normalized states that the service time is measured at a slowdown of 1. Otherwise it is
+	// the mean over the slowdowns of the target.
+	Normalized bool
 
 	serviceTime       time.Duration // moving average without queueing; 0 if unknown
 	serviceTimeShared bool          // serviceTime was measured by all daemons
 	failures          int
 	suspectUntil      time.Duration // the target is avoided until this time
 
-	reportedAt time.Duration // time of the last load report; 0 if there was none
-	slowdown   float64       // of the last load report
+	reportedAt   time.Duration // time of the last load report; 0 if there was none
+	reports      int
+	slowdown     float64 // of the last load report
+	meanSlowdown float64 // moving average; 0 before the first report
 }
 
 // Load returns the number of requests at the target from all daemons.
@@ -58,12 +63,16 @@
 }
 
 // RecordResponse records a complete response and returns its service time without
-// queueing. load is the target's load when the request was sent.
-func (e *Estimate) RecordResponse(took time.Duration, load int) time.Duration {
+// queueing, and without the slowdown if service times are normalized. load is the target's load
+// when the request was sent, and slowdown what it reported with the response.
+func (e *Estimate) RecordResponse(took time.Duration, load int, slowdown float64) time.Duration {
 	e.failures, e.suspectUntil = 0, 0
 	if load >= e.Slots && e.Slots > 0 {
 		took = took * time.Duration(e.Slots) / time.Duration(load+1)
 	}
+	if e.Normalized {
+		took = time.Duration(float64(took) / slowdown)
+	}
 	switch {
 	case e.serviceTimeShared:
 	case e.serviceTime == 0:
@@ -106,9 +115,7 @@
 	if now < e.ColdUntil {
 		service *= coldFactor
 	}
-	if e.reportedWithin(now, slowdownLifetime) {
-		service *= e.slowdown
-	}
+	service *= e.slowdownFactor(now)
 	slots := max(e.Slots, 1)
 	if queued := e.Load() - slots + 1; queued > 0 {
 		service *= 1 + float64(queued)/float64(slots)
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -61,7 +61,7 @@
 	if bad.Suspect(now + maxSuspectTime) {
 		t.Error("target is still suspect after the longest suspect time")
 	}
-	bad.RecordResponse(averageServiceTime, 0)
+	bad.RecordResponse(averageServiceTime, 0, 1)
 	bad.RecordFailure(now)
 	if bad.Suspect(now) {
 		t.Error("failures before a successful response still count")
@@ -71,7 +71,7 @@
 // Guards against counting queueing time as service time.
 func TestServiceTimeLeavesOutQueueing(t *testing.T) {
 	e := &Estimate{Slots: 3}
-	if got := e.RecordResponse(400*time.Millisecond, 11); got != 100*time.Millisecond {
+	if got := e.RecordResponse(400*time.Millisecond, 11, 1); got != 100*time.Millisecond {
 		t.Errorf("service time of 400 ms behind 11 requests at 3 slots = %v, want 100 ms", got)
 	}
 }
--- a/internal/coordination/probing/load_test.go
+++ b/internal/coordination/probing/load_test.go
@@ -22,7 +22,7 @@
 // simTarget queues requests for its slots. Work takes longer by its speed and, for a fifth of the
 // time, by its machine's other load.
 type simTarget struct {
-	speed    float64
+	speed    float64 // multiplies the time of work
 	slowdown float64
 	until    time.Duration // end of the current slowdown
 	ends     []time.Duration
@@ -51,7 +51,7 @@
 	if load := s.advance(now); load >= simSlots {
 		start = s.ends[load-simSlots] // of the requests in the order of their ends
 	}
-	end := start + time.Duration(workMs*s.slowdown/s.speed*float64(time.Millisecond))
+	end := start + time.Duration(workMs*s.slowdown*s.speed*float64(time.Millisecond))
 	i := len(s.ends)
 	for ; i > 0 && s.ends[i-1] > end; i-- {
 	}
@@ -65,14 +65,18 @@
 	service    Service
 }
 
-func newSimDaemons(targets []*simTarget) []*simDaemon {
+func newSimDaemons(targets []*simTarget, probed bool) []*simDaemon {
 	daemons := make([]*simDaemon, simDaemons)
 	for i := range daemons {
 		daemons[i] = &simDaemon{}
 		daemons[i].service.RecordReport(1)
 		for j, s := range targets {
-			e := &balance.Estimate{Slots: simSlots, SameDomain: i%simDomains == j%simDomains}
-			e.SetServiceTime(time.Duration(1.4 * simWork / s.speed * float64(time.Millisecond)))
+			e := &balance.Estimate{Slots: simSlots, SameDomain: i%simDomains == j%simDomains, Normalized: probed}
+			if serviceTime := simWork; probed {
+				e.SetServiceTime(time.Duration(serviceTime * float64(time.Millisecond)))
+			} else {
+				e.SetServiceTime(time.Duration(1.4 * serviceTime * s.speed * float64(time.Millisecond)))
+			}
 			daemons[i].candidates = append(daemons[i].candidates, Candidate{Estimate: e, Target: &Target{}, Connected: true})
 		}
 	}
@@ -106,7 +110,7 @@
 		chosen := decision.Round(now, d.candidates, round)
 		for _, i := range chosen[:d.service.Take(now, len(chosen))] {
 			probes++
-			d.candidates[i].Estimate.RecordReport(now, balance.Report{Load: targets[i].advance(now), Slowdown: targets[i].slowdown / 1.4})
+			d.candidates[i].Estimate.RecordReport(now, balance.Report{Load: targets[i].advance(now), Slowdown: targets[i].slowdown * targets[i].speed})
 			d.candidates[i].Target.RecordReport()
 		}
 	}
@@ -125,7 +129,7 @@
 	for i := range targets {
 		targets[i] = &simTarget{speed: []float64{0.6, 1, 1.4}[i/simDomains%3]}
 	}
-	daemons := newSimDaemons(targets)
+	daemons := newSimDaemons(targets, probed)
 	mean := time.Duration(1.4 * simWork * float64(time.Millisecond))
 	var requests int
 	exchanged := time.Duration(0)
--- a/internal/edge/dispatch/classify.go
+++ b/internal/edge/dispatch/classify.go
@@ -85,8 +85,8 @@
 }
 
 // recordOutcome updates the estimate of the target and the state of its service after
-// a send.
-func (d *Dispatcher) recordOutcome(ep *endpoint, outcome sendOutcome, took time.Duration, load int) {
+// a send. slowdown is what the target reported with its response.
+func (d *Dispatcher) recordOutcome(ep *endpoint, outcome sendOutcome, took time.Duration, load int, slowdown float64) {
 	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -97,7 +97,7 @@
 	}
 	switch {
 	case outcome.kind == served:
-		d.config.ObserveServiceTime(ep.hash, ep.estimate.RecordResponse(took, load))
+		d.config.ObserveServiceTime(ep.hash, ep.estimate.RecordResponse(took, load, slowdown))
 		s := d.serviceState(ep.record.Service)
 		s.avgServiceTime += (took - s.avgServiceTime) / serviceTimeSmoothing
 	case outcome.reason == TargetsFull:
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -177,9 +177,6 @@
 	probes    probing.Service
 	// probed is whether the targets were probed when that was last decided.
 	probed bool
-	// meanSlowdown is the mean slowdown in the load reports of responses. Service times are
-	// measured under it.
-	meanSlowdown float64
 }
 
 // SetRetryBudget changes the limit of retries. A change resets the retry budgets and
@@ -341,8 +338,9 @@
 	if ctx.Err() != nil && outcome.reason == ConnectionLost {
 		outcome = sendOutcome{kind: unknown, reason: CallerDisconnected}
 	}
-	d.recordOutcome(ep, outcome, took, load)
-	d.recordResponseReport(ep, resp, outcome)
+	report, reported := d.responseReport(resp, outcome)
+	d.recordOutcome(ep, outcome, took, load, report.Slowdown)
+	d.recordResponseReport(ep, report, reported, outcome)
 	d.recordSignals(t, ep, resp, outcome)
 	d.config.ObserveSend(req.Service, outcome.String(), took)
 	return d.handleOutcome(t, ep, resp, outcome, took, err)
@@ -446,7 +444,7 @@
 func (d *Dispatcher) serviceState(name string) *serviceState {
 	s := d.services[name]
 	if s == nil {
-		s = &serviceState{budget: budget.New(d.config.RetryBudget, d.started), avgServiceTime: defaultServiceTime, meanSlowdown: 1}
+		s = &serviceState{budget: budget.New(d.config.RetryBudget, d.started), avgServiceTime: defaultServiceTime}
 		d.services[name] = s
 	}
 	return s
--- a/internal/edge/dispatch/endpoint.go
+++ b/internal/edge/dispatch/endpoint.go
@@ -65,6 +65,8 @@
 		pool: upstream.NewPool(r.Address, limit, d.config.Bodies),
 	}
 	ep.estimate.Slots = r.Slots
+	service := v.Config.Services[r.Service]
+	ep.estimate.Normalized = !service.Keyed && service.HealthPath != ""
 	ep.estimate.SameDomain = r.Domain == d.config.Domain
 	ep.estimate.ColdUntil = clock.Now() + r.WarmupRemaining
 	d.endpoints[r.Incarnation()] = ep
--- a/internal/edge/dispatch/probe.go
+++ b/internal/edge/dispatch/probe.go
@@ -24,9 +24,6 @@
 	probeTimeout = 250 * time.Millisecond
 	// probeTimeShare is the largest part of the remaining time that one round may take.
 	probeTimeShare = 0.02
-	// slowdownSmoothing is the number of responses over which the mean slowdown of a service
-	// is smoothed.
-	slowdownSmoothing = 50
 )
 
 // Outcomes of probes, as in the metrics.
@@ -159,7 +156,7 @@
 	// The ID tells the response apart from a late copy of an earlier one.
 	id := rand.Text()
 	resp, err := ep.pool.Send(ctx, &upstream.Request{
-		Names: names, ID: id, EchoOptional: true, Method: http.MethodGet, URI: path, Host: ep.pool.Address(),
+		Names: names, ID: id, EchoNever: true, Method: http.MethodGet, URI: path, Host: ep.pool.Address(),
 		Header: http.Header{http.CanonicalHeaderKey(names.RequestID): {id}}, Target: ep.id,
 	})
 	defer resp.Release()
@@ -212,15 +209,31 @@
 
 // recordReport records a load report that the target has just sent. d.mu must be held.
 func (d *Dispatcher) recordReport(ep *endpoint, report upstream.LoadReport, now time.Duration) {
-	s := d.serviceState(ep.record.Service)
-	s.probes.RecordReport(now)
+	d.serviceState(ep.record.Service).probes.RecordReport(now)
 	ep.probe.RecordReport()
-	ep.estimate.RecordReport(now, balance.Report{Load: report.Running + report.Waiting, Slowdown: report.Slowdown / s.meanSlowdown})
+	ep.estimate.RecordReport(now, balance.Report{Load: report.Running + report.Waiting, Slowdown: report.Slowdown})
+}
+
+// responseReport returns the load report of a response to a request; one with the usual slowdown
+// and false if there is none.
+func (d *Dispatcher) responseReport(resp *upstream.Response, outcome sendOutcome) (upstream.LoadReport, bool) {
+	none := upstream.LoadReport{Slowdown: 1}
+	if resp == nil || outcome.reason == TargetReplaced {
+		return none, false
+	}
+	report, ok := d.config.Names.LoadReport(resp.Header)
+	if !ok {
+		return none, false
+	}
+	if outcome.kind == served && report.Running > 0 {
+		report.Running-- // a target counts the request that it responds to
+	}
+	return report, true
 }
 
 // recordResponseReport records the load report of a response to a request, if there is one, and
 // whether the target served the request that it was chosen for.
-func (d *Dispatcher) recordResponseReport(ep *endpoint, resp *upstream.Response, outcome sendOutcome) {
+func (d *Dispatcher) recordResponseReport(ep *endpoint, report upstream.LoadReport, reported bool, outcome sendOutcome) {
 	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -230,16 +243,7 @@
 	case TargetsFull, TargetUnreachable, ConnectionLost, InvalidResponse:
 		ep.probe.RecordOutcome(now, false)
 	}
-	if resp == nil || outcome.reason == TargetReplaced {
-		return
-	}
-	report, ok := d.config.Names.LoadReport(resp.Header)
-	if !ok {
-		return
-	}
-	if outcome.kind == served {
-		s := d.serviceState(ep.record.Service)
-		s.meanSlowdown += (report.Slowdown - s.meanSlowdown) / slowdownSmoothing
+	if reported {
+		d.recordReport(ep, report, now)
 	}
-	d.recordReport(ep, report, now)
 }
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -297,7 +297,8 @@
 // answers reports whether a response belongs to the request. A target that refuses a request
 // before it has read the ID cannot return the ID. Such a refusal counts only on a new
 // connection: on one in use again it may be a late copy for an earlier request. Where the ID is
-// optional, a response without it counts until the target has returned one.
+// optional, a response without it counts until the target has returned one, or always if targets
+// return none to such requests.
 func (c *conn) answers(resp *http.Response, req *Request) bool {
 	id := resp.Header.Get(req.Names.RequestID)
 	switch {
@@ -308,6 +309,8 @@
 		return true
 	case id != "":
 		return false
+	case req.EchoNever:
+		return true
 	case req.EchoOptional:
 		return !c.returnsIDs
 	default:
--- a/internal/transport/upstream/request.go
+++ b/internal/transport/upstream/request.go
@@ -55,7 +55,11 @@
 	// EchoOptional accepts responses without an ID. Responses with another ID are still
 	// taken for those to other requests.
 	EchoOptional bool
-	Method       string
+	// EchoNever also accepts responses without an ID on a connection on which the target has
+	// returned IDs to other requests. A late copy of the response to a request of this kind may
+	// then be taken for the response, so it must do no harm.
+	EchoNever bool
+	Method    string
 	// URI is the path and the query as sent by the caller, which go on byte for byte.
 	URI    string
 	Host   string
