--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -195,7 +195,11 @@
 	}
 	switch {
 	case ep != nil:
-		return d.admit(t, ep)
+		admitted, reason := d.admit(t, ep)
+		if admitted != nil {
+			ep.probe.RecordChosen()
+		}
+		return admitted, reason
 	case t.pausedUntil > 0:
 		return nil, TargetPaused
 	default:
@@ -206,9 +210,19 @@
 // candidates returns the endpoints of the service's targets in a state that may get the
 // request, and the number of targets in that state. d.mu must be held.
 func (d *Dispatcher) candidates(v *view.View, t *requestState, state target.State) (eps []*endpoint, inState int) {
+	records := v.Targets.Service(t.req.Service)
+	if part := d.considered(t, records); part != nil {
+		if eps, inState = d.candidatesAmong(v, t, state, part); len(eps) > 0 {
+			return eps, inState
+		}
+	}
+	return d.candidatesAmong(v, t, state, records)
+}
+
+func (d *Dispatcher) candidatesAmong(v *view.View, t *requestState, state target.State, records []target.Record) (eps []*endpoint, inState int) {
 	now := clock.Now()
 	t.pausedUntil = 0
-	for _, r := range v.Targets.Service(t.req.Service) {
+	for _, r := range records {
 		if r.State != state {
 			continue
 		}
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -159,6 +159,7 @@
 type Dispatcher struct {
 	config  Config
 	started time.Duration
+	window  probing.Window
 
 	mu        sync.Mutex
 	endpoints map[target.Incarnation]*endpoint
@@ -197,7 +198,7 @@
 		c.Bodies = bodybuf.NewBudget(defaultBodyMemory)
 	}
 	return &Dispatcher{
-		config: c, started: clock.Now(), endpoints: make(map[target.Incarnation]*endpoint), services: make(map[string]*serviceState),
+		config: c, started: clock.Now(), window: probing.NewWindow(), endpoints: make(map[target.Incarnation]*endpoint), services: make(map[string]*serviceState),
 	}
 }
 
@@ -213,6 +214,7 @@
 	lastUncertain Refusal
 	inputs        SelectionInputs
 	fence         uint64 // fence of the key's owner at the last choice
+	window        probing.Window
 	// pausedUntil is when the first target that asked for a pause can be used again, of
 	// those that the last choice left out; 0 if there was none.
 	pausedUntil time.Duration
@@ -225,7 +227,7 @@
 	if req.HasKey && d.isKeyed(req.Service) {
 		d.config.ObserveKey(req.Service, req.Key)
 	}
-	t := &requestState{req: req, triedTargets: make(map[string]bool)}
+	t := &requestState{req: req, triedTargets: make(map[string]bool), window: d.window.ForRequest()}
 	for {
 		ep, refusal := d.choose(ctx, t)
 		if refusal != nil {
--- a/internal/edge/dispatch/probe.go
+++ b/internal/edge/dispatch/probe.go
@@ -93,6 +93,19 @@
 	return path
 }
 
+// considered returns the targets that are considered for the request, or nil for all: a part of
+// them if there are many and they are probed. d.mu must be held.
+func (d *Dispatcher) considered(t *requestState, records []target.Record) []target.Record {
+	if !d.serviceState(t.req.Service).probed {
+		return nil
+	}
+	var part []target.Record
+	for _, i := range t.window.Indexes(len(records)) {
+		part = append(part, records[i])
+	}
+	return part
+}
+
 // probingCandidates leaves out targets that are avoided, cold, or have no connection to spare for
 // a probe.
 func probingCandidates(eps []*endpoint, now time.Duration) (kept []*endpoint, candidates []probing.Candidate) {
@@ -119,7 +132,6 @@
 	if best < 0 {
 		return nil
 	}
-	eps[best].probe.RecordChosen()
 	return eps[best]
 }
 
--- a/internal/edge/dispatch/probe_test.go
+++ b/internal/edge/dispatch/probe_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -177,3 +178,37 @@
 		t.Errorf("pool exhausted: %q", got)
 	}
 }
+
+// Shows that the work of one choice does not grow with the number of targets.
+func BenchmarkProbedChoice(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			servers := make(map[string]*httptest.Server)
+			for i := range n {
+				servers[fmt.Sprint(i)] = &httptest.Server{URL: fmt.Sprintf("http://127.0.0.1:%d", i+1)}
+			}
+			d := newUnkeyedDispatcherOf(healthDocs{}, servers)
+			v := d.config.Views.Current()
+			for b.Loop() {
+				now := clock.Now()
+				t := &requestState{req: &Request{Service: "s", Route: &route.Route{}, Deadline: now + time.Second}, window: d.window.ForRequest()}
+				d.countRequest("s")
+				d.mu.Lock()
+				d.serviceState("s").probes.RecordReport(now)
+				d.mu.Unlock()
+				_, probed := d.startRound(v, t, now, 0)
+				d.mu.Lock()
+				for _, ep := range probed {
+					ep.probe.End(now, probing.Answered)
+					d.recordReport(ep, upstream.LoadReport{Slots: 4, Slowdown: 1}, now)
+				}
+				d.mu.Unlock()
+				if ep, reason := d.chooseAny(v, t); reason != "" {
+					b.Fatal(reason)
+				} else {
+					d.releaseReservation(ep)
+				}
+			}
+		})
+	}
+}
--- a/internal/transport/upstream/head_test.go
+++ b/internal/transport/upstream/head_test.go
@@ -166,3 +166,23 @@
 		t.Errorf("got %+v, %v, want the response with the ID", r, err)
 	}
 }
+
+// Guards against waiting in vain for a response with an ID to a call that targets answer without
+// one, on a connection that carried requests; and against taking a late copy for its response.
+func TestReplyThatNeverCarriesID(t *testing.T) {
+	for _, late := range []string{"", responseText("1", "late")} {
+		target := scriptedTarget{make(chan string, 1)}
+		p := serveTarget(t, target.serve)
+		target.second <- late + "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+		if _, err := send(t, p, "1", 5*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		req := request("2")
+		req.EchoNever = true
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		if r, err := p.Send(ctx, req); err != nil || r.Status != http.StatusServiceUnavailable {
+			t.Errorf("late copy %q: got %+v, %v, want the response without an ID", late, r, err)
+		}
+		cancel()
+	}
+}
