Merge probing of targets that report their load

Cause: daemons of a large fleet know too little of targets whose load and speed change several times a second.

With the merge, the estimate of a target that becomes cold while it runs counts it as cold; before, only the cold time at its registration counted.

--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -62,7 +62,8 @@
 		if d.isKeyed(t.req.Service) {
 			ep, reason = d.chooseOwner(v, t)
 		} else {
-			ep, reason = d.chooseAny(v, t)
+			d.probe(ctx, t)
+			ep, reason = d.chooseAny(d.config.Views.Current(), t)
 		}
 		if reason == "" {
 			if d.takeColdTurn(ep) {
@@ -198,10 +199,17 @@
 	if inState == 0 {
 		return nil, NoTarget
 	}
-	ep := pick(eps, clock.Now(), d.serviceState(t.req.Service).avgServiceTime)
+	ep := d.pickProbed(v, t, eps)
+	if ep == nil {
+		ep = pick(eps, clock.Now(), d.serviceState(t.req.Service).avgServiceTime)
+	}
 	switch {
 	case ep != nil:
-		return d.admit(t, ep)
+		admitted, reason := d.admit(t, ep)
+		if admitted != nil {
+			ep.probe.RecordChosen()
+		}
+		return admitted, reason
 	case t.pausedUntil > 0:
 		return nil, TargetPaused
 	default:
@@ -212,9 +220,19 @@
 // candidates returns the endpoints of the service's targets in a state that may get the
 // request, and the number of targets in that state. d.mu must be held.
 func (d *Dispatcher) candidates(v *view.View, t *requestState, state target.State) (eps []*endpoint, inState int) {
+	records := v.Targets.Service(t.req.Service)
+	if part := d.considered(t, records); part != nil {
+		if eps, inState = d.candidatesAmong(v, t, state, part); len(eps) > 0 {
+			return eps, inState
+		}
+	}
+	return d.candidatesAmong(v, t, state, records)
+}
+
+func (d *Dispatcher) candidatesAmong(v *view.View, t *requestState, state target.State, records []target.Record) (eps []*endpoint, inState int) {
 	now := clock.Now()
 	t.pausedUntil, t.cold.skipped = 0, false
-	for _, r := range v.Targets.Service(t.req.Service) {
+	for _, r := range records {
 		if r.State != state {
 			continue
 		}
--- a/internal/edge/dispatch/cold.go
+++ b/internal/edge/dispatch/cold.go
@@ -99,7 +99,11 @@
 func (ep *endpoint) updateCold(s route.Service) {
 	c := &ep.cold
 	c.rate, c.keyed = s.ColdRate, s.Keyed
-	if c.rate <= 0 || c.counter != nil {
+	if c.rate <= 0 {
+		return
+	}
+	ep.estimate.ColdUntil = max(ep.estimate.ColdUntil, ep.coldUntil())
+	if c.counter != nil {
 		return
 	}
 	c.counter = &coldstart.Counter{}
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/probing"
 	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/state/route"
@@ -152,12 +153,15 @@
 	RefreshTable func(service string, revision int64)
 	// ObserveServiceTime is called with each measured service time.
 	ObserveServiceTime func(target peers.TargetHash, took time.Duration)
+	// ObserveProbe is called after each probe of a target's load; nil does nothing.
+	ObserveProbe func(service, outcome string)
 }
 
 // Dispatcher sends requests to targets. It is safe for concurrent use.
 type Dispatcher struct {
 	config  Config
 	started time.Duration
+	window  probing.Window
 
 	mu        sync.Mutex
 	endpoints map[target.Incarnation]*endpoint
@@ -174,6 +178,9 @@
 	// slotFreed is closed when a send to the service ends. It is nil if no request has
 	// started to wait for a slot since the last send ended.
 	slotFreed chan struct{}
+	probes    probing.Service
+	// probed is whether the targets were probed when that was last decided.
+	probed bool
 }
 
 // SetRetryBudget changes the limit of retries. A change resets the retry budgets and
@@ -194,7 +201,7 @@
 		c.Bodies = bodybuf.NewBudget(defaultBodyMemory)
 	}
 	return &Dispatcher{
-		config: c, started: clock.Now(), endpoints: make(map[target.Incarnation]*endpoint), services: make(map[string]*serviceState),
+		config: c, started: clock.Now(), window: probing.NewWindow(), endpoints: make(map[target.Incarnation]*endpoint), services: make(map[string]*serviceState),
 	}
 }
 
@@ -210,6 +217,7 @@
 	lastUncertain Refusal
 	inputs        SelectionInputs
 	fence         uint64 // fence of the key's owner at the last choice
+	window        probing.Window
 	// pausedUntil is when the first target that asked for a pause can be used again, of
 	// those that the last choice left out; 0 if there was none.
 	pausedUntil time.Duration
@@ -223,7 +231,7 @@
 	if req.HasKey && d.isKeyed(req.Service) {
 		d.config.ObserveKey(req.Service, req.Key)
 	}
-	t := &requestState{req: req, triedTargets: make(map[string]bool)}
+	t := &requestState{req: req, triedTargets: make(map[string]bool), window: d.window.ForRequest()}
 	for {
 		ep, refusal := d.choose(ctx, t)
 		if refusal != nil {
@@ -336,7 +344,9 @@
 	if ctx.Err() != nil && outcome.reason == ConnectionLost {
 		outcome = sendOutcome{kind: unknown, reason: CallerDisconnected}
 	}
-	d.recordOutcome(ep, outcome, took, load)
+	report, reported := d.responseReport(resp, outcome)
+	d.recordOutcome(ep, outcome, took, load, report.Slowdown)
+	d.recordResponseReport(ep, report, reported, outcome)
 	d.recordSignals(t, ep, resp, outcome)
 	d.config.ObserveSend(req.Service, outcome.String(), took)
 	return d.handleOutcome(t, ep, resp, outcome, took, err)
@@ -423,7 +433,9 @@
 func (d *Dispatcher) countRequest(name string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.serviceState(name).budget.RecordRequest(clock.Now())
+	s := d.serviceState(name)
+	s.budget.RecordRequest(clock.Now())
+	s.probes.RecordRequest()
 }
 
 func (d *Dispatcher) takeRetryBudget(name string) bool {
--- a/internal/edge/dispatch/endpoint.go
+++ b/internal/edge/dispatch/endpoint.go
@@ -7,6 +7,7 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/balance"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/probing"
 	"github.com/jackdawloom/jackdawloom/internal/edge/metrics"
 	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
@@ -42,6 +43,8 @@
 	pausedUntil time.Duration
 	hash        peers.TargetHash
 	cold        coldState
+	// probe is guarded by Dispatcher.mu.
+	probe probing.Target
 }
 
 // endpoint returns the endpoint of a target, and creates it if it is missing or the
@@ -64,6 +67,8 @@
 		pool: upstream.NewPool(r.Address, limit, d.config.Bodies),
 	}
 	ep.estimate.Slots = r.Slots
+	service := v.Config.Services[r.Service]
+	ep.estimate.Normalized = !service.Keyed && service.HealthPath != ""
 	ep.estimate.SameDomain = r.Domain == d.config.Domain
 	ep.estimate.ColdUntil = clock.Now() + r.WarmupRemaining
 	ep.updateCold(v.Config.Services[r.Service])
@@ -122,7 +127,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, ep := range d.endpoints {
-		ep.estimate.RunningElsewhere = max(loads[ep.hash]-ep.estimate.Running, 0)
+		ep.estimate.SetFleetLoad(now, loads[ep.hash])
 		ep.setFleetDemand(loads, now)
 	}
 }
