Refuse responses whose status is none of HTTP

http.ReadResponse accepts 000 to 099, +99 and 600 to 999. The reader of targets' responses took everything below 200 for interim, so that a part of the body of a 000 was read as the response, and passed on what lies above 599. With the field that marks refusals, such a response proved that the request had not run, and it was sent to a second target. A write that the store answered with 600 counted as not made. An unasked 101 and interim responses with a body were skipped in the same way.

Such a response is none: the outcome is unknown and the connection is closed.

--- a/internal/edge/dispatch/signals_test.go
+++ b/internal/edge/dispatch/signals_test.go
@@ -55,9 +55,13 @@
 }
 
 func (d *Dispatcher) dispatchUnkeyed(maxAttempts int) (*upstream.Response, *Refusal) {
+	return d.dispatchRoute(&route.Route{MaxAttempts: maxAttempts})
+}
+
+func (d *Dispatcher) dispatchRoute(r *route.Route) (*upstream.Response, *Refusal) {
 	now := clock.Now()
 	return d.Do(context.Background(), &Request{
-		ID: "1", Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{"Id": {"1"}}, Route: &route.Route{MaxAttempts: maxAttempts}, Service: "s",
+		ID: "1", Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{"Id": {"1"}}, Route: r, Service: "s",
 		Arrived: now, Deadline: now + 2*time.Second,
 	})
 }
--- a/internal/topo/etcdgw/transport.go
+++ b/internal/topo/etcdgw/transport.go
@@ -13,6 +13,7 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/topo"
 	"github.com/jackdawloom/jackdawloom/internal/transport/dialer"
+	"github.com/jackdawloom/jackdawloom/internal/transport/headcheck"
 	"github.com/jackdawloom/jackdawloom/internal/transport/once"
 )
 
@@ -79,6 +80,10 @@
 	if err != nil {
 		return nil, &noReplyError{cause: err, sent: connected.Load()}
 	}
+	if err := headcheck.Status(res); err != nil {
+		closeBody(res)
+		return nil, &noReplyError{cause: err, sent: true}
+	}
 	return res, nil
 }
 
--- a/internal/transport/headcheck/headcheck_test.go
+++ b/internal/transport/headcheck/headcheck_test.go
@@ -31,3 +31,21 @@
 		t.Errorf("net/http accepted %d heads, want some that are cut", accepted)
 	}
 }
+
+// Guards against a status that is none of HTTP in a reply that net/http's client has read: the
+// store's 600 counted as a refusal without effect.
+func TestStatus(t *testing.T) {
+	for status, valid := range map[string]bool{
+		"200": true, "412": true, "599": true, "100": true,
+		"000": false, "099": false, "+99": false, "101": false, "600": false, "999": false,
+	} {
+		resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 "+status+" Text\r\n\r\n")), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if err := Response(resp); (err == nil) != valid || !valid && !errors.Is(err, ErrInvalidStatus) {
+			t.Errorf("status %s: %v", status, err)
+		}
+	}
+}
--- a/internal/transport/upstream/head.go
+++ b/internal/transport/upstream/head.go
@@ -11,8 +11,8 @@
 	"github.com/jackdawloom/jackdawloom/internal/transport/headcheck"
 )
 
-// readHead reads the head of the next response. A head that may consist of parts of two responses
-// is refused.
+// readHead reads the head of the next response. A head with an invalid status, or that may consist
+// of parts of two responses, is refused.
 func (c *conn) readHead(req *Request) (*http.Response, error) {
 	c.incoming.left = maxHeadBytes - c.in.Buffered() - len(c.incoming.pending)
 	head, err := c.readHeadBytes()
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return resp, req.Names.checkSingleFields(resp.Header)
+	return resp, errors.Join(headcheck.Status(resp), req.Names.checkSingleFields(resp.Header))
 }
 
 // readHeadBytes reads up to the end of the first empty line. The result is valid until the next
