--- a/internal/coordination/budget/budget.go
+++ b/internal/coordination/budget/budget.go
@@ -75,18 +75,28 @@
 // Remaining returns how many retries this daemon may send now. daemons is the number of
 // daemons in the fleet, which share the slack; if it is 0, there is no slack.
 func (b *Budget) Remaining(now time.Duration, daemons int) float64 {
-	part := b.part(now)
-	allowed := b.bound.Ratio * float64(b.requests.sum(part))
+	return b.allowed(now, daemons) - float64(b.retries.sum(b.part(now)))
+}
+
+// allowed returns how many retries this daemon may send in the window that ends now.
+func (b *Budget) allowed(now time.Duration, daemons int) float64 {
+	allowed := b.bound.Ratio * float64(b.requests.sum(b.part(now)))
 	if daemons > 0 {
 		age := min(float64(now-b.started)/float64(b.bound.Window), 1)
 		allowed += b.bound.Slack / float64(daemons) * age
 	}
-	return allowed*safetyFactor - float64(b.retries.sum(part))
+	return allowed * safetyFactor
 }
 
 // Take consumes budget for one retry. It returns false if less than one retry remains.
 func (b *Budget) Take(now time.Duration, daemons int) bool {
-	if b.Remaining(now, daemons) < 1 {
+	return b.TakeUnreserved(now, daemons, 0)
+}
+
+// TakeUnreserved consumes budget for one send. It returns false if less than the reserve, a
+// fraction of the whole budget, would remain for retries.
+func (b *Budget) TakeUnreserved(now time.Duration, daemons int, reserve float64) bool {
+	if b.Remaining(now, daemons)-reserve*b.allowed(now, daemons) < 1 {
 		return false
 	}
 	b.retries.add(b.part(now))
--- a/internal/coordination/budget/budget_test.go
+++ b/internal/coordination/budget/budget_test.go
@@ -88,3 +88,23 @@
 		t.Error("no retry allowed one window later")
 	}
 }
+
+// Guards against sends that are not needed and use up the budget, so that requests that failed
+// cannot be sent again.
+func TestReserveIsLeftForRetries(t *testing.T) {
+	b := New(Bound{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}, 0)
+	now := time.Minute
+	spare, retries := 0, 0
+	for b.TakeUnreserved(now, 1, 0.5) {
+		spare++
+	}
+	for b.Take(now, 1) {
+		retries++
+	}
+	if spare != 8 || retries != 8 {
+		t.Errorf("%d sends and %d retries of a budget of 16, want half each", spare, retries)
+	}
+	if b.TakeUnreserved(now, 1, 0.5) {
+		t.Error("a send was allowed although retries had used the budget")
+	}
+}
