--- a/cmd/jackdawloomd/platform.go
+++ b/cmd/jackdawloomd/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"os"
 	"time"
@@ -20,20 +21,37 @@
 	return &cli.Command{
 		Name:  "edge",
 		Usage: "run a daemon on the platform whose settings file " + platform.SettingsVariable + " names",
-		Flags: []cli.Flag{&cli.StringFlag{
-			Name: "settings", Aliases: []string{"s"}, Required: true,
-			Sources: cli.EnvVars(platform.SettingsVariable), Usage: "read the platform's settings `FILE`",
-		}},
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name: "settings", Aliases: []string{"s"}, Required: true,
+				Sources: cli.EnvVars(platform.SettingsVariable), Usage: "read the platform's settings `FILE`",
+			},
+			&cli.FloatFlag{
+				Name: "hedge-share", Usage: "send up to this `SHARE` (0 to 0.5) of the idempotent requests to a second target if the first is slow",
+				Validator: validateHedgeShare,
+			},
+		},
 		Action: runEdge,
 	}
 }
 
+// maxHedgeShare bounds the extra load. With more, the delay would be below the usual response time.
+const maxHedgeShare = 0.5
+
+func validateHedgeShare(share float64) error {
+	if !(share >= 0 && share <= maxHedgeShare) { // also true for NaN
+		return fmt.Errorf("hedge share %v is not between 0 and %v", share, maxHedgeShare)
+	}
+	return nil
+}
+
 func runEdge(ctx context.Context, cmd *cli.Command) error {
 	watcher := platform.NewSettingsWatcher(cmd.String("settings"))
 	set, err := platform.LoadSettings(cmd.String("settings"))
 	if err != nil {
 		return err
 	}
+	set.Edge.HedgeShare = cmd.Float("hedge-share")
 	lines := eventlog.New(eventlog.JSON)
 	log := slog.New(lines.Handler(slog.LevelInfo))
 	defer writeLog(ctx, lines)()
--- a/internal/edge/dispatch/classify.go
+++ b/internal/edge/dispatch/classify.go
@@ -21,6 +21,8 @@
 	failed
 	// unknown: the request may have run.
 	unknown
+	// superseded: the send was cancelled because another target had responded.
+	superseded
 )
 
 type sendOutcome struct {
@@ -30,10 +32,14 @@
 
 // String returns the outcome label of the metrics.
 func (o sendOutcome) String() string {
-	if o.kind == served {
+	switch o.kind {
+	case served:
 		return "served"
+	case superseded:
+		return "superseded"
+	default:
+		return string(o.reason)
 	}
-	return string(o.reason)
 }
 
 // classify returns the outcome of a send from its response or error.
@@ -100,8 +106,11 @@
 		d.config.ObserveServiceTime(ep.hash, ep.estimate.RecordResponse(took, load))
 		s := d.serviceState(ep.record.Service)
 		s.avgServiceTime += (took - s.avgServiceTime) / serviceTimeSmoothing
+	case outcome.kind == superseded:
+		d.recordSlow(ep, took)
 	case outcome.reason == TargetsFull:
 		ep.estimate.RecordRejection(now)
+		d.serviceState(ep.record.Service).hedges.recordRefusal(now)
 	case outcome.reason == KeyNotHeld || outcome.reason == TargetPaused:
 	case outcome.reason == TargetReplaced:
 		ep.replaced = true
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/hedging"
 	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/state/route"
@@ -150,6 +151,12 @@
 	RefreshTable func(service string, revision int64)
 	// ObserveServiceTime is called with each measured service time.
 	ObserveServiceTime func(target peers.TargetHash, took time.Duration)
+	// HedgeShare is the fraction of idempotent requests to services without keys that may be sent
+	// to a second target before the first has responded; 0 disables it.
+	HedgeShare float64
+	// ObserveHedge is called with the event of each hedge, and with the reason if one is not sent.
+	// It may be nil.
+	ObserveHedge func(service string, event HedgeEvent, reason hedging.Reason)
 }
 
 // Dispatcher sends requests to targets. It is safe for concurrent use.
@@ -171,6 +178,7 @@
 	// slotFreed is closed when a send to the service ends. It is nil if no request has
 	// started to wait for a slot since the last send ended.
 	slotFreed chan struct{}
+	hedges    *hedgeState // nil until a request can be hedged
 }
 
 // SetRetryBudget changes the limit of retries. A change resets the retry budgets and
@@ -229,7 +237,7 @@
 			d.releaseReservation(ep)
 			return d.finish(t, &Refusal{Reason: RetryBudgetExhausted, Target: ep.id})
 		}
-		resp, retry := d.sendOnce(ctx, t, ep)
+		resp, retry := d.sendHedged(ctx, t, ep)
 		if resp != nil {
 			t.failedResponse.Release()
 			return resp, nil
@@ -254,6 +262,7 @@
 	case r == nil:
 		r = &t.last
 	}
+	d.suspendHedges(t, r.Reason)
 	r.MayHaveRun = t.mayHaveRun
 	r.Sends = t.sends
 	r.Inputs = t.inputs
@@ -297,45 +306,83 @@
 	return max(delay, pausedUntil-clock.Now()) + jitter
 }
 
+// send is one send of a request to a target.
+type send struct {
+	ep      *endpoint
+	ctx     context.Context //nolint:containedctx // ends the send
+	cancel  context.CancelFunc
+	started time.Duration
+	// left is the remaining time at the start, and load the target's load without the request.
+	left              time.Duration
+	load              int
+	hasAttemptTimeout bool
+	// superseded is set before a send is cancelled because another one has been answered.
+	superseded atomic.Bool
+
+	// The result of runSend. cancelled is true if the send ended without a response because it
+	// was superseded.
+	resp      *upstream.Response
+	err       error
+	took      time.Duration
+	cancelled bool
+}
+
 // sendOnce sends the request to a target. It returns the response for the caller, or
 // nil and whether the request may be sent again.
 func (d *Dispatcher) sendOnce(ctx context.Context, t *requestState, ep *endpoint) (*upstream.Response, bool) {
+	s := d.startSend(ctx, t, ep)
+	defer s.cancel()
+	d.runSend(t.req, s)
+	return d.finishSend(ctx, t, s)
+}
+
+// startSend counts a send to a target, where capacity has been reserved.
+func (d *Dispatcher) startSend(ctx context.Context, t *requestState, ep *endpoint) *send {
 	req := t.req
 	now := clock.Now()
-	left := req.Deadline - now
-	sendCtx := ctx
+	s := &send{ep: ep, started: now, left: req.Deadline - now, ctx: ctx}
 	if !req.Route.Idempotent {
 		// The target may have started the request, so its response decides the outcome
 		// even if the caller disconnects.
-		sendCtx = context.WithoutCancel(ctx)
+		s.ctx = context.WithoutCancel(ctx)
 	}
-	limit := left + responseGrace
-	hasAttemptTimeout := req.Route.Idempotent && req.Route.AttemptTimeout > 0 && req.Route.AttemptTimeout < limit
-	if hasAttemptTimeout {
+	limit := s.left + responseGrace
+	s.hasAttemptTimeout = req.Route.Idempotent && req.Route.AttemptTimeout > 0 && req.Route.AttemptTimeout < limit
+	if s.hasAttemptTimeout {
 		limit = req.Route.AttemptTimeout
 	}
-	sendCtx, cancel := context.WithTimeout(sendCtx, limit)
-	defer cancel()
+	s.ctx, s.cancel = context.WithTimeout(s.ctx, limit)
 	t.sends++
 	req.sends.Add(1)
 	t.triedTargets[ep.id] = true
-	load := d.loadBefore(ep)
-	resp, err := ep.pool.Send(sendCtx, &upstream.Request{
+	s.load = d.loadBefore(ep)
+	return s
+}
+
+// runSend sends the request and waits for the response. It does not use the request's state.
+func (d *Dispatcher) runSend(req *Request, s *send) {
+	s.resp, s.err = s.ep.pool.Send(s.ctx, &upstream.Request{
 		Names: d.config.Names, ID: req.ID, Method: req.Method, URI: req.URI, Host: req.Host,
-		Header: req.Header, Body: req.Body, Target: ep.id, TimeLeft: left,
+		Header: req.Header, Body: req.Body, Target: s.ep.id, TimeLeft: s.left,
 	})
-	took := clock.Now() - now
-	outcome := d.classify(ep, resp, err)
-	if hasAttemptTimeout && outcome.reason == ConnectionLost && sendCtx.Err() != nil && ctx.Err() == nil {
-		ep.pool.CloseIdle()
+	s.took = clock.Now() - s.started
+	s.cancelled = s.err != nil && s.superseded.Load()
+}
+
+// finishSend records the result of a send. It returns the response for the caller, or nil and
+// whether the request may be sent again.
+func (d *Dispatcher) finishSend(ctx context.Context, t *requestState, s *send) (*upstream.Response, bool) {
+	outcome := d.classify(s.ep, s.resp, s.err)
+	if s.hasAttemptTimeout && outcome.reason == ConnectionLost && s.ctx.Err() != nil && ctx.Err() == nil {
+		s.ep.pool.CloseIdle()
 	}
 	if ctx.Err() != nil && outcome.reason == ConnectionLost {
 		outcome = sendOutcome{kind: unknown, reason: CallerDisconnected}
 	}
-	d.recordOutcome(ep, outcome, took, load)
-	d.recordSignals(t, ep, resp, outcome)
-	d.config.ObserveSend(req.Service, outcome.String(), took)
-	return d.handleOutcome(t, ep, resp, outcome, took, err)
+	d.recordOutcome(s.ep, outcome, s.took, s.load)
+	d.recordSignals(t, s.ep, s.resp, outcome)
+	d.config.ObserveSend(t.req.Service, outcome.String(), s.took)
+	return d.handleOutcome(t, s.ep, s.resp, outcome, s.took, s.err)
 }
 
 // handleOutcome records a send's outcome in the request's state. It returns the
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/hedging"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/ownership"
 	"github.com/jackdawloom/jackdawloom/internal/edge/coordinator"
 	"github.com/jackdawloom/jackdawloom/internal/edge/dispatch"
@@ -63,6 +64,8 @@
 	LeaseTTL, GrantTimeout time.Duration
 	// RetryBudget bounds the retries of all daemons together.
 	RetryBudget budget.Bound
+	// HedgeShare is passed to dispatch.Config.
+	HedgeShare float64
 }
 
 // Store is the platform's store.
@@ -132,8 +135,12 @@
 	}}
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Names: o.HeaderNames, Domain: o.Settings.Domain, RetryBudget: o.Settings.RetryBudget, Views: d.views, Bodies: responseBodies, Log: o.Log,
-		RefreshTable:       tables.Read,
-		ObserveSend:        o.Metrics.ObserveSend,
+		RefreshTable: tables.Read,
+		ObserveSend:  o.Metrics.ObserveSend,
+		HedgeShare:   o.Settings.HedgeShare,
+		ObserveHedge: func(service string, event dispatch.HedgeEvent, reason hedging.Reason) {
+			o.Metrics.CountHedge(service, string(event), string(reason))
+		},
 		ObserveKey:         func(service string, key uint16) { d.statsExchange.RecordKey(service, key) },
 		ObserveServiceTime: func(t peers.TargetHash, took time.Duration) { d.statsExchange.RecordServiceTime(t, took) },
 	})
@@ -208,6 +215,7 @@
 	d.dispatcher.SetRetryBudget(s.RetryBudget)
 	fixed := d.options.Settings
 	fixed.GracePeriod, fixed.DrainTime, fixed.RetryBudget = s.GracePeriod, s.DrainTime, s.RetryBudget
+	s.HedgeShare = fixed.HedgeShare // not in the settings file
 	d.log.Info("settings in force", "grace_ms", s.GracePeriod.Milliseconds(), "repeat_ratio", s.RetryBudget.Ratio,
 		"repeat_slack", s.RetryBudget.Slack, "restart_needed", !reflect.DeepEqual(fixed, s))
 }
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -146,6 +146,11 @@
 	m.observeDuration(seriesKey{name: "send_time", label1: service}, map[string]string{"service": service}, took)
 }
 
+// CountHedge counts an event of a hedge, with the reason if it was not sent.
+func (m *Metrics) CountHedge(service, event, reason string) {
+	m.incCounter(seriesKey{"hedges", service, event, reason}, map[string]string{"service": service, "event": event, "reason": reason})
+}
+
 // CountStoreCall counts a call to the store; status 0 means that there was no response.
 func (m *Metrics) CountStoreCall(verb string, status int) {
 	code := strconv.Itoa(status)
