--- a/internal/edge/dispatch/probe.go
+++ b/internal/edge/dispatch/probe.go
@@ -251,7 +251,9 @@
 	defer d.mu.Unlock()
 	switch outcome.reason {
 	case "":
-		ep.probe.RecordOutcome(now, true)
+		if outcome.kind == served { // not superseded by a hedge
+			ep.probe.RecordOutcome(now, true)
+		}
 	case TargetsFull, TargetUnreachable, ConnectionLost, InvalidResponse:
 		ep.probe.RecordOutcome(now, false)
 	}
