--- a/internal/coordination/probing/probing.go
+++ b/internal/coordination/probing/probing.go
@@ -147,23 +147,20 @@
 // first round probes targets of the daemon's own failure domain if there are any, later ones all
 // that have no recent report.
 func (d Decision) Round(now time.Duration, candidates []Candidate, round int) []int {
-	var local, connected, others []int
+	var eligible, local []int
 	for i, c := range candidates {
 		if !c.Target.Available(now) || c.hasRecentReport(now) {
 			continue
 		}
+		eligible = append(eligible, i)
 		if c.Estimate.SameDomain {
 			local = append(local, i)
 		}
-		if c.Connected {
-			connected = append(connected, i)
-		} else {
-			others = append(others, i)
-		}
 	}
 	if round == 0 && len(local) > 0 {
-		connected, others = split(local, candidates)
+		eligible = local
 	}
+	connected, others := split(eligible, candidates)
 	shuffle(connected)
 	shuffle(others)
 	if len(connected) < minConnected {
--- a/internal/edge/dispatch/probe.go
+++ b/internal/edge/dispatch/probe.go
@@ -188,7 +188,8 @@
 		d.config.Views.MarkLeaving(ep.incarnation, "response to a probe")
 	}
 	d.mu.Lock()
-	s := d.serviceState(ep.record.Service)
+	service := ep.record.Service
+	s := d.serviceState(service)
 	ep.probe.End(now, result)
 	s.probes.RecordProbe(now, result)
 	if result == probing.Answered {
@@ -196,7 +197,7 @@
 	}
 	d.mu.Unlock()
 	if d.config.ObserveProbe != nil {
-		d.config.ObserveProbe(ep.record.Service, outcome)
+		d.config.ObserveProbe(service, outcome)
 	}
 }
 
