--- a/internal/coordination/probing/load_test.go
+++ b/internal/coordination/probing/load_test.go
@@ -128,11 +128,9 @@
 			exchanged = now
 		}
 		d := daemons[rand.IntN(len(daemons))]
-		i, n := 0, 0
+		i, n := d.pickByExchangedLoads(now), 0
 		if probed {
 			i, n = d.pickByProbes(now, targets)
-		} else {
-			i = d.pickByExchangedLoads(now)
 		}
 		work := float64(simMean) * math.Exp(0.7*rand.NormFloat64()-0.245)
 		if targets[i].serve(now, work)-now > simObjective {
