Follow a store that comes back from a copy

A restored store gives revisions out again. The daemons refused all answers below the highest known revision, so such a store was unusable until its revisions had caught up, and what was lost was believed to be current.

Others wait until all grants have expired.

--- a/internal/coordination/ownership/assign.go
+++ b/internal/coordination/ownership/assign.go
@@ -31,7 +31,7 @@
 // a new fence. It returns nil if there are no such spans or no eligible targets, and
 // before the first assignment until registrationWait has passed.
 func (e *Engine) assign(now time.Duration) *ranges.Table {
-	if !e.anyEligible() || now-e.firstTargetAt < registrationWait && e.table.Fence == 0 {
+	if !e.anyEligible() || now-e.firstTargetAt < registrationWait && e.table.Unassigned() {
 		return nil
 	}
 	var unowned []*spanState
--- a/internal/coordination/ownership/engine.go
+++ b/internal/coordination/ownership/engine.go
@@ -152,6 +152,11 @@
 	movedAway     map[string]time.Duration // when a hot run was last moved away, by target ID
 	lastCallID    uint64
 	pins          []pin
+	// lowestFence, idleUntil and rewriting are set after the store was restored from a copy; see
+	// NewAfterLoss and RewriteAfterLoss.
+	lowestFence uint64
+	idleUntil   time.Duration
+	rewriting   bool
 }
 
 // failureStreak counts the consecutive unanswered grants to a target. since is the time of
@@ -260,6 +265,12 @@
 // Tick returns the actions that are due at time now.
 func (e *Engine) Tick(now time.Duration) Actions {
 	e.decayLoad(now)
+	switch {
+	case e.rewriting:
+		return e.rewriteTable(now)
+	case now < e.idleUntil:
+		return Actions{}
+	}
 	e.plan(now)
 	var a Actions
 	for _, h := range e.spans {
--- a/internal/coordination/ownership/grant_expiry.go
+++ b/internal/coordination/ownership/grant_expiry.go
@@ -20,6 +20,9 @@
 // used afterwards.
 func (e *Engine) GrantExpiries(now time.Duration) []GrantExpiry {
 	var out []GrantExpiry
+	if now < e.idleUntil {
+		return nil // the grants of others are not known
+	}
 	for _, h := range e.spans {
 		if !h.span.Owned() {
 			continue
--- a/internal/coordination/ownership/table.go
+++ b/internal/coordination/ownership/table.go
@@ -10,6 +10,7 @@
 // coordinators sent until now may still arrive.
 func (e *Engine) adopt(table ranges.Table, now time.Duration) {
 	e.table = table
+	e.table.Fence = max(e.table.Fence, e.lowestFence)
 	e.spans = e.spans[:0]
 	for _, s := range table.Spans {
 		h := &spanState{span: s, phase: phaseFree}
@@ -31,10 +32,12 @@
 		e.nextWriteAt = now + writeRetryDelay
 		e.pendingHandovers = make(map[keyRange]string)
 		if stored.WriteID != e.table.WriteID {
+			e.rewriting = false
 			e.adopt(stored, now)
 		}
 		return
 	}
+	e.rewriting = false
 	e.table = *pending
 	e.rebuild(now)
 }
--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -105,6 +105,7 @@
 	renewalSentAt time.Duration
 	writeCount    int
 	received      receivedHandover
+	restored      eraState
 }
 
 // Holder returns the name of the daemon that holds the coordinator's lease, or "" if
@@ -120,7 +121,9 @@
 // engine manages the assignment of one service.
 type engine struct {
 	*ownership.Engine
-	tableRev int64 // revision of the table in the store
+	tableRev int64  // revision of the table in the store
+	writeID  string // of the last table that was sent to the store
+	kept     bool   // kept from a term of an earlier era
 }
 
 // targetEndpoint is a target's registration with a connection pool for grants and
@@ -207,6 +210,7 @@
 	now := clock.Now()
 	v := c.config.Views.Current()
 	c.updateEndpoints(v, now)
+	c.noteEra(v)
 	if c.term == nil {
 		c.tryElection(ctx, v)
 		return
@@ -216,7 +220,7 @@
 		return
 	}
 	c.renew(ctx, now)
-	if c.confirmed(now) {
+	if c.confirmed(now) && v.Era >= topo.EraOf(c.term.rev) {
 		c.assign(ctx, v, now)
 	}
 }
@@ -245,11 +249,12 @@
 	if !v.Synced || !hasKeyedService(v) {
 		return
 	}
-	rev, isVacant := c.election.vacant(v)
-	if !isVacant {
+	may, first := c.mayCampaign(v)
+	rev, isVacant := c.election.vacant(v, first)
+	if !may || !isVacant {
 		return
 	}
-	if rev == 0 && !c.waitCandidateDelay(ctx) {
+	if rev == 0 && !first && !c.waitCandidateDelay(ctx) {
 		return
 	}
 	t, err := c.election.campaign(ctx, rev)
@@ -261,7 +266,7 @@
 		return
 	}
 	c.term, c.nextRenewal, c.renewing = t, clock.Now()+c.election.renewInterval(), false
-	c.engines = make(map[string]*engine)
+	c.engines = c.takeKept(t)
 	c.config.Log.Info("coordinator's lease won", "term", t.rev, "lease", int64(t.lease))
 }
 
@@ -312,7 +317,7 @@
 			continue
 		}
 		e := c.engines[name]
-		if e == nil {
+		if e == nil || e.kept && !c.resume(e, v, name) {
 			e = c.openEngine(v, name, now)
 		}
 		e.SetTargets(c.ownershipTargets(v, name), now)
@@ -325,9 +330,12 @@
 	e := &engine{}
 	table := ranges.Empty()
 	if t := v.Tables[name]; t != nil {
-		table, e.tableRev = t.Table, t.Rev
+		table = t.Table
+		if topo.EraOf(t.Rev) == topo.EraOf(c.term.rev) {
+			e.tableRev = t.Rev
+		}
 	}
-	e.Engine = ownership.New(c.config.Grants, table, now)
+	e.Engine = c.newOwnership(name, table, v.Tables[name] != nil, now)
 	e.ApplyGrantExpiries(c.received.remaining(name, now), now)
 	c.engines[name] = e
 	c.config.Log.Info("assigning keys", "service", name, "term", c.term.rev, "table_revision", e.tableRev, "spans", len(table.Spans))
--- a/internal/edge/coordinator/election.go
+++ b/internal/edge/coordinator/election.go
@@ -98,8 +98,8 @@
 
 // vacant reports whether the lease can be acquired, and the revision of the key to
 // replace. A key of an earlier run of this daemon counts as vacant, because the earlier
-// run has ended.
-func (e *election) vacant(v *view.View) (int64, bool) {
+// run has ended, and so does the key of this run if its lease is to be replaced.
+func (e *election) vacant(v *view.View, replaceOwn bool) (int64, bool) {
 	if !v.Coordinator.Exists() {
 		return 0, true
 	}
@@ -108,7 +108,7 @@
 		e.log.Warn("coordinator's key could not be decoded; treating the lease as held", "revision", v.Coordinator.ModRev, "error", err)
 		return 0, false
 	}
-	return v.Coordinator.ModRev, holder.Name == e.self.Name && holder.RunID != e.self.RunID
+	return v.Coordinator.ModRev, holder.Name == e.self.Name && (replaceOwn || holder.RunID != e.self.RunID)
 }
 
 // campaign tries to acquire the lease. It returns nil without an error if another daemon
--- /dev/null
+++ b/internal/edge/coordinator/restore.go
@@ -0,0 +1,116 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/ownership"
+	"github.com/jackdawloom/jackdawloom/internal/edge/view"
+	"github.com/jackdawloom/jackdawloom/internal/state/ranges"
+	"github.com/jackdawloom/jackdawloom/internal/topo"
+)
+
+// restoredElectionWait is how long other daemons leave the election to the coordinator that held the
+// lease when the store was restored. It knows all grants, and the others would have to wait longer
+// than this before they could grant anything.
+const restoredElectionWait = 3 * time.Second
+
+// eraState is what a daemon knows about the era of the store.
+type eraState struct {
+	era int64
+	// since is when this daemon first saw the era, and rose is set if it saw an earlier one before.
+	since time.Duration
+	rose  bool
+	known bool
+	// kept is the state of the term that this daemon held when the era rose, or nil.
+	kept *keptTerm
+}
+
+// keptTerm is the state of a term that ended with an era of the store. The lease was in force until
+// then, so no other daemon has granted keys since.
+type keptTerm struct {
+	era     int64
+	engines map[string]*engine
+	// until is when a coordinator of a later era may begin to grant.
+	until time.Duration
+}
+
+// noteEra records the era of a view. A term of an earlier era ends.
+func (c *Coordinator) noteEra(v *view.View) {
+	if !v.Synced {
+		return
+	}
+	if !c.restored.known || v.Era > c.restored.era {
+		c.restored.rose = c.restored.known
+		c.restored.era, c.restored.since, c.restored.known = v.Era, clock.Now(), true
+	}
+	if c.term != nil && v.Era > topo.EraOf(c.term.rev) {
+		c.keepTerm()
+	}
+}
+
+// keepTerm ends the term because the store is known to be of a later era. The engines are kept if the
+// lease has not run out since it was renewed in the earlier era.
+func (c *Coordinator) keepTerm() {
+	t, engines := c.term, c.engines
+	inForce := t.valid(clock.Now())
+	c.dropTerm("store era rose")
+	if !inForce {
+		return
+	}
+	c.restored.kept = &keptTerm{era: topo.EraOf(t.rev), engines: engines, until: t.expires + c.config.Grants.LongestGrant()}
+	for _, e := range engines {
+		e.kept = true
+	}
+}
+
+// mayCampaign reports whether this daemon may try to win the lease, as far as the era matters, and
+// whether it is the one for which the others wait.
+func (c *Coordinator) mayCampaign(v *view.View) (may, first bool) {
+	if kept := c.restored.kept; kept != nil {
+		return v.Era > kept.era, true
+	}
+	return !c.restored.rose || clock.Now() >= c.restored.since+restoredElectionWait, false
+}
+
+// takeKept returns the engines of the kept term for a term that was just won.
+func (c *Coordinator) takeKept(t *term) map[string]*engine {
+	kept := c.restored.kept
+	c.restored.kept = nil
+	if kept == nil || topo.EraOf(t.rev) <= kept.era || clock.Now() >= kept.until {
+		return make(map[string]*engine)
+	}
+	return kept.engines
+}
+
+// resume makes a kept engine write its table again. It returns false if another coordinator has
+// written one in this era, and may have granted keys.
+func (c *Coordinator) resume(e *engine, v *view.View, service string) bool {
+	era := topo.EraOf(c.term.rev)
+	e.kept, e.tableRev, e.writeID = false, 0, ""
+	if t := v.Tables[service]; t != nil {
+		if t.WrittenIn(era) {
+			return false
+		}
+		if topo.EraOf(t.Rev) == era {
+			e.tableRev = t.Rev
+		}
+	}
+	e.RewriteAfterLoss(ranges.LowestFence(era))
+	c.config.Log.Info("writing the range table again", "service", service, "term", c.term.rev, "table_revision", e.tableRev)
+	return true
+}
+
+// newOwnership returns the ownership engine for a table of the view. The table of an earlier era may
+// not be the last one.
+func (c *Coordinator) newOwnership(service string, table ranges.Table, stored bool, now time.Duration) *ownership.Engine {
+	era := topo.EraOf(c.term.rev)
+	until := now
+	if era > 0 && !table.WrittenIn(era) && (stored || c.restored.rose) {
+		// Another coordinator had its lease until the era rose, at the latest.
+		until = max(c.restored.since+c.config.LeaseTTL+c.config.Grants.LongestGrant(), now)
+		c.config.Log.Warn("range tables may be lost; assigning keys when the grants of earlier coordinators have expired",
+			"service", service, "era", era, "wait_ms", (until - now).Milliseconds())
+	}
+	return ownership.NewAfterLoss(c.config.Grants, table, ranges.LowestFence(era), until, now)
+}
--- a/internal/edge/coordinator/term.go
+++ b/internal/edge/coordinator/term.go
@@ -54,6 +54,9 @@
 	}
 	now := clock.Now()
 	switch {
+	case errors.Is(err, topo.ErrEarlierEra):
+		c.keepTerm()
+		return
 	case errors.Is(err, topo.ErrLeaseNotFound):
 		c.dropTerm("store ended it")
 		return
--- a/internal/edge/coordinator/write.go
+++ b/internal/edge/coordinator/write.go
@@ -22,6 +22,7 @@
 		e.HandleWriteResult(false, e.Table(), clock.Now())
 		return
 	}
+	e.writeID = table.WriteID
 	txn := topo.Txn{
 		Compares: []topo.Compare{
 			{Key: view.CoordinatorKey, Field: topo.CompareModRev, Rev: c.term.rev},
@@ -49,7 +50,7 @@
 }
 
 func (c *Coordinator) handleTableWrite(service string, e *engine, table *ranges.Table, stored topo.Entry, err error) {
-	if c.engines[service] != e {
+	if c.engines[service] != e || e.kept || e.writeID != table.WriteID {
 		return
 	}
 	now := clock.Now()
@@ -64,6 +65,15 @@
 		return
 	}
 	found, err := ranges.Decode(stored.Value)
+	if era := topo.EraOf(c.term.rev); err == nil && (topo.EraOf(stored.ModRev) != era || !found.WrittenIn(era)) {
+		// The store was restored: it lost the table, and shows an earlier one.
+		c.config.Log.Warn("range table not written; the store has one of an earlier era", "service", service, "writer", table.WriteID, "revision", stored.ModRev)
+		if topo.EraOf(stored.ModRev) == era {
+			e.tableRev = stored.ModRev
+		}
+		e.HandleWriteResult(false, e.Table(), now)
+		return
+	}
 	if err != nil {
 		c.config.Log.Error("range table in the store could not be decoded; keeping the previous table", "service", service, "error", err)
 		e.HandleWriteResult(false, e.Table(), now)
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -67,7 +68,7 @@
 
 // announce keeps the daemon's announcement in the store until ctx ends and then removes
 // it. Store calls are charged for, so the announcement is written once, and again only
-// if it is missing.
+// if it is missing, or another one has replaced it after the store was restored from a copy.
 func (d *Daemon) announce(ctx context.Context) {
 	value, err := cbor.Marshal(announcement{
 		RunID: d.self.RunID, Domain: d.options.Settings.Domain, PeerAddress: d.options.Settings.PeerAddress, Capacity: d.options.Settings.Capacity,
@@ -79,8 +80,10 @@
 	}
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
+	writtenIn := int64(0) // era of the store
 	for written := false; ; {
-		if !written || d.unannounced() {
+		if era := d.views.Current().Era; !written || d.unannounced() || era > writtenIn && !d.announcedAs(value) {
+			writtenIn = era
 			_, err := d.options.Store.Commit(ctx, topo.Txn{Puts: []topo.Put{{Key: view.DaemonKey(d.self.Name), Value: value}}})
 			if written = err == nil; !written && ctx.Err() == nil {
 				d.log.Warn("announcement could not be written to the store; trying again", "error", err)
@@ -104,6 +107,11 @@
 	return v.Synced && d.mirror.Status().Up && !announced
 }
 
+// announcedAs reports whether this daemon's announcement has the given value.
+func (d *Daemon) announcedAs(value []byte) bool {
+	return bytes.Equal(d.views.Current().Daemons[d.self.Name].Value, value)
+}
+
 // withdraw removes a daemon's announcement, unless it has been rewritten meanwhile.
 func (d *Daemon) withdraw(name, reason string) {
 	entry, known := d.views.Current().Daemons[name]
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -155,6 +155,7 @@
 // Gauges are a daemon's gauge values.
 type Gauges struct {
 	StoreUp         bool
+	StoreEra        int64
 	CopyAge         time.Duration
 	ConfigVersion   uint64
 	Targets         int
@@ -183,6 +184,7 @@
 func (m *Metrics) SetGauges(g Gauges) {
 	set := func(name string, v float64) { m.scope.Gauge(name).Update(v) }
 	set("store_up", boolValue(g.StoreUp))
+	set("store_era", float64(g.StoreEra))
 	set("copy_age_seconds", g.CopyAge.Seconds())
 	set("config_version", float64(g.ConfigVersion))
 	set("targets", float64(g.Targets))
--- a/internal/edge/peers/feed.go
+++ b/internal/edge/peers/feed.go
@@ -176,6 +176,9 @@
 		}
 		query := "?after=" + strconv.FormatInt(after, 10) + "&wait=" + strconv.FormatInt(wait.Milliseconds(), 10)
 		reply, err := f.call(ctx, hub.Address, query, maxCopyAge, timeout)
+		if err == nil && topo.EraOf(reply.Rev) < topo.EraOf(after) {
+			err = fmt.Errorf("%w: it is of era %d", errOldCopy, topo.EraOf(reply.Rev))
+		}
 		if err == nil || errors.Is(err, topo.ErrCompacted) || ctx.Err() != nil {
 			return reply, err
 		}
--- a/internal/edge/peers/relay.go
+++ b/internal/edge/peers/relay.go
@@ -99,6 +99,8 @@
 	Outcome outcome        `cbor:"1,keyasint"`
 	Entry   topo.Entry     `cbor:"2,keyasint"`
 	Result  topo.TxnResult `cbor:"3,keyasint"`
+	// EarlierEra distinguishes a lease that was lost with an era from one that ended.
+	EarlierEra bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Relay is a store whose calls are made through other daemons while the store does not serve
@@ -238,6 +240,9 @@
 	if err := cbor.Unmarshal(respBody, &reply); err != nil {
 		return reply, fmt.Errorf("%w: %w", topo.ErrUnknownResult, err)
 	}
+	if reply.EarlierEra {
+		return reply, errors.Join(reply.Outcome.err(), topo.ErrEarlierEra)
+	}
 	return reply, reply.Outcome.err()
 }
 
@@ -274,7 +279,7 @@
 		return
 	}
 	reply, err := callStore(r.Context(), h.Store, req)
-	reply.Outcome = outcomeOf(err)
+	reply.Outcome, reply.EarlierEra = outcomeOf(err), errors.Is(err, topo.ErrEarlierEra)
 	encoded, err := cbor.Marshal(reply)
 	if err != nil {
 		h.Log.Error("result of a relayed store call could not be encoded; answering 500", "error", err)
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -222,7 +222,7 @@
 	v := d.views.Current()
 	status := d.mirror.Status()
 	g := metrics.Gauges{
-		StoreUp: status.Up, CopyAge: clock.Now() - status.CurrentAt, Targets: v.Targets.Len(), Daemons: len(v.Daemons),
+		StoreUp: status.Up, StoreEra: v.Era, CopyAge: clock.Now() - status.CurrentAt, Targets: v.Targets.Len(), Daemons: len(v.Daemons),
 		Coordinating: coordinator.Holder(v) == d.self.Name, Services: d.dispatcher.Gauges(),
 	}
 	g.LogLinesDropped, g.LogLinesOmitted = d.options.LogCounts()
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -61,6 +61,8 @@
 	Daemons     map[string]topo.Entry
 	// Synced is set once all watched keys have been read from the store.
 	Synced bool
+	// Era is the era of the store that the view shows.
+	Era int64
 }
 
 // Tracker applies changes of the store and publishes the resulting views.
@@ -69,9 +71,10 @@
 	log    *slog.Logger
 	status func() mirror.Status
 
-	mu      sync.Mutex
-	targets map[string]registration
-	leaving leavingTargets
+	mu       sync.Mutex
+	targets  map[string]registration
+	leaving  leavingTargets
+	restored restoration
 	draft
 
 	current atomic.Pointer[View]
@@ -98,7 +101,7 @@
 // store's mirror.
 func NewTracker(docs Documents, log *slog.Logger, status func() mirror.Status) *Tracker {
 	tr := &Tracker{
-		docs: docs, log: log, status: status, targets: make(map[string]registration), leaving: newLeavingTargets(),
+		docs: docs, log: log, status: status, targets: make(map[string]registration), leaving: newLeavingTargets(), restored: newRestoration(),
 		draft: draft{tables: make(map[string]*Table), daemons: make(map[string]topo.Entry)},
 	}
 	tr.current.Store(&View{Targets: target.NewSet(nil)})
@@ -125,12 +128,15 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	if c.Snapshot {
+		tr.beginEra(c)
 		tr.deleteMissing(c.Entries)
 		tr.synced = true
 	}
+	tr.restored.reading = c.Snapshot
 	for _, e := range c.Entries {
 		tr.applyEntry(e)
 	}
+	tr.restored.reading = false
 	tr.publish()
 }
 
@@ -141,8 +147,9 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	now := clock.Now()
-	dropped := tr.dropLapsed(now)
-	if tr.leaving.drained(now) || dropped {
+	changed := tr.dropLapsed(now)
+	changed = tr.acceptDoubted(now) || changed
+	if tr.leaving.drained(now) || changed {
 		tr.publish()
 	}
 }
@@ -151,10 +158,11 @@
 	status := tr.status()
 	dropped := false
 	for id, r := range tr.targets {
-		if r.lapsedAt == 0 || !status.Up || now < max(r.lapsedAt, status.UpSince+reregistrationWindow) {
+		if r.lapsedAt == 0 || !status.Up || now < max(r.lapsedAt, status.UpSince+reregistrationWindow, tr.restored.until) {
 			continue
 		}
 		delete(tr.targets, id)
+		tr.noteEnded(r.record.Incarnation())
 		dropped = true
 		tr.log.Info("target gone", "target", id, "service", r.record.Service,
 			"lapsed_ms", (now - r.lapsedAt).Milliseconds(), "reason", "registration did not come back")
@@ -224,6 +232,7 @@
 func (tr *Tracker) applyTarget(e topo.Entry) {
 	id := strings.TrimPrefix(e.Key, tr.docs.TargetsPrefix())
 	previous, existed := tr.targets[id]
+	delete(tr.restored.doubted, e.Key)
 	if !e.Exists() {
 		if existed && previous.lapsedAt == 0 {
 			tr.handleLapse(id, previous)
@@ -238,6 +247,10 @@
 		}
 		return
 	}
+	if tr.doubt(id, r, e) {
+		return
+	}
+	r = tr.keepState(r, previous, existed)
 	tr.targets[id] = registration{record: r}
 	switch {
 	case !existed || previous.record.Incarnation() != r.Incarnation():
@@ -253,8 +266,9 @@
 func (tr *Tracker) handleLapse(id string, r registration) {
 	now := clock.Now()
 	status := tr.status()
-	if status.Up && now > status.UpSince+reregistrationWindow {
+	if status.Up && now > max(status.UpSince+reregistrationWindow, tr.restored.until) {
 		delete(tr.targets, id)
+		tr.noteEnded(r.record.Incarnation())
 		tr.log.Info("target gone", "target", id, "service", r.record.Service, "reason", "registration ended")
 		return
 	}
@@ -273,10 +287,15 @@
 		tr.log.Error("range table not usable; keeping the one in force", "service", service, "revision", e.ModRev, "error", err)
 		return
 	}
-	if old := tr.tables[service]; old != nil && old.Rev >= e.ModRev {
+	stored, old := &Table{Table: *t, Rev: e.ModRev}, tr.tables[service]
+	switch {
+	case topo.EraOf(e.ModRev) < tr.restored.era, old != nil && old.Rev >= e.ModRev:
+		return
+	case old != nil && topo.EraOf(e.ModRev) > topo.EraOf(old.Rev):
+		tr.applyTableEra(service, old, stored)
 		return
 	}
-	tr.tables[service] = &Table{Table: *t, Rev: e.ModRev}
+	tr.tables[service] = stored
 	tr.log.Info("range table in force", "service", service, "revision", e.ModRev, "spans", len(t.Spans), "fence", t.Fence)
 }
 
@@ -288,7 +307,7 @@
 		records = append(records, tr.leaving.apply(r.record, now))
 	}
 	v := &View{
-		Config: tr.config, Targets: target.NewSet(records), Coordinator: tr.coordinator, Synced: tr.synced,
+		Config: tr.config, Targets: target.NewSet(records), Coordinator: tr.coordinator, Synced: tr.synced, Era: tr.restored.era,
 		Tables: make(map[string]*Table, len(tr.tables)), Daemons: make(map[string]topo.Entry, len(tr.daemons)),
 	}
 	for s, t := range tr.tables {
--- a/internal/state/ranges/ranges.go
+++ b/internal/state/ranges/ranges.go
@@ -132,3 +132,20 @@
 	t.Spans = spans
 	return assigned
 }
+
+// fencesPerEra is the distance between the lowest fences of consecutive eras of the store. Together
+// with topo.MaxEra it keeps fences below 2^53, up to which JSON numbers are exact.
+const fencesPerEra = 1 << 32
+
+// LowestFence returns a fence that is higher than all that were assigned in earlier eras of the store.
+// Writers raise the fence of a table to it, as the store may have lost higher fences of earlier eras.
+func LowestFence(era int64) uint64 { return uint64(era) * fencesPerEra }
+
+// WrittenIn reports whether the table was written in an era or a later one, so that it is not one of
+// an earlier era after which tables were lost.
+func (t *Table) WrittenIn(era int64) bool { return t.Fence >= LowestFence(era) }
+
+// Unassigned reports whether no key has ever had an owner.
+func (t *Table) Unassigned() bool {
+	return !slices.ContainsFunc(t.Spans, func(s Span) bool { return s.Fence != 0 })
+}
--- a/internal/topo/mirror/mirror.go
+++ b/internal/topo/mirror/mirror.go
@@ -41,6 +41,8 @@
 	Entries []topo.Entry // Exists returns false for deleted entries
 	// Snapshot means that Entries replaces all earlier entries.
 	Snapshot bool
+	// Era is the era of the store that a snapshot shows.
+	Era int64
 }
 
 // Mirror copies a store's entries and reports the changes.
@@ -58,7 +60,7 @@
 	changed      chan struct{} // closed at the next change
 	currentAt    time.Duration // latest time at which the copy is known to be current
 	up           bool
-	upSince      time.Duration // time of the first successful call after the last failure
+	upSince      time.Duration // time of the first successful call after the last failure or rise of the era
 }
 
 // historyItem is a key that changed at a revision. It has no value, as callers of
@@ -154,6 +156,11 @@
 	if progress.Rev < m.rev {
 		return Change{}, topo.Progress{}, topo.ErrBadReply
 	}
+	if m.rev > 0 && topo.EraOf(progress.Rev) > topo.EraOf(m.rev) {
+		// What was written since the copy may be missing until it is written again, as after an outage.
+		m.upSince = clock.Now()
+		m.log.Warn("store era rose", "era", topo.EraOf(progress.Rev), "revision", progress.Rev, "known", m.rev)
+	}
 	m.rev, m.compactedRev = progress.Rev, progress.Rev
 	m.history = nil
 	m.entries = make(map[string]topo.Entry, len(entries))
@@ -161,7 +168,7 @@
 		m.entries[e.Key] = e
 	}
 	m.notifyReaders()
-	return Change{Entries: entries, Snapshot: true}, progress, nil
+	return Change{Entries: entries, Snapshot: true, Era: topo.EraOf(progress.Rev)}, progress, nil
 }
 
 // fetchChanges reads the changes since the revision of the copy and applies them to it.
