--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -84,6 +84,9 @@
 	CapacityDeficit func() float64
 	// SendHandover tells possible successors when the grants of this coordinator expire.
 	SendHandover func(context.Context, peers.Handover)
+	// FleetSawEarlierEra reports whether a daemon of the fleet has seen an earlier era of the store
+	// than that of the view. It may be nil.
+	FleetSawEarlierEra func(*view.View) bool
 	// Bodies is the memory for the bodies of responses to grants and releases.
 	Bodies *bodybuf.Budget
 	Log    *slog.Logger
@@ -318,6 +321,9 @@
 		}
 		e := c.engines[name]
 		if e == nil || e.kept && !c.resume(e, v, name) {
+			if !c.eraSettled(v, name, now) {
+				continue
+			}
 			e = c.openEngine(v, name, now)
 		}
 		e.SetTargets(c.ownershipTargets(v, name), now)
@@ -335,7 +341,7 @@
 			e.tableRev = t.Rev
 		}
 	}
-	e.Engine = c.newOwnership(name, table, v.Tables[name] != nil, now)
+	e.Engine = c.newOwnership(v, name, table, now)
 	e.ApplyGrantExpiries(c.received.remaining(name, now), now)
 	c.engines[name] = e
 	c.config.Log.Info("assigning keys", "service", name, "term", c.term.rev, "table_revision", e.tableRev, "spans", len(table.Spans))
--- a/internal/edge/coordinator/restore.go
+++ b/internal/edge/coordinator/restore.go
@@ -15,6 +15,10 @@
 // than this before they could grant anything.
 const restoredElectionWait = 3 * time.Second
 
+// eraEvidenceWait is how long a daemon that starts waits for the announcements of daemons that have seen
+// an earlier era. The others write them again as soon as they see that the era has risen.
+const eraEvidenceWait = 2500 * time.Millisecond
+
 // eraState is what a daemon knows about the era of the store.
 type eraState struct {
 	era int64
@@ -101,12 +105,30 @@
 	return true
 }
 
-// newOwnership returns the ownership engine for a table of the view. The table of an earlier era may
-// not be the last one.
-func (c *Coordinator) newOwnership(service string, table ranges.Table, stored bool, now time.Duration) *ownership.Engine {
+// eraSettled reports whether the fleet has had time to tell a daemon that starts whether the era of the
+// store has risen before. That matters for a service without a table only: it may be lost.
+func (c *Coordinator) eraSettled(v *view.View, service string, now time.Duration) bool {
+	return v.Era == 0 || v.Tables[service] != nil || now >= c.restored.since+eraEvidenceWait
+}
+
+// tablesLost reports whether tables may have been lost that were written after the one of the view.
+func (c *Coordinator) tablesLost(v *view.View, service string, era int64) bool {
+	t := v.Tables[service]
+	switch {
+	case era == 0:
+		return false
+	case t != nil:
+		return !t.WrittenIn(era)
+	default:
+		return c.restored.rose || c.config.FleetSawEarlierEra != nil && c.config.FleetSawEarlierEra(v)
+	}
+}
+
+// newOwnership returns the ownership engine for a table of the view, which is empty if there is none.
+func (c *Coordinator) newOwnership(v *view.View, service string, table ranges.Table, now time.Duration) *ownership.Engine {
 	era := topo.EraOf(c.term.rev)
 	until := now
-	if era > 0 && !table.WrittenIn(era) && (stored || c.restored.rose) {
+	if c.tablesLost(v, service, era) {
 		// Another coordinator had its lease until the era rose, at the latest.
 		until = max(c.restored.since+c.config.LeaseTTL+c.config.Grants.LongestGrant(), now)
 		c.config.Log.Warn("range tables may be lost; assigning keys when the grants of earlier coordinators have expired",
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -146,7 +146,7 @@
 	d.coord = coordinator.New(coordinator.Config{
 		Store: relay, SendHandover: relay.SendHandover, Self: d.self, Views: d.views, GrantProtocol: o.GrantProtocol, TargetStats: d.dispatcher,
 		Grants: o.Settings.Grants, LeaseTTL: o.Settings.LeaseTTL, GrantTimeout: o.Settings.GrantTimeout,
-		CapacityDeficit: d.capacityDeficit, Bodies: responseBodies, Log: o.Log,
+		CapacityDeficit: d.capacityDeficit, Bodies: responseBodies, Log: o.Log, FleetSawEarlierEra: fleetSawEarlierEra,
 	})
 	d.handler = &front.Handler{Names: o.HeaderNames, Views: d.views, Dispatcher: d.dispatcher, Bodies: requestBodies, Log: o.Log, ObserveRequest: func(r front.Result) {
 		o.Metrics.ObserveRequest(r.Service, r.Status, string(r.Reason), r.Took)
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -25,6 +25,8 @@
 	Capacity float64 `cbor:"4,keyasint"`
 	// AdminAddress is the address for operators; empty if there is none.
 	AdminAddress string `cbor:"5,keyasint,omitempty"`
+	// FirstEra is the era of the store in which the process started, plus one; 0 if not known.
+	FirstEra int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // errInvalidAnnouncement reports an announcement that no daemon wrote.
@@ -70,16 +72,21 @@
 // it. Store calls are charged for, so the announcement is written once, and again only
 // if it is missing, or another one has replaced it after the store was restored from a copy.
 func (d *Daemon) announce(ctx context.Context) {
-	value, err := cbor.Marshal(announcement{
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	d.awaitFirstCopy(ctx, ticker.C)
+	a := announcement{
 		RunID: d.self.RunID, Domain: d.options.Settings.Domain, PeerAddress: d.options.Settings.PeerAddress, Capacity: d.options.Settings.Capacity,
 		AdminAddress: d.options.Settings.AdminAddress,
-	})
+	}
+	if v := d.views.Current(); v.Synced {
+		a.FirstEra = v.Era + 1
+	}
+	value, err := cbor.Marshal(a)
 	if err != nil {
 		d.log.Error("announcement could not be encoded; this daemon will not be announced", "error", err)
 		return
 	}
-	ticker := time.NewTicker(announceInterval)
-	defer ticker.Stop()
 	writtenIn := int64(0) // era of the store
 	for written := false; ; {
 		if era := d.views.Current().Era; !written || d.unannounced() || era > writtenIn && !d.announcedAs(value) {
@@ -89,13 +96,56 @@
 				d.log.Warn("announcement could not be written to the store; trying again", "error", err)
 			}
 		}
+		if !d.awaitAnnouncementCheck(ctx, writtenIn, ticker.C) {
+			d.withdraw(d.self.Name, "it stops")
+			return
+		}
+	}
+}
+
+// awaitFirstCopy waits until the store has been read, or until the first tick.
+func (d *Daemon) awaitFirstCopy(ctx context.Context, tick <-chan time.Time) {
+	for {
+		changed := d.views.Changed()
+		if d.views.Current().Synced {
+			return
+		}
 		select {
 		case <-ctx.Done():
-			d.withdraw(d.self.Name, "it stops")
 			return
-		case <-ticker.C:
+		case <-tick:
+			return
+		case <-changed:
+		}
+	}
+}
+
+// awaitAnnouncementCheck waits for the next tick, or until the era of the store is above the given one, as
+// the announcement may be lost then. It returns false if ctx has ended.
+func (d *Daemon) awaitAnnouncementCheck(ctx context.Context, era int64, tick <-chan time.Time) bool {
+	for {
+		changed := d.views.Changed()
+		if d.views.Current().Era > era {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-tick:
+			return true
+		case <-changed:
+		}
+	}
+}
+
+// fleetSawEarlierEra reports whether an announced daemon has seen an earlier era than that of the view.
+func fleetSawEarlierEra(v *view.View) bool {
+	for _, e := range v.Daemons {
+		if a, _, err := decodeAnnouncement(e.Value); err == nil && a.FirstEra > 0 && a.FirstEra <= v.Era {
+			return true
 		}
 	}
+	return false
 }
 
 // unannounced reports whether this daemon's announcement is missing in the store. It
