Simulate lost range tables in the ownership engine's tests

The simulation brings the store back from a copy with an earlier table, with the coordinator or without, also twice in a row. It found an engine that waits for the grants of earlier coordinators and wrote its table when the store was restored once more: the next coordinator trusted that table, and a key got two owners. The engine now waits first.

TestNeverTwoOwnersAfterLoss and TestAllKeysServedAfterLoss fail without it.

--- a/internal/coordination/ownership/engine.go
+++ b/internal/coordination/ownership/engine.go
@@ -266,10 +266,10 @@
 func (e *Engine) Tick(now time.Duration) Actions {
 	e.decayLoad(now)
 	switch {
+	case now < e.idleUntil: // a table written now would tell other coordinators that all grants are known
+		return Actions{}
 	case e.rewriting:
 		return e.rewriteTable(now)
-	case now < e.idleUntil:
-		return Actions{}
 	}
 	e.plan(now)
 	var a Actions
--- a/internal/coordination/ownership/simulation_test.go
+++ b/internal/coordination/ownership/simulation_test.go
@@ -24,8 +24,9 @@
 	events     []event
 	writes     int
 	// faulty enables random failures of calls and writes.
-	faulty bool
-	config Config
+	faulty   bool
+	config   Config
+	restored restoration
 	// callDuration is the time after which the call of a grant ends.
 	callDuration time.Duration
 }
@@ -151,7 +152,7 @@
 // elect starts the engine of another coordinator, which knows only the stored table.
 func (w *simulation) elect() {
 	w.term++
-	w.engine = New(w.config, w.stored, w.now)
+	w.engine = w.newEngine()
 	w.engine.SetTargets(w.registered, w.now)
 }
 
@@ -290,13 +291,14 @@
 func (w *simulation) write(e *Engine, term int, table ranges.Table) {
 	w.writes++
 	table.WriteID = fmt.Sprint(term, "-", w.writes)
-	base := e.table.WriteID
+	base, number := w.expectedWriter(), w.writes
 	attempt := func() {
 		if w.term == term && w.stored.WriteID == base {
 			if err := table.Validate(); err != nil {
 				w.t.Fatalf("table written: %v", err)
 			}
 			w.stored = table.Clone()
+			w.restored.tables = append(w.restored.tables, table.Clone())
 		}
 	}
 	if w.drawFault(15, "write late") {
@@ -305,9 +307,8 @@
 		w.after(w.delay(200*time.Millisecond, "write travel"), attempt)
 	}
 	w.after(250*time.Millisecond, func() {
-		if w.term == term {
-			*e.pending = table
-			e.HandleWriteResult(w.stored.WriteID == table.WriteID, w.stored.Clone(), w.now)
+		if w.term == term && w.writes == number && e.pending != nil {
+			w.reportWrite(e, table)
 		}
 	})
 }
