--- a/internal/edge/coordinator/coordinator_test.go
+++ b/internal/edge/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -46,10 +47,10 @@
 		return 0, topo.ErrUnavailable
 	}
 	s.leasesGranted++
-	return topo.LeaseID(s.leasesGranted), nil
+	return topo.LeaseID(topo.Position(topo.EraOf(s.rev), int64(s.leasesGranted))), nil
 }
 
-func (s *pausableStore) KeepAlive(ctx context.Context, _ topo.LeaseID) error {
+func (s *pausableStore) KeepAlive(ctx context.Context, id topo.LeaseID) error {
 	s.mu.Lock()
 	hangs := s.renewalsHang
 	s.mu.Unlock()
@@ -62,6 +63,8 @@
 	switch {
 	case s.down:
 		return topo.ErrUnavailable
+	case topo.EraOf(int64(id)) < topo.EraOf(s.rev):
+		return errors.Join(topo.ErrLeaseNotFound, topo.ErrEarlierEra)
 	case s.leaseEnded:
 		return topo.ErrLeaseNotFound
 	}
@@ -174,6 +177,14 @@
 }
 
 func start(t *testing.T) *fixture {
+	t.Helper()
+	f := startWith(t, func(*fixture, *Config) {})
+	f.await(t, "first grant", func() bool { return f.grants.Load() > 0 })
+	return f
+}
+
+// startWith starts a coordinator after prepare has changed its settings and its store.
+func startWith(t *testing.T, prepare func(*fixture, *Config)) *fixture {
 	t.Helper()
 	f := &fixture{}
 	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -196,17 +207,18 @@
 		{Key: "config", CreateRev: 1, ModRev: 1}, {Key: "targets/t1", CreateRev: 1, ModRev: 1},
 	}})
 	f.store = &pausableStore{views: f.views, rev: 1, entries: make(map[string]topo.Entry)}
-	f.coord = New(Config{
+	config := Config{
 		Store: f.store, Self: Identity{Name: "d1", RunID: "run"}, Views: f.views, GrantProtocol: fakeProtocol{&f.lastDuration}, TargetStats: emptyStats{&f.statsReads},
 		Grants: ownership.Config{MaxGrantDuration: 10 * time.Second}, CapacityDeficit: func() float64 { return 0 }, Log: log,
 		SendHandover: func(_ context.Context, h peers.Handover) { f.handover = h },
-	})
+	}
+	prepare(f, &config)
+	f.coord = New(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); f.coord.Run(ctx) }()
 	f.stop = func() { cancel(); <-done }
 	t.Cleanup(f.stop)
-	f.await(t, "first grant", func() bool { return f.grants.Load() > 0 })
 	return f
 }
 
--- a/internal/topo/mirror/mirror_test.go
+++ b/internal/topo/mirror/mirror_test.go
@@ -373,3 +373,30 @@
 		}
 	})
 }
+
+// Guards against a copy that does not follow a store that came back from a copy itself, with lower
+// revisions, and against registrations that count as ended because the store lost them.
+func TestMirrorFollowsRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, m, copied, stop := mirrorAfterTargetLeft()
+		defer stop()
+		time.Sleep(10 * time.Second)
+		f.mu.Lock()
+		before := f.rev
+		f.rev = topo.Position(1, f.rev)
+		f.compactedRev = f.rev
+		f.bringTargetBack()
+		f.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		s := m.Status()
+		if !s.Up || topo.EraOf(s.Rev) != 1 || topo.RevOf(s.Rev) >= before || len(copied()) != 1 {
+			t.Errorf("status %+v, entries %v, want those of the restored store", s, copied())
+		}
+		if s.UpSince == 0 || s.CurrentAt-s.UpSince > 3*time.Second {
+			t.Errorf("up since %v at %v, want since the restoration", s.UpSince, s.CurrentAt)
+		}
+		if _, _, err := m.Since(t.Context(), before, 0); !errors.Is(err, topo.ErrCompacted) {
+			t.Errorf("changes since a position of the earlier era: %v, want ErrCompacted", err)
+		}
+	})
+}
