--- a/internal/coordination/ownership/engine.go
+++ b/internal/coordination/ownership/engine.go
@@ -157,6 +157,11 @@
 	movedAway     map[string]time.Duration // when a hot run was last moved away, by target ID
 	lastCallID    uint64
 	pins          []pin
+	// lowestFence, idleUntil and rewriting are set after the store was restored from a copy; see
+	// NewAfterLoss and RewriteAfterLoss.
+	lowestFence uint64
+	idleUntil   time.Duration
+	rewriting   bool
 }
 
 // failureStreak counts the consecutive unanswered grants to a target. since is the time of
@@ -268,6 +273,12 @@
 func (e *Engine) Tick(now time.Duration) Actions {
 	e.decayLoad(now)
 	e.limitCapacities()
+	switch {
+	case now < e.idleUntil: // a table written now would tell other coordinators that all grants are known
+		return Actions{}
+	case e.rewriting:
+		return e.rewriteTable(now)
+	}
 	e.plan(now)
 	var a Actions
 	for _, h := range e.spans {
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -67,6 +67,8 @@
 	EvacuatedDomains map[string]bool
 	// Synced is set once all watched keys have been read from the store.
 	Synced bool
+	// Era is the era of the store that the view shows.
+	Era int64
 }
 
 // Tracker applies changes of the store and publishes the resulting views.
@@ -79,6 +81,7 @@
 	targets     map[string]registration
 	leaving     leavingTargets
 	evacuations evacuations
+	restored    restoration
 	draft
 
 	current atomic.Pointer[View]
@@ -106,7 +109,7 @@
 // store's mirror.
 func NewTracker(docs Documents, log *slog.Logger, status func() mirror.Status) *Tracker {
 	tr := &Tracker{
-		docs: docs, log: log, status: status, targets: make(map[string]registration), leaving: newLeavingTargets(),
+		docs: docs, log: log, status: status, targets: make(map[string]registration), leaving: newLeavingTargets(), restored: newRestoration(),
 		evacuations: newEvacuations(), draft: draft{tables: make(map[string]*Table), daemons: make(map[string]topo.Entry)},
 	}
 	tr.current.Store(&View{Targets: target.NewSet(nil)})
@@ -133,13 +136,16 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	if c.Snapshot {
+		tr.beginEra(c)
 		tr.deleteMissing(c.Entries)
 		tr.markMissingEvacuations(c.Entries)
 		tr.synced = true
 	}
+	tr.restored.reading = c.Snapshot
 	for _, e := range c.Entries {
 		tr.applyEntry(e)
 	}
+	tr.restored.reading = false
 	tr.evacuations.following, tr.evacuations.currentAt = true, tr.status().CurrentAt
 	tr.publish()
 }
@@ -152,9 +158,10 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	now := clock.Now()
-	dropped := tr.dropLapsed(now)
-	ended := tr.endMissingEvacuations(now)
-	if tr.leaving.drained(now) || tr.evacuations.drained(now) || dropped || ended {
+	changed := tr.dropLapsed(now)
+	changed = tr.endMissingEvacuations(now) || changed
+	changed = tr.acceptDoubted(now) || changed
+	if tr.leaving.drained(now) || tr.evacuations.drained(now) || changed {
 		tr.publish()
 	}
 	tr.evacuations.currentAt = tr.status().CurrentAt
@@ -164,10 +171,11 @@
 	status := tr.status()
 	dropped := false
 	for id, r := range tr.targets {
-		if r.lapsedAt == 0 || !status.Up || now < max(r.lapsedAt, status.UpSince+reregistrationWindow) {
+		if r.lapsedAt == 0 || !status.Up || now < max(r.lapsedAt, status.UpSince+reregistrationWindow, tr.restored.until) {
 			continue
 		}
 		delete(tr.targets, id)
+		tr.noteEnded(r.record.Incarnation())
 		dropped = true
 		tr.log.Info("target gone", "target", id, "service", r.record.Service,
 			"lapsed_ms", (now - r.lapsedAt).Milliseconds(), "reason", "registration did not come back")
@@ -241,6 +249,7 @@
 func (tr *Tracker) applyTarget(e topo.Entry) {
 	id := strings.TrimPrefix(e.Key, tr.docs.TargetsPrefix())
 	previous, existed := tr.targets[id]
+	delete(tr.restored.doubted, e.Key)
 	if !e.Exists() {
 		if existed && previous.lapsedAt == 0 {
 			tr.handleLapse(id, previous)
@@ -255,6 +264,10 @@
 		}
 		return
 	}
+	if tr.doubt(id, r, e) {
+		return
+	}
+	r = tr.keepState(r, previous, existed)
 	tr.targets[id] = registration{record: withColdTime(r, e.ModRev, previous, existed), rev: e.ModRev}
 	switch {
 	case !existed || previous.record.Incarnation() != r.Incarnation():
@@ -270,8 +283,9 @@
 func (tr *Tracker) handleLapse(id string, r registration) {
 	now := clock.Now()
 	status := tr.status()
-	if status.Up && now > status.UpSince+reregistrationWindow {
+	if status.Up && now > max(status.UpSince+reregistrationWindow, tr.restored.until) {
 		delete(tr.targets, id)
+		tr.noteEnded(r.record.Incarnation())
 		tr.log.Info("target gone", "target", id, "service", r.record.Service, "reason", "registration ended")
 		return
 	}
@@ -290,10 +304,15 @@
 		tr.log.Error("range table not usable; keeping the one in force", "service", service, "revision", e.ModRev, "error", err)
 		return
 	}
-	if old := tr.tables[service]; old != nil && old.Rev >= e.ModRev {
+	stored, old := &Table{Table: *t, Rev: e.ModRev}, tr.tables[service]
+	switch {
+	case topo.EraOf(e.ModRev) < tr.restored.era, old != nil && old.Rev >= e.ModRev:
+		return
+	case old != nil && topo.EraOf(e.ModRev) > topo.EraOf(old.Rev):
+		tr.applyTableEra(service, old, stored)
 		return
 	}
-	tr.tables[service] = &Table{Table: *t, Rev: e.ModRev}
+	tr.tables[service] = stored
 	tr.log.Info("range table in force", "service", service, "revision", e.ModRev, "spans", len(t.Spans), "fence", t.Fence)
 }
 
@@ -307,7 +326,7 @@
 	}
 	tr.evacuations.publishedAt = now
 	v := &View{
-		Config: tr.config, Targets: target.NewSet(records), Coordinator: tr.coordinator, Synced: tr.synced,
+		Config: tr.config, Targets: target.NewSet(records), Coordinator: tr.coordinator, Synced: tr.synced, Era: tr.restored.era,
 		EvacuatedDomains: tr.evacuations.domains(),
 		Tables:           make(map[string]*Table, len(tr.tables)), Daemons: make(map[string]topo.Entry, len(tr.daemons)),
 	}
