Wait a turn when a target in use becomes cold; show what evacuations have left

Cause: a daemon that had not sent to a warm target took a turn as soon as the target became cold, right after the others' sends at the usual rate. Every daemon told the others of cold targets that registrations name anyway. Operators could not see how many keys and requests an evacuated domain still has.

Change: the first turn comes an interval later at every target that was a candidate as a warm one within two seconds. Only what a target said in a response is told to the others. Gauges evacuated_keys and evacuated_requests.

--- a/internal/edge/dispatch/cold.go
+++ b/internal/edge/dispatch/cold.go
@@ -26,9 +26,9 @@
 	// hintPause is how long after the end of a target's cold time the others' hints about it are
 	// ignored: they may have been sent before the end.
 	hintPause = 1500 * time.Millisecond
-	// recentSendTime is the time after a send for which the other daemons are expected to have
-	// sent to the target as well, if it was not known as cold.
-	recentSendTime = 2 * time.Second
+	// recentUseTime is the time after a target was last a candidate as a warm one within which
+	// the daemons may have sent to it at any rate.
+	recentUseTime = 2 * time.Second
 	// coldRetryDelay is the shortest delay after which a caller that a cold owner has no room
 	// for is asked to retry.
 	coldRetryDelay = 150 * time.Millisecond
@@ -50,13 +50,13 @@
 	hintedUntil time.Duration
 
 	// Of services without keys: generation of the daemons' names that turns follows from,
-	// whether this daemon is a sender, when it last sent, and from when it may send.
+	// whether this daemon is a sender, and from when it may send.
 	generation int
 	turns      coldstart.Turns
 	sender     bool
-	lastSent   time.Duration
 	nextAt     time.Duration
 	until      time.Duration // end of the cold time for which nextAt was set
+	warmAt     time.Duration // when the target was last a candidate and not cold; 0 if never
 
 	// Of keyed services: this daemon's requests, and the demand of all daemons.
 	counter      *coldstart.Counter
@@ -121,11 +121,12 @@
 // mayUseCold reports whether this daemon may now send a request to the target of a service
 // without keys. d.mu must be held.
 func (d *Dispatcher) mayUseCold(v *view.View, ep *endpoint, now time.Duration) bool {
+	c := &ep.cold
 	until := ep.coldUntil()
 	if until <= now {
+		c.warmAt = now
 		return true
 	}
-	c := &ep.cold
 	d.updateFleetNames(v, now)
 	if c.generation != d.fleet.generation {
 		c.generation = d.fleet.generation
@@ -133,10 +134,10 @@
 		c.sender = c.turns.Includes(ep.incarnation.Hash(), d.fleet.names, d.config.Name)
 	}
 	if c.until <= now {
-		// The first turn after the start of the daemon, or after sends to a target that was
-		// not known as cold, comes an interval later: others may have sent as well.
+		// After the start of the daemon, and when a target in use becomes cold, the first turn
+		// comes an interval later: what was sent in the last second is not known.
 		c.nextAt = max(c.nextAt, d.started+c.turns.Interval)
-		if c.lastSent > 0 && now-c.lastSent < recentSendTime {
+		if c.warmAt > 0 && now-c.warmAt < recentUseTime {
 			c.nextAt = max(c.nextAt, now+c.turns.Interval)
 		}
 	}
@@ -182,7 +183,6 @@
 		}
 		c.nextAt = now + c.turns.Interval
 	}
-	c.lastSent = now
 	return true
 }
 
@@ -227,15 +227,17 @@
 	return c.counter.Estimate(now, class, daemons)
 }
 
-// addColdDemand adds to this daemon's loads that it knows the target as cold, and its requests
-// for it. What it has only from other daemons is not passed on, or it would never end. d.mu must
-// be held.
+// addColdDemand adds to this daemon's loads that the target said in a response that it is cold, and
+// the requests for a cold owner. What the daemon has only from others is not passed on, or it would
+// never end. d.mu must be held.
 func (ep *endpoint) addColdDemand(out peers.Loads, now time.Duration) {
 	c := &ep.cold
 	if c.rate <= 0 || ep.record.ColdUntil <= now {
 		return
 	}
-	out[c.known] = 1
+	if ep.record.ColdReported {
+		out[c.known] = 1
+	}
 	if !c.keyed {
 		return
 	}
--- a/internal/edge/dispatch/endpoint.go
+++ b/internal/edge/dispatch/endpoint.go
@@ -108,7 +108,7 @@
 			out[ep.hash] = ep.estimate.Running
 		}
 		if r, known := targets.Get(ep.id); known && r.Incarnation() == ep.incarnation {
-			ep.record.ColdSince, ep.record.ColdUntil = r.ColdSince, r.ColdUntil
+			ep.record.ColdSince, ep.record.ColdUntil, ep.record.ColdReported = r.ColdSince, r.ColdUntil, r.ColdReported
 		}
 		ep.addColdDemand(out, now)
 	}
@@ -138,6 +138,19 @@
 	}
 }
 
+// RunningIn returns the number of this daemon's running requests at targets of failure domains.
+func (d *Dispatcher) RunningIn(domains map[string]bool) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, ep := range d.endpoints {
+		if domains[ep.record.Domain] {
+			n += ep.estimate.Running
+		}
+	}
+	return n
+}
+
 // TargetLoad is the load, as known to this daemon, of a target that was a candidate for one
 // of the daemon's requests.
 type TargetLoad struct {
--- a/internal/edge/dispatch/evacuation_test.go
+++ b/internal/edge/dispatch/evacuation_test.go
@@ -75,6 +75,9 @@
 			t.Fatalf("refused %+v; the other domain has a target", refusal)
 		}
 	}
+	if n := views.Current().EvacuatedKeys(); n != ranges.KeyCount {
+		t.Errorf("%d keys counted in the evacuated domain, want all", n)
+	}
 	time.Sleep(limit)
 	before := arrived["keyed-a"].Load()
 	if refusal, _ := do("keyed"); refusal == nil || refusal.Reason != NoOwner || refusal.MayHaveRun {
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -161,10 +161,13 @@
 	Daemons       int
 	// EvacuatedDomains is the number of failure domains whose evacuation is requested.
 	EvacuatedDomains int
-	Coordinating     bool
-	LogLinesDropped  uint64
-	LogLinesOmitted  uint64
-	Services         map[string]ServiceGauges
+	// EvacuatedKeys is the number of keys that still belong to targets there, and
+	// EvacuatedRequests that of this daemon's running requests there.
+	EvacuatedKeys, EvacuatedRequests int
+	Coordinating                     bool
+	LogLinesDropped                  uint64
+	LogLinesOmitted                  uint64
+	Services                         map[string]ServiceGauges
 }
 
 // ServiceGauges are the gauge values of one service.
@@ -192,6 +195,8 @@
 	set("targets", float64(g.Targets))
 	set("daemons", float64(g.Daemons))
 	set("evacuated_domains", float64(g.EvacuatedDomains))
+	set("evacuated_keys", float64(g.EvacuatedKeys))
+	set("evacuated_requests", float64(g.EvacuatedRequests))
 	set("coordinating", boolValue(g.Coordinating))
 	set("log_lines_dropped", float64(g.LogLinesDropped))
 	set("log_lines_omitted", float64(g.LogLinesOmitted))
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -227,6 +227,9 @@
 		Coordinating:     coordinator.Holder(v) == d.self.Name, Services: d.dispatcher.Gauges(),
 	}
 	g.LogLinesDropped, g.LogLinesOmitted = d.options.LogCounts()
+	if len(v.EvacuatedDomains) > 0 {
+		g.EvacuatedKeys, g.EvacuatedRequests = v.EvacuatedKeys(), d.dispatcher.RunningIn(v.EvacuatedDomains)
+	}
 	if v.Config != nil {
 		g.ConfigVersion = v.Config.Version
 	}
--- a/internal/edge/view/cold.go
+++ b/internal/edge/view/cold.go
@@ -26,7 +26,7 @@
 }
 
 // MarkCold records that a registered incarnation of a target is cold for the remaining time, and
-// publishes a view if that is new.
+// publishes a view if that is new. The target said so in a response to this daemon.
 func (tr *Tracker) MarkCold(i target.Incarnation, remaining time.Duration, source string) {
 	if r, known := tr.Current().Targets.Get(i.ID); known && clock.Now()+remaining < r.ColdUntil+coldExtension {
 		return // without the lock, as most reports say nothing new
@@ -34,6 +34,9 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	if tr.markCold(i, remaining, source) {
+		r := tr.targets[i.ID]
+		r.record.ColdReported = true
+		tr.targets[i.ID] = r
 		tr.publish()
 	}
 }
--- a/internal/edge/view/evacuation.go
+++ b/internal/edge/view/evacuation.go
@@ -157,6 +157,20 @@
 	return ended
 }
 
+// EvacuatedKeys returns the number of keys of all services whose owners are in evacuated failure
+// domains.
+func (v *View) EvacuatedKeys() int {
+	n := 0
+	for _, table := range v.Tables {
+		for _, s := range table.Spans {
+			if r, known := v.Targets.Get(s.Owner); known && v.EvacuatedDomains[r.Domain] {
+				n += s.Len()
+			}
+		}
+	}
+	return n
+}
+
 // AllEvacuated reports whether a service has targets and all of them are in evacuated failure
 // domains.
 func (v *View) AllEvacuated(service string) bool {
--- a/internal/state/target/target.go
+++ b/internal/state/target/target.go
@@ -39,11 +39,15 @@
 	// ColdSince and ColdUntil are the times on package clock between which the target is cold, as
 	// far as the daemon knows. They are not part of the registration.
 	ColdSince, ColdUntil time.Duration
+	// ColdReported is set if the target said so in a response to this daemon, so that other
+	// daemons may not know it.
+	ColdReported bool
 	// Epoch distinguishes incarnations with the same ID.
 	Epoch int64
 }
 
-// SetCold records at the time now that the target is cold for the remaining time.
+// SetCold records at the time now that the target is cold for the remaining time, by its
+// registration.
 func (r *Record) SetCold(now, remaining time.Duration) {
 	if r.ColdUntil <= now {
 		if remaining == 0 {
@@ -51,7 +55,7 @@
 		}
 		r.ColdSince = now
 	}
-	r.ColdUntil = now + remaining
+	r.ColdUntil, r.ColdReported = now+remaining, false
 }
 
 // Incarnation identifies one run of a target's process.
