Use the overage that operators allow for cold targets

Change: the settings' cold-overage, at most 1.5, scales the turns and the admitted rate. The slack is left for daemons that disagree.

--- a/internal/coordination/coldstart/coldstart.go
+++ b/internal/coordination/coldstart/coldstart.go
@@ -25,25 +25,23 @@
 // Turns states which daemons may send to a cold target and how often.
 type Turns struct {
 	// Senders is the number of daemons, and Interval the shortest time between two sends of
-	// one of them. In any second all of them together send at most the tolerated rate, or one
-	// request if the rate is lower than that.
+	// one of them. In any second all of them together send at most the tolerated rate times the
+	// overage, or one request if that is lower.
 	Senders  int
 	Interval time.Duration
 }
 
-// NewTurns divides the tolerated rate, in requests per second, among as many daemons as possible.
-// With one request per second of each daemon, the sum grows by just one request for each daemon
-// that counts itself among the senders by mistake, and a daemon without callers leaves little
-// unused.
-func NewTurns(rate float64, daemons int) Turns {
+// NewTurns divides the tolerated rate, in requests per second, times the overage that operators
+// allow among as many daemons as possible. With one request per second of each daemon, the sum
+// grows by just one request for each daemon that counts itself among the senders by mistake, and
+// a daemon without callers leaves little unused. The few daemons of a small fleet, which send
+// more often, divide the rate alone: each one more would add several requests.
+func NewTurns(rate, overage float64, daemons int) Turns {
 	if rate <= 0 || daemons <= 0 {
 		return Turns{}
 	}
-	t := Turns{Senders: max(min(int(rate), daemons), 1)}
-	perSecond := float64(int(rate) / t.Senders)
-	if perSecond == 0 {
-		perSecond = rate
-	}
+	t := Turns{Senders: max(min(int(rate*overage), daemons), 1)}
+	perSecond := max(float64(int(rate)/t.Senders), min(rate, 1))
 	t.Interval = time.Duration(intervalMargin / perSecond * float64(time.Second))
 	return t
 }
--- a/internal/edge/dispatch/cold.go
+++ b/internal/edge/dispatch/cold.go
@@ -29,6 +29,9 @@
 	// recentUseTime is the time after a target was last a candidate as a warm one within which
 	// the daemons may have sent to it at any rate.
 	recentUseTime = 2 * time.Second
+	// maxColdOverage bounds the overage: targets may fail well above the tolerated rate, whatever
+	// operators allow.
+	maxColdOverage = 1.5
 	// coldRetryDelay is the shortest delay after which a caller that a cold owner has no room
 	// for is asked to retry.
 	coldRetryDelay = 150 * time.Millisecond
@@ -44,8 +47,9 @@
 // coldState is what a daemon keeps of a target whose service limits the rate at cold targets.
 // It is guarded by Dispatcher.mu.
 type coldState struct {
-	rate  float64 // tolerated rate; 0 without a limit
-	keyed bool
+	rate    float64 // tolerated rate; 0 without a limit
+	overage float64 // factor by which all daemons together may exceed it
+	keyed   bool
 	// hintedUntil is until when the target counts as cold because other daemons know it.
 	hintedUntil time.Duration
 
@@ -96,9 +100,9 @@
 }
 
 // updateCold takes over the limits of the service.
-func (ep *endpoint) updateCold(s route.Service) {
+func (ep *endpoint) updateCold(s route.Service, overage float64) {
 	c := &ep.cold
-	c.rate, c.keyed = s.ColdRate, s.Keyed
+	c.rate, c.overage, c.keyed = s.ColdRate, min(max(overage, 1), maxColdOverage), s.Keyed
 	if c.rate <= 0 || c.counter != nil {
 		return
 	}
@@ -130,7 +134,7 @@
 	d.updateFleetNames(v, now)
 	if c.generation != d.fleet.generation {
 		c.generation = d.fleet.generation
-		c.turns = coldstart.NewTurns(c.rate, len(d.fleet.names))
+		c.turns = coldstart.NewTurns(c.rate, c.overage, len(d.fleet.names))
 		c.sender = c.turns.Includes(ep.incarnation.Hash(), d.fleet.names, d.config.Name)
 	}
 	if c.until <= now {
@@ -203,7 +207,7 @@
 	if until <= now || t.cold.admitted {
 		return ""
 	}
-	fraction := ep.estimateDemand(now, class, daemons).Admission(class, c.rate)
+	fraction := ep.estimateDemand(now, class, daemons).Admission(class, c.rate*c.overage)
 	if coldstart.HasRoom(ep.estimate.Load(), ep.record.Slots) && rand.Float64() < fraction {
 		t.cold.admitted = true
 		return ""
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -139,7 +139,10 @@
 	// Name and Domain are those of the daemon.
 	Name, Domain string
 	RetryBudget  budget.Bound
-	Views        *view.Tracker
+	// ColdOverage is the factor by which all daemons together may exceed the rate that a cold
+	// target tolerates; values below 1 mean 1.
+	ColdOverage float64
+	Views       *view.Tracker
 	// Bodies is the memory for the bodies of responses; nil means defaultBodyMemory.
 	Bodies *bodybuf.Budget
 	Log    *slog.Logger
--- a/internal/edge/dispatch/endpoint.go
+++ b/internal/edge/dispatch/endpoint.go
@@ -52,7 +52,7 @@
 	sheds := v.Config.Services[r.Service].ShedsLoad
 	if ep != nil && ep.pool.Address() == r.Address {
 		ep.record, ep.sheds = r, sheds
-		ep.updateCold(v.Config.Services[r.Service])
+		ep.updateCold(v.Config.Services[r.Service], d.config.ColdOverage)
 		if ep.limit != limit {
 			ep.limit = limit
 			ep.pool.SetLimit(limit)
@@ -66,7 +66,7 @@
 	ep.estimate.Slots = r.Slots
 	ep.estimate.SameDomain = r.Domain == d.config.Domain
 	ep.estimate.ColdUntil = clock.Now() + r.WarmupRemaining
-	ep.updateCold(v.Config.Services[r.Service])
+	ep.updateCold(v.Config.Services[r.Service], d.config.ColdOverage)
 	d.endpoints[r.Incarnation()] = ep
 	return ep
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -66,6 +66,8 @@
 	LeaseTTL, GrantTimeout time.Duration
 	// RetryBudget bounds the retries of all daemons together.
 	RetryBudget budget.Bound
+	// ColdOverage is passed to dispatch.Config.
+	ColdOverage float64
 }
 
 // Store is the platform's store.
@@ -137,7 +139,7 @@
 		d.views.ApplyWrittenTable(topo.Entry{Key: view.RangesKey(service), Value: table, CreateRev: rev, ModRev: rev})
 	}}
 	d.dispatcher = dispatch.New(dispatch.Config{
-		Names: o.HeaderNames, Name: o.Settings.Name, Domain: o.Settings.Domain, RetryBudget: o.Settings.RetryBudget, Views: d.views, Bodies: responseBodies, Log: o.Log,
+		Names: o.HeaderNames, Name: o.Settings.Name, Domain: o.Settings.Domain, RetryBudget: o.Settings.RetryBudget, ColdOverage: o.Settings.ColdOverage, Views: d.views, Bodies: responseBodies, Log: o.Log,
 		RefreshTable:       tables.Read,
 		ObserveSend:        o.Metrics.ObserveSend,
 		ObserveKey:         func(service string, key uint16) { d.statsExchange.RecordKey(service, key) },
