--- a/internal/edge/dispatch/classify.go
+++ b/internal/edge/dispatch/classify.go
@@ -128,12 +128,7 @@
 	if resp == nil || outcome.reason == TargetReplaced {
 		return
 	}
-	if d.config.Names.IsLeaving(resp.Header) {
-		d.config.Views.MarkLeaving(ep.incarnation, "response to a request")
-	}
-	if remaining, ok := d.config.Names.ColdTime(resp.Header); ok && remaining > 0 {
-		d.config.Views.MarkCold(ep.incarnation, remaining, "response to a request")
-	}
+	d.recordState(ep, resp.Header, "response to a request")
 	pause := resp.Pause()
 	if pause == 0 {
 		return
@@ -145,6 +140,16 @@
 	d.config.Log.Info("target asked for a pause", "request", t.req.ID, "service", t.req.Service, "target", ep.id, "pause_ms", pause.Milliseconds())
 }
 
+// recordState records what the header of a response says about the state of the target.
+func (d *Dispatcher) recordState(ep *endpoint, header http.Header, source string) {
+	if d.config.Names.IsLeaving(header) {
+		d.config.Views.MarkLeaving(ep.incarnation, source)
+	}
+	if remaining, ok := d.config.Names.ColdTime(header); ok && remaining > 0 {
+		d.config.Views.MarkCold(ep.incarnation, remaining, source)
+	}
+}
+
 // slowFactor is the multiple of a target's service time beyond which a request
 // without a response indicates that the target has become slow.
 const slowFactor = 2
--- a/internal/edge/dispatch/cold.go
+++ b/internal/edge/dispatch/cold.go
@@ -26,9 +26,12 @@
 	// hintPause is how long after the end of a target's cold time the others' hints about it are
 	// ignored: they may have been sent before the end.
 	hintPause = 1500 * time.Millisecond
-	// recentSendTime is the time after a send for which the other daemons are expected to have
-	// sent to the target as well, if it was not known as cold.
-	recentSendTime = 2 * time.Second
+	// recentUseTime is the time after a target was last a candidate as a warm one within which
+	// the daemons may have sent to it at any rate.
+	recentUseTime = 2 * time.Second
+	// maxColdOverage bounds the overage: targets may fail well above the tolerated rate, whatever
+	// operators allow.
+	maxColdOverage = 1.5
 	// coldRetryDelay is the shortest delay after which a caller that a cold owner has no room
 	// for is asked to retry.
 	coldRetryDelay = 150 * time.Millisecond
@@ -44,19 +47,20 @@
 // coldState is what a daemon keeps of a target whose service limits the rate at cold targets.
 // It is guarded by Dispatcher.mu.
 type coldState struct {
-	rate  float64 // tolerated rate; 0 without a limit
-	keyed bool
+	rate    float64 // tolerated rate; 0 without a limit
+	overage float64 // factor by which all daemons together may exceed it
+	keyed   bool
 	// hintedUntil is until when the target counts as cold because other daemons know it.
 	hintedUntil time.Duration
 
 	// Of services without keys: generation of the daemons' names that turns follows from,
-	// whether this daemon is a sender, when it last sent, and from when it may send.
+	// whether this daemon is a sender, and from when it may send.
 	generation int
 	turns      coldstart.Turns
 	sender     bool
-	lastSent   time.Duration
 	nextAt     time.Duration
 	until      time.Duration // end of the cold time for which nextAt was set
+	warmAt     time.Duration // when the target was last a candidate and not cold; 0 if never
 
 	// Of keyed services: this daemon's requests, and the demand of all daemons.
 	counter      *coldstart.Counter
@@ -96,9 +100,9 @@
 }
 
 // updateCold takes over the limits of the service.
-func (ep *endpoint) updateCold(s route.Service) {
+func (ep *endpoint) updateCold(s route.Service, overage float64) {
 	c := &ep.cold
-	c.rate, c.keyed = s.ColdRate, s.Keyed
+	c.rate, c.overage, c.keyed = s.ColdRate, min(max(overage, 1), maxColdOverage), s.Keyed
 	if c.rate <= 0 {
 		return
 	}
@@ -125,22 +129,23 @@
 // mayUseCold reports whether this daemon may now send a request to the target of a service
 // without keys. d.mu must be held.
 func (d *Dispatcher) mayUseCold(v *view.View, ep *endpoint, now time.Duration) bool {
+	c := &ep.cold
 	until := ep.coldUntil()
 	if until <= now {
+		c.warmAt = now
 		return true
 	}
-	c := &ep.cold
 	d.updateFleetNames(v, now)
 	if c.generation != d.fleet.generation {
 		c.generation = d.fleet.generation
-		c.turns = coldstart.NewTurns(c.rate, len(d.fleet.names))
+		c.turns = coldstart.NewTurns(c.rate, c.overage, len(d.fleet.names))
 		c.sender = c.turns.Includes(ep.incarnation.Hash(), d.fleet.names, d.config.Name)
 	}
 	if c.until <= now {
-		// The first turn after the start of the daemon, or after sends to a target that was
-		// not known as cold, comes an interval later: others may have sent as well.
+		// After the start of the daemon, and when a target in use becomes cold, the first turn
+		// comes an interval later: what was sent in the last second is not known.
 		c.nextAt = max(c.nextAt, d.started+c.turns.Interval)
-		if c.lastSent > 0 && now-c.lastSent < recentSendTime {
+		if c.warmAt > 0 && now-c.warmAt < recentUseTime {
 			c.nextAt = max(c.nextAt, now+c.turns.Interval)
 		}
 	}
@@ -186,7 +191,6 @@
 		}
 		c.nextAt = now + c.turns.Interval
 	}
-	c.lastSent = now
 	return true
 }
 
@@ -207,7 +211,7 @@
 	if until <= now || t.cold.admitted {
 		return ""
 	}
-	fraction := ep.estimateDemand(now, class, daemons).Admission(class, c.rate)
+	fraction := ep.estimateDemand(now, class, daemons).Admission(class, c.rate*c.overage)
 	if coldstart.HasRoom(ep.estimate.Load(), ep.record.Slots) && rand.Float64() < fraction {
 		t.cold.admitted = true
 		return ""
@@ -231,15 +235,17 @@
 	return c.counter.Estimate(now, class, daemons)
 }
 
-// addColdDemand adds to this daemon's loads that it knows the target as cold, and its requests
-// for it. What it has only from other daemons is not passed on, or it would never end. d.mu must
-// be held.
+// addColdDemand adds to this daemon's loads that the target said in a response that it is cold, and
+// the requests for a cold owner. What the daemon has only from others is not passed on, or it would
+// never end. d.mu must be held.
 func (ep *endpoint) addColdDemand(out peers.Loads, now time.Duration) {
 	c := &ep.cold
 	if c.rate <= 0 || ep.record.ColdUntil <= now {
 		return
 	}
-	out[c.known] = 1
+	if ep.record.ColdReported {
+		out[c.known] = 1
+	}
 	if !c.keyed {
 		return
 	}
--- a/internal/edge/dispatch/hedge.go
+++ b/internal/edge/dispatch/hedge.go
@@ -189,7 +189,6 @@
 	}
 	state.policy.Take()
 	ep.estimate.Running++
-	ep.cold.lastSent = now
 	return ep, hedging.Allowed
 }
 
--- a/internal/edge/dispatch/probe.go
+++ b/internal/edge/dispatch/probe.go
@@ -184,8 +184,8 @@
 	if result == probing.Answered && now-started > roundTimeout {
 		outcome = probeLate
 	}
-	if resp != nil && outcome != probeOtherTarget && names.IsLeaving(resp.Header) {
-		d.config.Views.MarkLeaving(ep.incarnation, "response to a probe")
+	if resp != nil && outcome != probeOtherTarget {
+		d.recordState(ep, resp.Header, "response to a probe")
 	}
 	d.mu.Lock()
 	service := ep.record.Service
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -69,6 +69,8 @@
 	RetryBudget budget.Bound
 	// HedgeShare is passed to dispatch.Config.
 	HedgeShare float64
+	// ColdOverage is passed to dispatch.Config.
+	ColdOverage float64
 }
 
 // Store is the platform's store.
@@ -140,7 +142,7 @@
 		d.views.ApplyWrittenTable(topo.Entry{Key: view.RangesKey(service), Value: table, CreateRev: rev, ModRev: rev})
 	}}
 	d.dispatcher = dispatch.New(dispatch.Config{
-		Names: o.HeaderNames, Name: o.Settings.Name, Domain: o.Settings.Domain, RetryBudget: o.Settings.RetryBudget, Views: d.views, Bodies: responseBodies, Log: o.Log,
+		Names: o.HeaderNames, Name: o.Settings.Name, Domain: o.Settings.Domain, RetryBudget: o.Settings.RetryBudget, ColdOverage: o.Settings.ColdOverage, Views: d.views, Bodies: responseBodies, Log: o.Log,
 		RefreshTable: tables.Read,
 		ObserveSend:  o.Metrics.ObserveSend,
 		ObserveProbe: o.Metrics.ObserveProbe,
