Explain where a request would go without sending it

Operators could see the owner of a key, but not which route matches a request, which targets may run it, and why it would be refused now. jackdawctl route asks a daemon, which answers from the same choice and admission as for requests and gives back what they reserve. The metrics address serves the question too, for daemons without an administrative address.

--- a/internal/ctl/embedded_test.go
+++ b/internal/ctl/embedded_test.go
@@ -121,6 +121,14 @@
 	if owner.Target != "display-a" || owner.Shard != 5 {
 		t.Fatalf("owner after the move: %+v", owner)
 	}
+	inShard5 := "/display/" + keyOfShard(&m.Services[0], 5)
+	where := decode[routeResult](t, ctl("route", "--method", "POST", inShard5, "--json"))
+	if len(where.Services) != 1 || where.Services[0].Owner != "display/display-a" || where.Services[0].Refused != "" || !where.HasKey {
+		t.Fatalf("route after the move: %+v", where)
+	}
+	ctl("route", inShard5).want(t, ExitOK, "Sent to display/display-a")
+	ctl("route", "/no-such-path").want(t, ExitOK, "No route matches")
+	ctl("route", "--header", "no value", "/").want(t, ExitFailed, "NAME: VALUE")
 	ctl("move", "display", "32", "display-a").want(t, ExitFailed, "shard 32 of 32")
 
 	dir := t.TempDir()
--- /dev/null
+++ b/internal/edge/dispatch/explain_test.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/state/route"
+)
+
+// Guards against an explanation that differs from what happens to a request, that sends one, or
+// that keeps capacity reserved.
+func TestExplainReservesNothing(t *testing.T) {
+	var arrived atomic.Int64
+	server := startTarget(t, &arrived, func(http.Header) int { return http.StatusOK })
+	rt := &route.Route{MaxAttempts: 2, Idempotent: true, Objective: time.Second}
+	keyed := newTestDispatcher(server.Listener.Addr().String(), true)
+	plain := newUnkeyedDispatcher(map[string]*httptest.Server{"1": server, "2": server})
+	plain.config.HedgeShare = 0.05
+	for range 10 { // more than the slots of a target
+		if e := keyed.Explain(rt, "s", 7, true, 2*time.Second); e.Refused != "" || e.Owner != "t" || e.Fence == 0 || len(e.Candidates) != 1 {
+			t.Fatalf("owner with room: %+v", e)
+		}
+		if e := plain.Explain(rt, "s", 0, false, 2*time.Second); e.Refused != "" || len(e.Candidates) != 2 || e.HedgeAfter != 500*time.Millisecond {
+			t.Fatalf("targets with room: %+v", e)
+		}
+	}
+	if e := keyed.Explain(rt, "s", 0, false, 2*time.Second); e.Refused != NoKey {
+		t.Errorf("without a key: %+v", e)
+	}
+	keyed.changeTargets(func(ep *endpoint) { ep.estimate.RunningElsewhere = 2 })
+	if e := keyed.Explain(rt, "s", 7, true, 2*time.Second); e.Refused != TargetsFull || e.RetryAfter <= 0 || e.Candidates[0].LeftOut != TargetsFull {
+		t.Errorf("full owner: %+v", e)
+	}
+	plain.changeTargets(func(ep *endpoint) {
+		if ep.id == "1" {
+			ep.pausedUntil = clock.Now() + time.Minute
+		}
+	})
+	if e := plain.Explain(rt, "s", 0, false, 2*time.Second); e.Refused != "" || e.Candidates[0].ID != "2" || e.Candidates[1].LeftOut != TargetPaused {
+		t.Errorf("one target paused: %+v", e)
+	}
+	if arrived.Load() != 0 {
+		t.Errorf("%d requests arrived", arrived.Load())
+	}
+	checkIdle(t, keyed)
+	checkIdle(t, plain)
+}
--- a/internal/edge/dispatch/hedge.go
+++ b/internal/edge/dispatch/hedge.go
@@ -110,12 +110,19 @@
 	return d.finishHedged(ctx, t, h, first)
 }
 
+// mayHedge reports whether the settings and the route allow a second send beside the first. The
+// owner of a key is the only target that may run its requests, so there is no second target for
+// them.
+func (d *Dispatcher) mayHedge(t *requestState) bool {
+	r := t.req.Route
+	return d.config.HedgeShare > 0 && r.Idempotent && r.MaxAttempts > 1 && t.sends == 0 && !d.isKeyed(t.req.Service)
+}
+
 // hedgeDelay returns how long the request waits for the first response before it is hedged, and
-// false if it is not hedged. The owner of a key is the only target that may run its requests, so
-// there is no second target for them.
+// false if it is not hedged.
 func (d *Dispatcher) hedgeDelay(t *requestState) (time.Duration, bool) {
 	req := t.req
-	if d.config.HedgeShare <= 0 || !req.Route.Idempotent || req.Route.MaxAttempts < 2 || t.sends > 0 || d.isKeyed(req.Service) {
+	if !d.mayHedge(t) {
 		return 0, false
 	}
 	now := clock.Now()
--- a/internal/edge/front/handler.go
+++ b/internal/edge/front/handler.go
@@ -176,7 +176,7 @@
 
 func (h *Handler) forward(w http.ResponseWriter, r *http.Request, c *route.Config, match route.Match, running *runningRequest) {
 	rt, arrived := match.Route, running.arrived
-	deadline := arrived + h.timeout(r, rt)
+	deadline := arrived + Timeout(rt, r.Header.Get(h.Names.TimeLeft))
 	body, err := h.readBody(w, r, c.Limits.BodyBytes, deadline)
 	if err != nil {
 		h.refuseBody(w, r, rt, arrived, err)
@@ -200,13 +200,14 @@
 	h.ObserveRequest(Result{Service: req.Service, Route: rt, Status: resp.Status, Took: took})
 }
 
-// timeout returns the time that a request may take, from the route and from the caller.
-func (h *Handler) timeout(r *http.Request, rt *route.Route) time.Duration {
+// Timeout returns the time that a request may take, from the route and from the time left that
+// the caller states in milliseconds.
+func Timeout(rt *route.Route, timeLeft string) time.Duration {
 	timeout := defaultTimeout
 	if rt.Timeout > 0 {
 		timeout = rt.Timeout
 	}
-	ms, err := strconv.ParseInt(r.Header.Get(h.Names.TimeLeft), 10, 64)
+	ms, err := strconv.ParseInt(timeLeft, 10, 64)
 	if err == nil && ms > 0 && ms < timeout.Milliseconds() {
 		timeout = time.Duration(ms) * time.Millisecond
 	}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -167,7 +167,7 @@
 // serveMetrics serves the metrics until ctx ends. Failing to listen is only logged, as
 // the daemon can serve callers without metrics.
 func (d *Daemon) serveMetrics(ctx context.Context) {
-	s, err := d.openServer(ctx, d.options.Settings.MetricsAddress, d.options.Metrics.Handler())
+	s, err := d.openServer(ctx, d.options.Settings.MetricsAddress, d.metricsHandler())
 	if err != nil {
 		d.log.Error("could not listen for metrics requests; running without them", "address", d.options.Settings.MetricsAddress, "error", err)
 		return
--- a/internal/native/admin/admin.go
+++ b/internal/native/admin/admin.go
@@ -35,6 +35,7 @@
 	Members() []edge.Member
 	CoordinatorTerm() (int64, bool)
 	Move(ctx context.Context, service string, from, to uint16, targetID string) error
+	ExplainRoute(w http.ResponseWriter, r *http.Request)
 }
 
 // Config holds the dependencies of the interface.
@@ -64,6 +65,7 @@
 	mux.Handle("GET "+adminapi.PathConfig, newEndpointHandler(s.config, decodeEmpty))
 	mux.Handle("PUT "+adminapi.PathConfig, newEndpointHandler(s.apply, decodeApply))
 	mux.Handle("GET "+adminapi.PathOwner, newEndpointHandler(s.owner, decodeOwner))
+	mux.HandleFunc("GET "+adminapi.PathRoute, c.Daemon.ExplainRoute)
 	mux.Handle("POST "+adminapi.PathMoves, newEndpointHandler(s.move, decodeMove))
 	mux.Handle("GET "+adminapi.PathServiceLevels, newEndpointHandler(s.serviceLevels, decodeEmpty))
 	mux.Handle("GET "+adminapi.PathBurn, newEndpointHandler(s.burn, decodeEmpty))
--- a/internal/protocol/adminapi/adminapi.go
+++ b/internal/protocol/adminapi/adminapi.go
@@ -21,6 +21,8 @@
 	PathMoves         = "/v1/moves"
 	// PathBurn returns a burn.Snapshot.
 	PathBurn = "/v1/burn"
+	// PathRoute returns a RouteExplanation.
+	PathRoute = "/v1/route"
 )
 
 // State is the state of a daemon.
@@ -180,3 +182,73 @@
 	Findings        []finding.Finding `json:"findings,omitempty"`
 	CurrentRevision uint64            `json:"current_revision,omitempty"`
 }
+
+// RouteRequest asks where a request would go. Headers are lines such as "Host: a".
+type RouteRequest struct {
+	Method, Target string
+	Headers        []string
+}
+
+// RouteExplanation is what a daemon would do with a request that arrived now.
+type RouteExplanation struct {
+	Daemon         string `json:"daemon"`
+	Domain         string `json:"domain"`
+	ConfigRevision uint64 `json:"config"`
+	// CopyAgeMs is the age of the daemon's copy of the store, on which the answer is based.
+	CopyAgeMs int64 `json:"copy_age_ms"`
+	// Status and Reason are set if no route matches; the request is refused then.
+	Status int    `json:"status,omitempty"`
+	Reason string `json:"reason,omitempty"`
+
+	Route       string `json:"route,omitempty"`
+	Idempotent  bool   `json:"idempotent"`
+	MaxAttempts int    `json:"max_attempts"`
+	ObjectiveMs int64  `json:"objective_ms"`
+	TimeoutMs   int64  `json:"timeout_ms"`
+	Priority    int    `json:"priority"`
+	HasKey      bool   `json:"has_key"`
+	// Point is the point of the key, from 0 to 65535.
+	Point    uint16            `json:"point"`
+	Services []RoutedToService `json:"services"`
+}
+
+// RoutedToService is what would happen to a request at one of the services of its route.
+type RoutedToService struct {
+	Service string `json:"service"`
+	// Share is the fraction of the route's requests that go to the service.
+	Share float64 `json:"share"`
+	Keyed bool    `json:"keyed"`
+	// Owner owns the request's key under Fence, by the table of TableRevision.
+	Owner         string `json:"owner,omitempty"`
+	Fence         uint64 `json:"fence,omitempty"`
+	TableRevision int64  `json:"table_revision,omitempty"`
+	// Refused is why the request would not be sent now, with the Retry-After of the refusal that
+	// follows if that lasts; empty if it would be sent.
+	Refused      string `json:"refused,omitempty"`
+	RetryAfterMs int64  `json:"retry_after_ms,omitempty"`
+	Running      int    `json:"running"`
+	Slots        int    `json:"slots"`
+	// HedgeAfterMs is when a second send would follow; 0 if never.
+	HedgeAfterMs int64 `json:"hedge_after_ms,omitempty"`
+	// Candidates are the targets that may run the request, the best first, and at most
+	// MaxCandidates of CandidateCount.
+	Candidates     []RouteCandidate `json:"candidates"`
+	CandidateCount int              `json:"candidate_count"`
+}
+
+// MaxCandidates bounds the targets in a RoutedToService.
+const MaxCandidates = 20
+
+// RouteCandidate is a target that may run a request.
+type RouteCandidate struct {
+	TargetLoad
+	Domain string `json:"domain"`
+	State  string `json:"state"`
+	// ExpectedMs is the expected response time, including queueing.
+	ExpectedMs int64 `json:"expected_ms"`
+	// ColdMs and PausedMs are how long the target still warms up, and wants no requests.
+	ColdMs   int64 `json:"cold_ms,omitempty"`
+	PausedMs int64 `json:"paused_ms,omitempty"`
+	// LeftOut is why the target gets no request now; empty if it may get one.
+	LeftOut string `json:"left_out,omitempty"`
+}
