--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -11,23 +11,6 @@
 	"github.com/jackdawloom/jackdawloom/internal/state/target"
 )
 
-// Admission limits.
-const (
-	// baseTimeShare is the fraction of the remaining time within which a request of
-	// the highest priority must be expected to complete. The fraction decreases by
-	// priorityStep for each lower priority, so that urgent requests are admitted under
-	// overload.
-	baseTimeShare = 0.9
-	priorityStep  = 0.15
-	// minTimeShare is the lower bound of the fraction for low priorities.
-	minTimeShare = 0.4
-	// objectiveShare is the fraction of the route's latency objective within which a
-	// request that has to queue must be expected to complete.
-	objectiveShare = 0.8
-	// queueFactor limits the requests at a target to a multiple of its slots.
-	queueFactor = 3
-)
-
 // choose selects a target for the request's next send and reserves capacity there.
 func (d *Dispatcher) choose(ctx context.Context, t *requestState) (*endpoint, *Refusal) {
 	if d.outlivesDaemon(t.req, clock.Now()) {
@@ -43,6 +26,7 @@
 		// The owner may be full after all, by requests that this daemon does not know of yet.
 		wait(ctx, nil, min(refusalBackoff<<(t.sends-2), time.Duration(refusalBackoffShare*float64(t.req.Deadline-clock.Now()))))
 	}
+	defer d.stopWaiting(t)
 	for {
 		if ctx.Err() != nil {
 			return nil, &Refusal{Reason: CallerDisconnected}
@@ -57,6 +41,7 @@
 		if d.outlivesDaemon(t.req, now) {
 			return nil, &Refusal{Reason: Stopping}
 		}
+		t.admission.refusedAt = nil
 		var ep *endpoint
 		var reason Reason
 		if d.isKeyed(t.req.Service) {
@@ -67,7 +52,7 @@
 		if reason == "" {
 			return ep, nil
 		}
-		if reason == TargetsFull && d.awaitSlot(ctx, t) {
+		if reason == TargetsFull && (d.awaitSlot(ctx, t) || d.awaitRoom(ctx, t)) {
 			continue
 		}
 		now = clock.Now()
@@ -90,36 +75,6 @@
 	refusalBackoffShare = 0.1
 )
 
-// slotPollInterval limits one wait for a slot, because slots freed by the requests of other
-// daemons are not signalled.
-const slotPollInterval = 10 * time.Millisecond
-
-// awaitSlot waits for a slot at targets that shed load instead of queueing, and returns
-// true if a target is to be chosen again. It returns false without waiting if the targets
-// queue requests, ctx is done, or the request would not complete in time.
-func (d *Dispatcher) awaitSlot(ctx context.Context, t *requestState) bool {
-	d.mu.Lock()
-	s := d.serviceState(t.req.Service)
-	if s.slotFreed == nil {
-		s.slotFreed = make(chan struct{})
-	}
-	freed, avgServiceTime := s.slotFreed, s.avgServiceTime
-	d.mu.Unlock()
-	now := clock.Now()
-	if !d.shedsLoad(t.req.Service) || now+avgServiceTime > t.req.Arrived+slotWaitLimit(t.req) || ctx.Err() != nil {
-		return false
-	}
-	wait(ctx, freed, slotPollInterval)
-	return true
-}
-
-// slotWaitLimit returns how long after its arrival a request that waits for a slot
-// must be expected to complete.
-func slotWaitLimit(r *Request) time.Duration {
-	share := max(baseTimeShare-priorityStep*float64(r.Route.Priority), minTimeShare)
-	return time.Duration(share * float64(r.Deadline-r.Arrived))
-}
-
 // awaitOwnerChange waits until the range table names another owner or fence for the
 // key, or until the current owner may have received its grant.
 func (d *Dispatcher) awaitOwnerChange(ctx context.Context, t *requestState) {
@@ -284,33 +239,6 @@
 	return out
 }
 
-// admit reserves capacity at the target if the request is likely to complete in time.
-// d.mu must be held.
-func (d *Dispatcher) admit(t *requestState, ep *endpoint) (*endpoint, Reason) {
-	now := clock.Now()
-	slots := max(ep.record.Slots, 1)
-	load := ep.estimate.Load()
-	expected := ep.estimate.ExpectedLatency(now, d.serviceState(ep.record.Service).avgServiceTime)
-	queued := load >= slots && (expected > queueTimeLimit(t.req, now) || ep.sheds)
-	if queued || ep.estimate.Running >= ep.limit || load >= queueFactor*slots {
-		t.inputs.Load, t.inputs.Slots, t.inputs.ExpectedTime = load, slots, expected
-		return nil, TargetsFull
-	}
-	ep.estimate.Running++
-	return ep, ""
-}
-
-// queueTimeLimit returns the time within which a request that has to queue must be
-// expected to complete.
-func queueTimeLimit(r *Request, now time.Duration) time.Duration {
-	share := max(baseTimeShare-priorityStep*float64(r.Route.Priority), minTimeShare)
-	limit := time.Duration(share * float64(r.Deadline-now))
-	if r.Route.Objective > 0 {
-		limit = min(limit, time.Duration(objectiveShare*float64(r.Route.Objective)))
-	}
-	return limit
-}
-
 func (d *Dispatcher) releaseReservation(ep *endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -148,6 +147,9 @@
 	// RefreshTable is called when owners of keys repeatedly do not hold them, with the revision
 	// of the service's range table. It must not block; nil does nothing.
 	RefreshTable func(service string, revision int64)
+	// ObserveNotAdmitted is called for each request that is refused because its target has no
+	// room for it; nil does nothing.
+	ObserveNotAdmitted func(service string, priority int, cause string)
 	// ObserveServiceTime is called with each measured service time.
 	ObserveServiceTime func(target peers.TargetHash, took time.Duration)
 }
@@ -171,6 +173,7 @@
 	// slotFreed is closed when a send to the service ends. It is nil if no request has
 	// started to wait for a slot since the last send ended.
 	slotFreed chan struct{}
+	admission serviceAdmission
 }
 
 // SetRetryBudget changes the limit of retries. A change resets the retry budgets and
@@ -210,6 +213,7 @@
 	// pausedUntil is when the first target that asked for a pause can be used again, of
 	// those that the last choice left out; 0 if there was none.
 	pausedUntil time.Duration
+	admission   admissionState
 }
 
 // Do sends the request until a target's response can be returned or no further send
@@ -220,6 +224,7 @@
 		d.config.ObserveKey(req.Service, req.Key)
 	}
 	t := &requestState{req: req, triedTargets: make(map[string]bool)}
+	d.recordArrival(t)
 	for {
 		ep, refusal := d.choose(ctx, t)
 		if refusal != nil {
@@ -258,7 +263,7 @@
 	r.Sends = t.sends
 	r.Inputs = t.inputs
 	if !r.MayHaveRun && r.RetryAfter == 0 {
-		r.RetryAfter = d.retryAfter(r.Reason, t.pausedUntil)
+		r.RetryAfter = d.retryAfter(t, r.Reason)
 	}
 	return nil, r
 }
@@ -274,29 +279,6 @@
 		"status", t.failedResponse.Status, "sends", t.sends, "may_have_run", true, "not_sent_again", cause)
 }
 
-// Minimum delays after which refused callers are asked to retry.
-const (
-	retryAfterNoOwner = 250 * time.Millisecond
-	retryAfterFull    = 150 * time.Millisecond
-	// retryAfterStopping only spreads the callers, as the other daemons can serve them at once.
-	retryAfterStopping = 20 * time.Millisecond
-)
-
-// retryAfter returns the delay after which a refused request is likely to be served. A
-// caller of a target that asked for a pause is told the rest of it. Jitter keeps callers from
-// retrying at the same time.
-func (d *Dispatcher) retryAfter(r Reason, pausedUntil time.Duration) time.Duration {
-	delay := retryAfterFull
-	switch r {
-	case NoOwner, KeyNotHeld, NoTarget:
-		delay = retryAfterNoOwner
-	case Stopping:
-		delay = retryAfterStopping
-	}
-	jitter := time.Duration(rand.Float64() * float64(delay) / 2)
-	return max(delay, pausedUntil-clock.Now()) + jitter
-}
-
 // sendOnce sends the request to a target. It returns the response for the caller, or
 // nil and whether the request may be sent again.
 func (d *Dispatcher) sendOnce(ctx context.Context, t *requestState, ep *endpoint) (*upstream.Response, bool) {
@@ -334,6 +316,7 @@
 	}
 	d.recordOutcome(ep, outcome, took, load)
 	d.recordSignals(t, ep, resp, outcome)
+	d.recordAdmission(t, ep, outcome, load, err)
 	d.config.ObserveSend(req.Service, outcome.String(), took)
 	return d.handleOutcome(t, ep, resp, outcome, took, err)
 }
--- a/internal/edge/dispatch/endpoint.go
+++ b/internal/edge/dispatch/endpoint.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/admission"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/balance"
 	"github.com/jackdawloom/jackdawloom/internal/edge/metrics"
 	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
@@ -41,6 +42,9 @@
 	// pausedUntil is the end of the time for which the target wants no requests.
 	pausedUntil time.Duration
 	hash        peers.TargetHash
+	limits      admission.Limit
+	waiters     admission.Waiters
+	promises    admission.Promises
 }
 
 // endpoint returns the endpoint of a target, and creates it if it is missing or the
@@ -167,7 +171,7 @@
 	defer d.mu.Unlock()
 	out := make(map[string]metrics.ServiceGauges)
 	for name, s := range d.services {
-		out[name] = metrics.ServiceGauges{RetryBudgetLeft: s.budget.Remaining(now, daemons)}
+		out[name] = metrics.ServiceGauges{RetryBudgetLeft: s.budget.Remaining(now, daemons), AdmissionLevel: s.admission.shared.Level(now)}
 	}
 	for _, ep := range d.endpoints {
 		g := out[ep.record.Service]
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -134,6 +134,7 @@
 		Names: o.HeaderNames, Domain: o.Settings.Domain, RetryBudget: o.Settings.RetryBudget, Views: d.views, Bodies: responseBodies, Log: o.Log,
 		RefreshTable:       tables.Read,
 		ObserveSend:        o.Metrics.ObserveSend,
+		ObserveNotAdmitted: o.Metrics.ObserveNotAdmitted,
 		ObserveKey:         func(service string, key uint16) { d.statsExchange.RecordKey(service, key) },
 		ObserveServiceTime: func(t peers.TargetHash, took time.Duration) { d.statsExchange.RecordServiceTime(t, took) },
 	})
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -140,6 +140,12 @@
 	m.observeDuration(seriesKey{name: "request_time", label1: service}, map[string]string{"service": service}, took)
 }
 
+// ObserveNotAdmitted records a request that was refused because its target had no room for it.
+func (m *Metrics) ObserveNotAdmitted(service string, priority int, cause string) {
+	label := strconv.Itoa(priority)
+	m.incCounter(seriesKey{"not_admitted", service, label, cause}, map[string]string{"service": service, "priority": label, "cause": cause})
+}
+
 // ObserveSend records a send to a target with its outcome and duration.
 func (m *Metrics) ObserveSend(service, outcome string, took time.Duration) {
 	m.incCounter(seriesKey{name: "sends", label1: service, label2: outcome}, map[string]string{"service": service, "outcome": outcome})
@@ -177,6 +183,9 @@
 	Slots, Connections int
 	// Suspect is the number of targets that are avoided after failures.
 	Suspect int
+	// AdmissionLevel is from 0 to 1 how far less urgent requests yield to more urgent ones
+	// that miss their objectives.
+	AdmissionLevel float64
 }
 
 // SetGauges records the gauge values.
@@ -198,6 +207,7 @@
 		scope.Gauge("target_slots").Update(float64(s.Slots))
 		scope.Gauge("target_connections").Update(float64(s.Connections))
 		scope.Gauge("targets_suspect").Update(float64(s.Suspect))
+		scope.Gauge("admission_level").Update(s.AdmissionLevel)
 	}
 }
 
--- a/internal/state/route/route.go
+++ b/internal/state/route/route.go
@@ -113,11 +113,49 @@
 	Routes int
 
 	matcher Matcher
+	classes map[string][]Class
+}
+
+// Class is what the routes of one priority ask of a service.
+type Class struct {
+	Priority int
+	// Objective is the shortest latency objective of these routes; 0 if none has one.
+	Objective time.Duration
+}
+
+// Classes returns the classes of the routes that lead to the service, the most urgent first.
+// It returns nil for services whose routes are known only to a Matcher.
+func (c *Config) Classes(service string) []Class { return c.classes[service] }
+
+// classesOf returns the classes of each service.
+func classesOf(routes []Route) map[string][]Class {
+	out := make(map[string][]Class)
+	for _, r := range routes {
+		for _, ws := range r.WeightedServices {
+			if ws.Weight > 0 {
+				out[ws.Service] = addClass(out[ws.Service], r)
+			}
+		}
+	}
+	return out
+}
+
+func addClass(classes []Class, r Route) []Class {
+	i, known := slices.BinarySearchFunc(classes, r.Priority, func(c Class, priority int) int { return cmp.Compare(c.Priority, priority) })
+	if !known {
+		return slices.Insert(classes, i, Class{Priority: r.Priority, Objective: r.Objective})
+	}
+	if o := classes[i].Objective; r.Objective > 0 && (o == 0 || r.Objective < o) {
+		classes[i].Objective = r.Objective
+	}
+	return classes
 }
 
 // New returns a configuration whose routes are matched by host and path prefix.
 func New(version uint64, routes []Route, services []Service, limits Limits) *Config {
-	return NewWithMatcher(version, newHostRoutes(routes), len(routes), services, limits)
+	c := NewWithMatcher(version, newHostRoutes(routes), len(routes), services, limits)
+	c.classes = classesOf(routes)
+	return c
 }
 
 // NewWithMatcher returns a configuration whose routes are matched by m. routes is the
