Predict latencies from what known loads have said about them

Cause: trials with logs show that the known load of a target says little: 28 in 100 of the requests to targets known to be idle find more than two requests there, and as many of those to targets known to have two. Requests were refused at loads of 2 to 5 while the targets had room. Change: a regression of latencies on known loads; callers' stated times are not constant and no longer used. Not measured yet.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -26,6 +26,9 @@
 	// holdShare is the fraction of the objective for which a request may be held here until a
 	// target has room. A caller that is refused within it loses no more than the way back.
 	holdShare = 1.0 / 8
+	// maxShed is the largest part of the less urgent requests that is refused at targets with
+	// a free slot, so that none of them starve.
+	maxShed = 0.5
 )
 
 // Request is what the decision needs to know of a request.
@@ -37,11 +40,12 @@
 	Objective time.Duration
 	// Left is the time until the caller stops waiting.
 	Left time.Duration
-	// Waited is the time since the caller's first attempt, as far as it is known, and Held the
-	// part of it that the request has spent in this daemon.
-	Waited, Held time.Duration
+	// Held is the time since the request's arrival.
+	Held time.Duration
 	// Idempotent states that the request may be sent again after an unknown outcome.
 	Idempotent bool
+	// Chance is a random number from 0 to 1.
+	Chance float64
 }
 
 // Target is the state of a target as this daemon knows it.
@@ -71,12 +75,13 @@
 	Full
 	// Reserved: the remaining room is kept for more urgent requests.
 	Reserved
-	// Late: the request would miss its objective and has to leave the queue to others.
-	Late
+	// Shed: the target has a free slot, as far as is known, but more urgent requests are
+	// expected to miss their objectives there.
+	Shed
 )
 
 // String returns the label of the metrics.
-func (c Cause) String() string { return [...]string{"admitted", "full", "reserved", "late"}[c] }
+func (c Cause) String() string { return [...]string{"admitted", "full", "reserved", "shed"}[c] }
 
 // Decision is the result of Decide.
 type Decision struct {
@@ -88,14 +93,12 @@
 	Hold bool
 }
 
-// TimeLimit returns the time within which a request with the given time left must be
-// expected to complete, if it has to queue.
-func TimeLimit(r Request) time.Duration { return timeLimit(r, objectiveShare) }
-
-func timeLimit(r Request, share float64) time.Duration {
+// timeLimit returns the time within which the request must be expected to complete, if it has
+// to queue.
+func (r Request) timeLimit() time.Duration {
 	limit := time.Duration(TimeShare(r.Priority) * float64(r.Left))
 	if r.Objective > 0 {
-		limit = min(limit, time.Duration(share*float64(r.Objective)))
+		limit = min(limit, time.Duration(objectiveShare*float64(r.Objective)))
 	}
 	return limit
 }
@@ -114,17 +117,16 @@
 		excess := t.Load - maxLoad + 1
 		return s.refuse(r, Full, t.ServiceTime*time.Duration(excess)/time.Duration(slots))
 	}
-	if t.Load < slots {
+	switch {
+	case s != nil:
+		return s.decideShared(now, r, t, slots)
+	case t.Load < slots:
 		return Decision{}
 	}
-	limit, cause := TimeLimit(r), Full
-	if s != nil {
-		limit, cause = s.queueLimit(now, r, t, slots)
-	}
-	if t.Expected <= limit {
-		return Decision{}
+	if limit := r.timeLimit(); t.Expected > limit {
+		return s.refuse(r, Full, t.Expected-limit)
 	}
-	return s.refuse(r, cause, t.Expected-limit)
+	return Decision{}
 }
 
 // behind returns the target as it will be once the requests that are ahead have been sent.
@@ -142,43 +144,42 @@
 // of shared services are held: those of other services are refused at once, as callers return
 // to another daemon that may know of room.
 func (s *Service) refuse(r Request, cause Cause, fits time.Duration) Decision {
-	hold := s != nil && cause != Late && r.Held+fits <= time.Duration(holdShare*float64(r.Objective))
+	hold := s != nil && cause != Shed && r.Held+fits <= time.Duration(holdShare*float64(r.Objective))
 	return Decision{Cause: cause, Fits: fits, Hold: hold}
 }
 
-// queueLimit returns the expected latency up to which a request of a shared service may
-// queue, and why it would not be admitted beyond that.
-func (s *Service) queueLimit(now time.Duration, r Request, t Target, slots int) (time.Duration, Cause) {
-	own := s.class(r.Priority)
-	limit := timeLimit(r, own.share())
-	if r.Objective > 0 {
-		remaining := r.Objective - r.Waited
-		if remaining < t.ServiceTime {
-			return 0, Late
-		}
-		limit = min(limit, remaining)
-	}
-	cause := Full
-	place := t.ServiceTime / time.Duration(slots) // what the request adds to the next one's latency
+// decideShared decides for a target that has room in general.
+func (s *Service) decideShared(now time.Duration, r Request, t Target, slots int) Decision {
+	expected, next := s.prediction.latency(t, 0), s.prediction.latency(t, 1)
+	limit, cause := r.timeLimit(), Full
 	for i := range s.classes {
 		c := &s.classes[i]
 		if c.Priority >= r.Priority {
 			break
 		}
-		kept := max(time.Duration(c.share()*float64(c.Objective))-place, 0)
-		if c.Objective == 0 || kept >= limit {
-			kept = limit
+		kept := time.Duration(objectiveShare * float64(c.Objective))
+		if c.Objective == 0 || next <= kept {
+			continue
 		}
 		// The room is kept in so far as a more urgent request is likely to arrive before this
-		// one has left the queue. While too many of them miss their objective, less urgent
-		// requests use free slots only.
-		arrivals := c.rate(now) * t.ArrivalShare * t.Expected.Seconds()
-		reserved := 1 - math.Exp(-arrivals)
-		allowed := limit - time.Duration(reserved*float64(limit-kept))
-		allowed -= time.Duration(c.level(now) * reserved * float64(allowed))
+		// one has left.
+		needed := 1 - math.Exp(-c.rate(now)*t.ArrivalShare*expected.Seconds())
+		if t.Load < slots {
+			if r.Chance < maxShed*needed*c.level(now) {
+				return s.refuse(r, Shed, next-kept)
+			}
+			continue
+		}
+		// While too many of the more urgent requests miss their objective, less urgent ones use
+		// free slots only.
+		allowed := limit - time.Duration(needed*float64(max(limit-kept+next-expected, 0)))
+		allowed -= time.Duration(c.level(now) * needed * float64(allowed))
 		if allowed < limit {
 			limit, cause = allowed, Reserved
 		}
 	}
-	return limit, cause
+	if t.Load < slots || expected <= limit {
+		return Decision{}
+	}
+	return s.refuse(r, cause, expected-limit)
 }
--- a/internal/coordination/admission/returns.go
+++ b/internal/coordination/admission/returns.go
@@ -25,47 +25,9 @@
 	longest := r.Left / maxReturn
 	next := max(now+max(fits, minReturn), p.until)
 	soon := next - now + time.Duration(spread*float64(max(place, minReturn)))
-	if soon <= longest && (r.Objective == 0 || r.Waited+soon+t.ServiceTime <= r.Objective) {
+	if soon <= longest && (r.Objective == 0 || r.Held+soon+t.ServiceTime <= r.Objective) {
 		p.until = next + place
 		return soon
 	}
 	return min(max(soon, longest/2+time.Duration(spread*float64(longest)/2)), longest)
 }
-
-const (
-	// knownShare is the part of the requests of a route that must state the same time for
-	// shorter times to mean that a caller has returned.
-	knownShare = 0.25
-	// statedWindow is the number of requests after which older ones count half.
-	statedWindow = 128
-)
-
-// StatedTimes learns the time for which the callers of one route are willing to wait, to tell
-// how long ago the first attempt of a returning caller was: callers state the time that they
-// have left. The zero value is ready for use. It is not safe for concurrent use.
-type StatedTimes struct {
-	full               time.Duration
-	total, equal, over int
-}
-
-// Record records the time that a caller states, and returns the time since its first attempt;
-// 0 if that is not known.
-func (s *StatedTimes) Record(stated time.Duration) time.Duration {
-	if stated <= 0 {
-		return 0
-	}
-	if s.total++; s.total >= statedWindow {
-		s.total, s.equal, s.over = s.total/2, s.equal/2, s.over/2
-	}
-	switch {
-	case stated == s.full:
-		s.equal++
-	case stated > s.full:
-		if s.over++; float64(s.over) > knownShare*float64(s.equal) {
-			*s = StatedTimes{full: stated, total: 1, equal: 1}
-		}
-	case float64(s.equal) >= knownShare*float64(s.total):
-		return s.full - stated
-	}
-	return 0
-}
--- a/internal/coordination/admission/service.go
+++ b/internal/coordination/admission/service.go
@@ -19,10 +19,6 @@
 	// shedBegins and shedEnds are the admission levels at which shedding is reported. They
 	// differ, so that small changes around one level are not reported.
 	shedBegins, shedEnds = 0.5, 0.1
-	// A queued request that completes late lowers the share of the objective that requests may
-	// plan with, and one in time raises it by a third, so that three in four are in time.
-	shareStep     = 0.015
-	minQueueShare = 0.4
 )
 
 // Class is what the routes of one priority ask of a service.
@@ -39,14 +35,14 @@
 	arrivedAt time.Duration
 	missed    float64 // share of missed objectives; decays with rateWindow
 	missedAt  time.Duration
-	narrowed  float64 // what late requests have taken off objectiveShare
 }
 
 // Service is the state of one service whose requests differ in priority. It is not safe for
 // concurrent use.
 type Service struct {
-	classes  []class // by priority, the most urgent first
-	shedding bool
+	classes    []class // by priority, the most urgent first
+	prediction prediction
+	shedding   bool
 }
 
 // NewService returns the state of a service that the classes share, or nil if there are
@@ -107,26 +103,20 @@
 	}
 }
 
-// RecordResponse records that a request was served, whether it had to queue at its target,
-// and how long after the caller's first attempt it was complete.
-func (s *Service) RecordResponse(now time.Duration, priority int, queued bool, latency time.Duration) {
+// RecordResponse records that a request was served: how long that took at a target as it was
+// when the request was sent, and the latency for the caller.
+func (s *Service) RecordResponse(now time.Duration, priority int, t Target, took, latency time.Duration) {
 	if s == nil {
 		return
 	}
+	s.prediction.record(t, took)
 	c := s.class(priority)
-	if c == nil || c.Objective == 0 {
-		return
-	}
-	if latency <= c.Objective {
+	switch {
+	case c == nil || c.Objective == 0:
+	case latency <= c.Objective:
 		c.recordMissed(now, 0)
-		if queued {
-			c.narrowed = max(c.narrowed-shareStep/3, 0)
-		}
-		return
-	}
-	c.recordMissed(now, 1)
-	if queued {
-		c.narrowed = min(c.narrowed+shareStep, objectiveShare-minQueueShare)
+	default:
+		c.recordMissed(now, 1)
 	}
 }
 
@@ -135,15 +125,6 @@
 	c.missed, c.missedAt = known+(missed-known)/missSmoothing, now
 }
 
-// share returns the fraction of the objective within which a queued request must be expected
-// to complete.
-func (c *class) share() float64 {
-	if c == nil {
-		return objectiveShare
-	}
-	return objectiveShare - c.narrowed
-}
-
 // rate returns the class's requests per second that this daemon gets.
 func (c *class) rate(now time.Duration) float64 {
 	return decay(c.arrived, now-c.arrivedAt) / rateWindow.Seconds()
--- a/internal/edge/dispatch/admit.go
+++ b/internal/edge/dispatch/admit.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -13,25 +12,20 @@
 	"github.com/jackdawloom/jackdawloom/internal/state/route"
 )
 
-// maxStatedRoutes limits the routes of a service whose callers' waiting times are learned.
-const maxStatedRoutes = 256
-
 // serviceAdmission is what admission needs to know of one service.
 type serviceAdmission struct {
 	// shared is nil while all routes to the service have the same priority.
 	shared *admission.Service
 	// config is the configuration that shared was made from.
 	config *route.Config
-	stated map[string]*admission.StatedTimes // by route
 }
 
 // admissionState is the state of one request in admission.
 type admissionState struct {
-	// waited is the time between the caller's first attempt and this one; 0 if unknown.
-	waited time.Duration
 	// refusedAt is the target that had no room at the last choice; nil if there was none.
 	refusedAt *endpoint
 	decision  admission.Decision
+	target    admission.Target // as it was when the request was admitted there
 	// waiter is the request's place among those that are held for waitsAt; nil if it is not held.
 	waiter  *admission.Waiter
 	waitsAt *endpoint
@@ -53,7 +47,6 @@
 	switch {
 	case a.shared == nil || len(classes) < 2:
 		a.shared = admission.NewService(classes)
-		a.stated = make(map[string]*admission.StatedTimes)
 	case !a.shared.HasClasses(classes):
 		a.shared.SetClasses(classes)
 	}
@@ -65,30 +58,13 @@
 func (d *Dispatcher) recordArrival(t *requestState) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	shared := d.sharedService(t.req.Service)
-	if shared == nil {
-		return
-	}
-	shared.RecordArrival(clock.Now(), t.req.Route.Priority)
-	times := d.serviceState(t.req.Service).admission.stated
-	stated := times[t.req.Route.Name]
-	if stated == nil {
-		if len(times) >= maxStatedRoutes {
-			return
-		}
-		stated = &admission.StatedTimes{}
-		times[t.req.Route.Name] = stated
-	}
-	if ms, err := strconv.ParseInt(t.req.Header.Get(d.config.Names.TimeLeft), 10, 32); err == nil {
-		t.admission.waited = stated.Record(time.Duration(ms) * time.Millisecond)
-	}
+	d.sharedService(t.req.Service).RecordArrival(clock.Now(), t.req.Route.Priority)
 }
 
 func (t *requestState) admissionRequest(now time.Duration) admission.Request {
-	held := now - t.req.Arrived
 	return admission.Request{
 		Priority: t.req.Route.Priority, Objective: t.req.Route.Objective, Left: t.req.Deadline - now,
-		Waited: t.admission.waited + held, Held: held, Idempotent: t.req.Route.Idempotent,
+		Held: now - t.req.Arrived, Idempotent: t.req.Route.Idempotent, Chance: rand.Float64(),
 	}
 }
 
@@ -120,7 +96,7 @@
 		return nil, TargetsFull
 	}
 	ep.estimate.Running++
-	t.admission.refusedAt = nil
+	t.admission.target = target
 	return ep, ""
 }
 
@@ -170,20 +146,19 @@
 	t.admission.waiter = nil
 }
 
-// recordAdmission records the outcome of a send for later admissions. load is the target's
-// load when the request was sent.
-func (d *Dispatcher) recordAdmission(t *requestState, ep *endpoint, outcome sendOutcome, load int, err error) {
+// recordAdmission records the outcome of a send for later admissions.
+func (d *Dispatcher) recordAdmission(t *requestState, ep *endpoint, outcome sendOutcome, took time.Duration, err error) {
 	reset := errors.Is(err, syscall.ECONNRESET)
 	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
 	case reset, outcome.reason == TargetsFull && err == nil:
-		ep.limits.RecordFull(now, load, ep.record.Slots, reset)
+		ep.limits.RecordFull(now, t.admission.target.Load, ep.record.Slots, reset)
 		t.admission.refusedAt = ep
-		t.admission.decision = admission.Decision{Cause: admission.Full, Fits: ep.estimate.ServiceTime(0) / time.Duration(max(ep.record.Slots, 1))}
+		t.admission.decision = admission.Decision{Cause: admission.Full}
 	case outcome.kind == served:
-		d.sharedService(t.req.Service).RecordResponse(now, t.req.Route.Priority, load >= ep.record.Slots, t.admission.waited+now-t.req.Arrived)
+		d.sharedService(t.req.Service).RecordResponse(now, t.req.Route.Priority, t.admission.target, took, now-t.req.Arrived)
 		d.reportShedding(t.req.Service, now)
 	}
 }
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -316,7 +316,7 @@
 	}
 	d.recordOutcome(ep, outcome, took, load)
 	d.recordSignals(t, ep, resp, outcome)
-	d.recordAdmission(t, ep, outcome, load, err)
+	d.recordAdmission(t, ep, outcome, took, err)
 	d.config.ObserveSend(req.Service, outcome.String(), took)
 	return d.handleOutcome(t, ep, resp, outcome, took, err)
 }
