Log why admission refused a request

In seconds 9 to 12 targets are overloaded everywhere; a seventh of the refusals there is for each of two hot keys.

--- a/internal/edge/dispatch/admit.go
+++ b/internal/edge/dispatch/admit.go
@@ -93,6 +93,7 @@
 	if decision.Cause != admission.Admitted || mustQueue || ep.estimate.Running >= ep.limit {
 		t.inputs.Load, t.inputs.Slots, t.inputs.ExpectedTime = target.Load, max(target.Slots, 1), target.Expected
 		t.admission.refusedAt, t.admission.decision = ep, decision
+		t.inputs.Admission = decision.Cause.String()
 		return nil, TargetsFull
 	}
 	ep.estimate.Running++
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -117,6 +117,8 @@
 	// long the request was expected to take there.
 	Load, Slots  int
 	ExpectedTime time.Duration
+	// Admission is why admission refused the request at that target; empty if it did not.
+	Admission string
 }
 
 // Refusal describes a request that ended without a usable response from a target.
--- a/internal/edge/front/handler.go
+++ b/internal/edge/front/handler.go
@@ -277,7 +277,7 @@
 		"took_ms", result.Took.Milliseconds(), "left_ms", left.Milliseconds(), keyAttr(req),
 		"config_version", refusal.Inputs.ConfigVersion, "table_revision", refusal.Inputs.TableRev, "copy_age_ms", refusal.Inputs.CopyAge.Milliseconds(),
 		"ready_targets", refusal.Inputs.ReadyTargets, "load", refusal.Inputs.Load, "slots", refusal.Inputs.Slots,
-		"expected_ms", refusal.Inputs.ExpectedTime.Milliseconds(), "error", refusal.Cause)
+		"expected_ms", refusal.Inputs.ExpectedTime.Milliseconds(), "admission", refusal.Inputs.Admission, "error", refusal.Cause)
 	h.setOutcomeHeaders(w, refusal.MayHaveRun, string(refusal.Reason))
 	h.writeEmpty(w, status, result)
 }
