--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -152,16 +152,16 @@
 func (s *Service) decideShared(now time.Duration, r Request, t Target, slots int) Decision {
 	expected, next := s.prediction.latency(t, 0), s.prediction.latency(t, 1)
 	limit, cause := time.Duration(TimeShare(r.Priority)*float64(r.Left)), Full
-	if r.Objective > 0 {
-		limit = min(limit, r.Objective-r.Held)
+	if own := s.class(r.Priority); own != nil && own.Objective > 0 {
+		limit = min(limit, own.queueLimit()-r.Held)
 	}
 	for i := range s.classes {
 		c := &s.classes[i]
 		if c.Priority >= r.Priority {
 			break
 		}
-		kept := c.Objective
-		if kept == 0 || next <= kept {
+		kept := c.queueLimit()
+		if c.Objective == 0 || next <= kept {
 			continue
 		}
 		// The room is kept in so far as a more urgent request is likely to arrive before this
--- a/internal/coordination/admission/service.go
+++ b/internal/coordination/admission/service.go
@@ -16,6 +16,11 @@
 	// While fewer requests than lowMissShare miss their objective, less urgent requests yield
 	// only queue room that is likely to be needed; from highMissShare on they use free slots only.
 	lowMissShare, highMissShare = 0.1, 0.3
+	// While more than toleratedLate of the responses are late, the queues are longer than they
+	// are known to be, and requests are admitted only within a smaller part of the objective, of
+	// at least minStrictShare, which is reached when toleratedLate+lateRange are late.
+	toleratedLate, lateRange = 0.25, 0.25
+	minStrictShare           = 0.5
 	// shedBegins and shedEnds are the admission levels at which shedding is reported. They
 	// differ, so that small changes around one level are not reported.
 	shedBegins, shedEnds = 0.5, 0.1
@@ -35,6 +40,7 @@
 	arrivedAt time.Duration
 	missed    float64 // share of missed objectives; decays with rateWindow
 	missedAt  time.Duration
+	late      float64 // share of the responses that were late
 }
 
 // Service is the state of one service whose requests differ in priority. It is not safe for
@@ -115,8 +121,10 @@
 	case c == nil || c.Objective == 0:
 	case latency <= c.Objective:
 		c.recordMissed(now, 0)
+		c.late -= c.late / missSmoothing
 	default:
 		c.recordMissed(now, 1)
+		c.late += (1 - c.late) / missSmoothing
 	}
 }
 
@@ -125,6 +133,12 @@
 	c.missed, c.missedAt = known+(missed-known)/missSmoothing, now
 }
 
+// queueLimit returns the time within which a queued request must be likely to complete.
+func (c *class) queueLimit() time.Duration {
+	excess := min(max((c.late-toleratedLate)/lateRange, 0), 1)
+	return time.Duration((1 - (1-minStrictShare)*excess) * float64(c.Objective))
+}
+
 // rate returns the class's requests per second that this daemon gets.
 func (c *class) rate(now time.Duration) float64 {
 	return decay(c.arrived, now-c.arrivedAt) / rateWindow.Seconds()
