--- a/internal/edge/dispatch/admit.go
+++ b/internal/edge/dispatch/admit.go
@@ -71,7 +71,6 @@
 // admissionTarget returns what admission needs to know of a target. d.mu must be held.
 func (d *Dispatcher) admissionTarget(t *requestState, ep *endpoint, now time.Duration) admission.Target {
 	average := d.serviceState(ep.record.Service).avgServiceTime
-	v := d.config.Views.Current()
 	waiter := t.admission.waiter
 	if t.admission.waitsAt != ep {
 		waiter = nil
@@ -79,10 +78,17 @@
 	return admission.Target{
 		Slots: ep.record.Slots, Load: ep.estimate.Load(), Expected: ep.estimate.ExpectedLatency(now, average), ServiceTime: ep.estimate.ServiceTime(average),
 		Ahead: ep.waiters.Ahead(waiter, t.req.Route.Priority), Limit: &ep.limits,
-		ArrivalShare: float64(max(len(v.Daemons), 1)) / float64(max(len(v.Targets.Service(ep.record.Service)), 1)),
+		ArrivalShare: d.arrivalShare(ep.record.Service),
 	}
 }
 
+// arrivalShare returns admission.Target.ArrivalShare of the service's targets. Daemons get
+// about equal parts of the requests.
+func (d *Dispatcher) arrivalShare(service string) float64 {
+	v := d.config.Views.Current()
+	return float64(max(len(v.Daemons), 1)) / float64(max(len(v.Targets.Service(service)), 1))
+}
+
 // admit reserves capacity at the target if the request is likely to complete in time.
 // d.mu must be held.
 func (d *Dispatcher) admit(t *requestState, ep *endpoint) (*endpoint, Reason) {
@@ -156,8 +162,7 @@
 	switch {
 	case reset, outcome.reason == TargetsFull && err == nil:
 		ep.limits.RecordFull(now, t.admission.target.Load, ep.record.Slots, reset)
-		t.admission.refusedAt = ep
-		t.admission.decision = admission.Decision{Cause: admission.Full}
+		t.admission.refusedAt, t.admission.decision = ep, admission.Decision{Cause: admission.Full}
 	case outcome.kind == served:
 		d.sharedService(t.req.Service).RecordResponse(now, t.req.Route.Priority, t.admission.target, took, now-t.req.Arrived)
 		d.reportShedding(t.req.Service, now)
