Let less urgent requests yield as far as more urgent ones are refused more often

Change: less urgent requests yield queue room only while more urgent ones are refused more often; nothing is held; callers that a target refused despite a free slot are asked back soon.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -1,6 +1,6 @@
-// Package admission decides under overload which requests are sent to a target, which wait
-// for room there, and which are refused, and when refused callers are asked to return. Time
-// is an argument; the package keeps no clock and does no I/O.
+// Package admission decides under overload which requests are sent to a target and which are
+// refused, and learns what it needs for that from the outcomes of earlier ones. Time is an
+// argument; the package keeps no clock and does no I/O.
 package admission
 
 import (
@@ -23,12 +23,6 @@
 	objectiveShare = 0.8
 	// queueFactor limits the requests at a target to a multiple of its slots.
 	queueFactor = 3
-	// holdShare is the fraction of the objective for which a request may be held here until a
-	// target has room. A caller that is refused within it loses no more than the way back.
-	holdShare = 1.0 / 8
-	// maxShed is the largest part of the less urgent requests that is refused at targets with
-	// a free slot, so that none of them starve.
-	maxShed = 0.5
 )
 
 // Request is what the decision needs to know of a request.
@@ -44,8 +38,6 @@
 	Held time.Duration
 	// Idempotent states that the request may be sent again after an unknown outcome.
 	Idempotent bool
-	// Chance is a random number from 0 to 1.
-	Chance float64
 }
 
 // Target is the state of a target as this daemon knows it.
@@ -54,9 +46,6 @@
 	// Expected is the expected latency of another request there, including queueing, and
 	// ServiceTime the part of it without queueing.
 	Expected, ServiceTime time.Duration
-	// Ahead is the number of requests that this daemon holds for the target and sends before
-	// this one.
-	Ahead int
 	// Limit is the learned limit of requests at the target.
 	Limit *Limit
 	// ArrivalShare is the part of the service's requests, as seen by this daemon, that arrives
@@ -75,23 +64,10 @@
 	Full
 	// Reserved: the remaining room is kept for more urgent requests.
 	Reserved
-	// Shed: the target has a free slot, as far as is known, but more urgent requests are
-	// expected to miss their objectives there.
-	Shed
 )
 
 // String returns the label of the metrics.
-func (c Cause) String() string { return [...]string{"admitted", "full", "reserved", "shed"}[c] }
-
-// Decision is the result of Decide.
-type Decision struct {
-	Cause Cause
-	// Fits is the time after which the target is expected to have room, if no more requests
-	// arrive there. It is 0 for admitted requests.
-	Fits time.Duration
-	// Hold is true if the request is to be held until room is expected.
-	Hold bool
-}
+func (c Cause) String() string { return [...]string{"admitted", "full", "reserved"}[c] }
 
 // timeLimit returns the time within which the request must be expected to complete, if it has
 // to queue.
@@ -108,49 +84,26 @@
 	return max(baseTimeShare-priorityStep*float64(priority), minTimeShare)
 }
 
-// Decide returns whether a request is sent to the target now. s is nil for services whose
-// requests all have the same priority.
-func (s *Service) Decide(now time.Duration, r Request, t Target) Decision {
+// Decide returns whether a request is sent to the target now, or why it is refused. s is nil
+// for services whose requests all have the same priority.
+func (s *Service) Decide(now time.Duration, r Request, t Target) Cause {
 	slots := max(t.Slots, 1)
-	t = t.behind(slots)
-	if maxLoad := t.Limit.max(now, slots, r.Idempotent); t.Load >= maxLoad {
-		excess := t.Load - maxLoad + 1
-		return s.refuse(r, Full, t.ServiceTime*time.Duration(excess)/time.Duration(slots))
-	}
 	switch {
-	case s != nil:
-		return s.decideShared(now, r, t, slots)
+	case t.Load >= t.Limit.max(now, slots, r.Idempotent):
+		return Full
 	case t.Load < slots:
-		return Decision{}
-	}
-	if limit := r.timeLimit(); t.Expected > limit {
-		return s.refuse(r, Full, t.Expected-limit)
-	}
-	return Decision{}
-}
-
-// behind returns the target as it will be once the requests that are ahead have been sent.
-func (t Target) behind(slots int) Target {
-	if t.Ahead == 0 {
-		return t
+		return Admitted
+	case s != nil:
+		return s.decideQueue(now, r, t)
+	case t.Expected > r.timeLimit():
+		return Full
 	}
-	free := max(slots-t.Load, 0)
-	t.Load += t.Ahead
-	t.Expected += t.ServiceTime * time.Duration(max(t.Ahead-free, 0)) / time.Duration(slots)
-	return t
-}
-
-// refuse returns the decision for a request that would fit after the given time. Only requests
-// of shared services are held: those of other services are refused at once, as callers return
-// to another daemon that may know of room.
-func (s *Service) refuse(r Request, cause Cause, fits time.Duration) Decision {
-	hold := s != nil && cause != Shed && r.Held+fits <= time.Duration(holdShare*float64(r.Objective))
-	return Decision{Cause: cause, Fits: fits, Hold: hold}
+	return Admitted
 }
 
-// decideShared decides for a target that has room in general.
-func (s *Service) decideShared(now time.Duration, r Request, t Target, slots int) Decision {
-	expected, next := s.prediction.latency(t, 0), s.prediction.latency(t, 1)
+// decideQueue decides for a request of a shared service that has to queue.
+func (s *Service) decideQueue(now time.Duration, r Request, t Target) Cause {
+	likely, next := s.prediction.latency(t, 0), s.prediction.latency(t, 1)
 	limit, cause := time.Duration(TimeShare(r.Priority)*float64(r.Left)), Full
 	if own := s.class(r.Priority); own != nil && own.Objective > 0 {
 		limit = min(limit, own.queueLimit()-r.Held)
@@ -164,25 +117,15 @@
 		if c.Objective == 0 || next <= kept {
 			continue
 		}
-		// The room is kept in so far as a more urgent request is likely to arrive before this
-		// one has left.
-		needed := 1 - math.Exp(-c.rate(now)*t.ArrivalShare*expected.Seconds())
-		if t.Load < slots {
-			if r.Chance < maxShed*needed*c.level(now) {
-				return s.refuse(r, Shed, next-kept)
-			}
-			continue
-		}
-		// While too many of the more urgent requests miss their objective, less urgent ones use
-		// free slots only.
-		allowed := limit - time.Duration(needed*float64(max(limit-kept+next-expected, 0)))
-		allowed -= time.Duration(c.level(now) * needed * float64(allowed))
-		if allowed < limit {
+		// The room is kept in so far as more urgent requests are refused more often, and as one
+		// of them is likely to arrive before this one has left.
+		needed := s.yield(now, c, r.Priority) * (1 - math.Exp(-c.rate(now)*t.ArrivalShare*likely.Seconds()))
+		if allowed := limit - time.Duration(needed*float64(max(limit-kept+next-likely, 0))); allowed < limit {
 			limit, cause = allowed, Reserved
 		}
 	}
-	if t.Load < slots || expected <= limit {
-		return Decision{}
+	if likely <= limit {
+		return Admitted
 	}
-	return s.refuse(r, cause, expected-limit)
+	return cause
 }
--- a/internal/coordination/admission/limit.go
+++ b/internal/coordination/admission/limit.go
@@ -6,6 +6,9 @@
 	// raiseInterval is the time without a refusal after which the learned limit of a target
 	// rises by one request.
 	raiseInterval = time.Second
+	// resetFactor lowers the limit of a target that resets connections: the outcome of a request
+	// is unknown then.
+	resetFactor = 0.75
 	// shedTime is how long after a refusal with a free slot the refusals of a target say
 	// nothing of its queue: targets in trouble refuse a part of their requests whatever their load.
 	shedTime = 2 * time.Second
@@ -35,7 +38,11 @@
 	}
 	l.resets = l.resets || reset
 	// The target holds more requests than this daemon knows of.
-	l.learned, l.changedAt = max(min(load, l.max(now, slots, true)-1), slots), now
+	next := min(load, l.max(now, slots, true)-1)
+	if reset {
+		next = int(resetFactor * float64(next))
+	}
+	l.learned, l.changedAt = max(next, slots), now
 }
 
 // max returns the number of requests at the target from which on no more are sent. A request
--- a/internal/coordination/admission/play_test.go
+++ b/internal/coordination/admission/play_test.go
@@ -40,13 +40,13 @@
 )
 
 // play runs the loads against one target whose load is known late, and returns what each got.
-// A nil service decides as for services without classes of different priority.
-func play(seed uint64, service *Service, resets bool, loads []load) []result {
+// A nil service decides as for services without classes of different priority. The target
+// resets connections when it is full, if resets is set; learn uses this for a limit.
+func play(seed uint64, service *Service, resets, learn bool, loads []load) []result {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	out := make([]result, len(loads))
 	estimate := balance.Estimate{Slots: playSlots}
 	var limit Limit
-	var promises Promises
 	var queue []played
 	var returns, running []played
 	ends := make([]time.Duration, 0, playSlots)
@@ -59,31 +59,26 @@
 			Slots: playSlots, Load: estimate.Load(), Limit: &limit, ArrivalShare: 1,
 			Expected: estimate.ExpectedLatency(now, 150*time.Millisecond), ServiceTime: estimate.ServiceTime(150 * time.Millisecond),
 		}
-		r := Request{Priority: l.Priority, Objective: l.Objective, Left: l.deadline - (p.from - p.first), Idempotent: l.idempotent, Chance: rng.Float64()}
+		r := Request{Priority: l.Priority, Objective: l.Objective, Left: l.deadline - (p.from - p.first), Idempotent: l.idempotent}
 		r.Held = now - p.from
 		d := service.Decide(now, r, known)
 		full := len(queue)+len(running) >= playSlots+playQueue
 		switch {
-		case d.Hold:
-			p.sent = now + 10*time.Millisecond
-			returns = append(returns, p)
-			return
-		case d.Cause == Admitted && !full:
+		case d == Admitted && !full:
 			p.target, p.sent = known, now
 			queue = append(queue, p)
 			return
-		case d.Cause == Admitted && full:
-			limit.RecordFull(now, known.Load, playSlots, resets)
+		case d == Admitted && full:
+			if learn {
+				limit.RecordFull(now, known.Load, playSlots, resets)
+			}
 			if resets {
 				out[p.class].reset++
 				return
 			}
 		}
 		service.RecordRefusal(now, l.Priority)
-		after := promises.ReturnAfter(now, r, known, d.Fits, known.ServiceTime/playSlots, rng.Float64())
-		if service == nil {
-			after = min(150*time.Millisecond+time.Duration(rng.Float64()*75)*time.Millisecond, r.Left/3)
-		}
+		after := min(150*time.Millisecond+time.Duration(rng.Float64()*75)*time.Millisecond, r.Left/3)
 		if l.atOnce {
 			after = 0
 		}
@@ -104,7 +99,7 @@
 			}
 			p := running[i]
 			estimate.RecordResponse(now-p.sent, p.target.Load)
-			service.RecordResponse(now, loads[p.class].Priority, p.target, now-p.sent, now-p.from)
+			service.RecordResponse(loads[p.class].Priority, p.target, now-p.sent, now-p.from)
 			if latency := now - p.first + playRoundTrip; latency <= loads[p.class].Objective {
 				out[p.class].inTime++
 			} else {
@@ -153,9 +148,9 @@
 }
 
 // sum plays the loads with several seeds, with the service state or without, and adds the results.
-func sum(shared, resets bool, loads []load) []result {
+func sum(shared, resets, learn bool, loads []load) []result {
 	total := make([]result, len(loads))
-	for seed := range uint64(8) {
+	for seed := range uint64(24) {
 		var s *Service
 		if shared {
 			classes := make([]Class, len(loads))
@@ -164,7 +159,7 @@
 			}
 			s = NewService(classes)
 		}
-		for i, r := range play(seed, s, resets, loads) {
+		for i, r := range play(seed, s, resets, learn, loads) {
 			total[i].asked += r.asked
 			total[i].inTime += r.inTime
 			total[i].late += r.late
--- a/internal/coordination/admission/service.go
+++ b/internal/coordination/admission/service.go
@@ -10,19 +10,20 @@
 const (
 	// rateWindow is the time over which arrivals are averaged. A burst lasts for seconds.
 	rateWindow = 2 * time.Second
-	// missSmoothing is the number of requests over which the share of missed objectives is
-	// smoothed.
-	missSmoothing = 20
-	// While fewer requests than lowMissShare miss their objective, less urgent requests yield
-	// only queue room that is likely to be needed; from highMissShare on they use free slots only.
-	lowMissShare, highMissShare = 0.1, 0.3
+	// lateSmoothing is the number of responses over which the share of late ones is smoothed.
+	lateSmoothing = 20
 	// While more than toleratedLate of the responses are late, the queues are longer than they
 	// are known to be, and requests are admitted only within a smaller part of the objective, of
 	// at least minStrictShare, which is reached when toleratedLate+lateRange are late.
 	toleratedLate, lateRange = 0.25, 0.25
 	minStrictShare           = 0.5
-	// shedBegins and shedEnds are the admission levels at which shedding is reported. They
-	// differ, so that small changes around one level are not reported.
+	// minArrivals is the number of arrivals in rateWindow below which they give no share.
+	minArrivals = 4
+	// yieldRange is the difference of the refused shares of two classes from which on the less
+	// urgent one yields all queue room that the other is likely to need.
+	yieldRange = 0.1
+	// shedBegins and shedEnds are the levels at which shedding is reported. They differ, so that
+	// small changes around one level are not reported.
 	shedBegins, shedEnds = 0.5, 0.1
 )
 
@@ -38,8 +39,8 @@
 	Class
 	arrived   float64 // decays with rateWindow
 	arrivedAt time.Duration
-	missed    float64 // share of missed objectives; decays with rateWindow
-	missedAt  time.Duration
+	refused   float64 // decays likewise
+	refusedAt time.Duration
 	late      float64 // share of the responses that were late
 }
 
@@ -99,19 +100,19 @@
 	}
 }
 
-// RecordRefusal records that a request was refused because its target had no room.
+// RecordRefusal records that a request was refused because its target had no room for it.
 func (s *Service) RecordRefusal(now time.Duration, priority int) {
 	if s == nil {
 		return
 	}
 	if c := s.class(priority); c != nil {
-		c.recordMissed(now, 1)
+		c.refused, c.refusedAt = decay(c.refused, now-c.refusedAt)+1, now
 	}
 }
 
 // RecordResponse records that a request was served: how long that took at a target as it was
 // when the request was sent, and the latency for the caller.
-func (s *Service) RecordResponse(now time.Duration, priority int, t Target, took, latency time.Duration) {
+func (s *Service) RecordResponse(priority int, t Target, took, latency time.Duration) {
 	if s == nil {
 		return
 	}
@@ -120,19 +121,12 @@
 	switch {
 	case c == nil || c.Objective == 0:
 	case latency <= c.Objective:
-		c.recordMissed(now, 0)
-		c.late -= c.late / missSmoothing
+		c.late -= c.late / lateSmoothing
 	default:
-		c.recordMissed(now, 1)
-		c.late += (1 - c.late) / missSmoothing
+		c.late += (1 - c.late) / lateSmoothing
 	}
 }
 
-func (c *class) recordMissed(now time.Duration, missed float64) {
-	known := decay(c.missed, now-c.missedAt)
-	c.missed, c.missedAt = known+(missed-known)/missSmoothing, now
-}
-
 // queueLimit returns the time within which a queued request must be likely to complete.
 func (c *class) queueLimit() time.Duration {
 	excess := min(max((c.late-toleratedLate)/lateRange, 0), 1)
@@ -144,26 +138,35 @@
 	return decay(c.arrived, now-c.arrivedAt) / rateWindow.Seconds()
 }
 
-// level returns from 0 to 1 how far less urgent requests yield to the class, beyond what its
-// arrivals ask for.
-func (c *class) level(now time.Duration) float64 {
-	missed := decay(c.missed, now-c.missedAt)
-	return min(max((missed-lowMissShare)/(highMissShare-lowMissShare), 0), 1)
-}
-
 func decay(v float64, since time.Duration) float64 {
 	return v * math.Exp(-since.Seconds()/rateWindow.Seconds())
 }
 
-// Level returns from 0 to 1 how far the least urgent requests yield to more urgent ones
-// because these miss their objectives.
+// refusedShare returns the share of the class's requests that was refused.
+func (c *class) refusedShare(now time.Duration) float64 {
+	return decay(c.refused, now-c.refusedAt) / max(decay(c.arrived, now-c.arrivedAt), minArrivals)
+}
+
+// yield returns from 0 to 1 how far requests of a priority yield queue room to a more urgent
+// class: fully once the urgent ones are refused more often by yieldRange.
+func (s *Service) yield(now time.Duration, urgent *class, priority int) float64 {
+	less := s.class(priority)
+	if less == nil {
+		return 0
+	}
+	return min(max((urgent.refusedShare(now)-less.refusedShare(now))/yieldRange, 0), 1)
+}
+
+// Level returns the largest yield of a class to a more urgent one.
 func (s *Service) Level(now time.Duration) float64 {
 	if s == nil {
 		return 0
 	}
 	level := 0.0
-	for i := range s.classes[:len(s.classes)-1] {
-		level = max(level, s.classes[i].level(now))
+	for i := range s.classes {
+		for j := range s.classes[:i] {
+			level = max(level, s.yield(now, &s.classes[j], s.classes[i].Priority))
+		}
 	}
 	return level
 }
--- a/internal/edge/dispatch/admit.go
+++ b/internal/edge/dispatch/admit.go
@@ -22,13 +22,12 @@
 
 // admissionState is the state of one request in admission.
 type admissionState struct {
-	// refusedAt is the target that had no room at the last choice; nil if there was none.
-	refusedAt *endpoint
-	decision  admission.Decision
-	target    admission.Target // as it was when the request was admitted there
-	// waiter is the request's place among those that are held for waitsAt; nil if it is not held.
-	waiter  *admission.Waiter
-	waitsAt *endpoint
+	// shared is the state of the request's service; nil if its requests have one priority.
+	shared *admission.Service
+	// cause is why the last choice or send found no room; admission.Admitted if it did.
+	cause admission.Cause
+	// target is the chosen target as it was known before the send.
+	target admission.Target
 }
 
 // sharedService returns the state of a service that routes of different priority share, or
@@ -58,27 +57,23 @@
 func (d *Dispatcher) recordArrival(t *requestState) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.sharedService(t.req.Service).RecordArrival(clock.Now(), t.req.Route.Priority)
+	t.admission.shared = d.sharedService(t.req.Service)
+	t.admission.shared.RecordArrival(clock.Now(), t.req.Route.Priority)
 }
 
 func (t *requestState) admissionRequest(now time.Duration) admission.Request {
 	return admission.Request{
 		Priority: t.req.Route.Priority, Objective: t.req.Route.Objective, Left: t.req.Deadline - now,
-		Held: now - t.req.Arrived, Idempotent: t.req.Route.Idempotent, Chance: rand.Float64(),
+		Held: now - t.req.Arrived, Idempotent: t.req.Route.Idempotent,
 	}
 }
 
 // admissionTarget returns what admission needs to know of a target. d.mu must be held.
-func (d *Dispatcher) admissionTarget(t *requestState, ep *endpoint, now time.Duration) admission.Target {
+func (d *Dispatcher) admissionTarget(ep *endpoint, now time.Duration) admission.Target {
 	average := d.serviceState(ep.record.Service).avgServiceTime
-	waiter := t.admission.waiter
-	if t.admission.waitsAt != ep {
-		waiter = nil
-	}
 	return admission.Target{
-		Slots: ep.record.Slots, Load: ep.estimate.Load(), Expected: ep.estimate.ExpectedLatency(now, average), ServiceTime: ep.estimate.ServiceTime(average),
-		Ahead: ep.waiters.Ahead(waiter, t.req.Route.Priority), Limit: &ep.limits,
-		ArrivalShare: d.arrivalShare(ep.record.Service),
+		Slots: ep.record.Slots, Load: ep.estimate.Load(), Limit: &ep.limits,
+		Expected: ep.estimate.ExpectedLatency(now, average), ServiceTime: ep.estimate.ServiceTime(average),
 	}
 }
 
@@ -93,66 +88,22 @@
 // d.mu must be held.
 func (d *Dispatcher) admit(t *requestState, ep *endpoint) (*endpoint, Reason) {
 	now := clock.Now()
-	target := d.admissionTarget(t, ep, now)
-	decision := d.sharedService(ep.record.Service).Decide(now, t.admissionRequest(now), target)
+	target := d.admissionTarget(ep, now)
+	if t.admission.shared != nil {
+		target.ArrivalShare = d.arrivalShare(ep.record.Service)
+	}
+	t.admission.target = target
+	t.admission.cause = t.admission.shared.Decide(now, t.admissionRequest(now), target)
 	mustQueue := ep.sheds && target.Load >= max(target.Slots, 1)
-	if decision.Cause != admission.Admitted || mustQueue || ep.estimate.Running >= ep.limit {
+	if t.admission.cause != admission.Admitted || mustQueue || ep.estimate.Running >= ep.limit {
 		t.inputs.Load, t.inputs.Slots, t.inputs.ExpectedTime = target.Load, max(target.Slots, 1), target.Expected
-		t.admission.refusedAt, t.admission.decision = ep, decision
-		t.inputs.Admission = decision.Cause.String()
+		t.inputs.Admission = t.admission.cause.String()
 		return nil, TargetsFull
 	}
 	ep.estimate.Running++
-	t.admission.target = target
 	return ep, ""
 }
 
-// Bounds of one wait for room at a target. Requests of other daemons that have ended are not
-// signalled, and daemons that looked at the same times would all send at once.
-const (
-	minRoomPoll = 5 * time.Millisecond
-	maxRoomPoll = 20 * time.Millisecond
-)
-
-// awaitRoom holds a request whose target is expected to have room soon, in the order of
-// priority, and returns true if a target is to be chosen again.
-func (d *Dispatcher) awaitRoom(ctx context.Context, t *requestState) bool {
-	ep, decision := t.admission.refusedAt, t.admission.decision
-	if ep == nil || !decision.Hold || ctx.Err() != nil {
-		return false
-	}
-	if !d.joinWaiters(t, ep) {
-		return false
-	}
-	limit := minRoomPoll + time.Duration(rand.Float64()*float64(maxRoomPoll-minRoomPoll))
-	wait(ctx, nil, min(limit, max(decision.Fits, minRoomPoll)))
-	return true
-}
-
-// joinWaiters gives the request a place among those that are held for the target, and
-// returns false if too many are. A request that any of several targets can run has no place.
-func (d *Dispatcher) joinWaiters(t *requestState, ep *endpoint) bool {
-	if !d.isKeyed(t.req.Service) || t.admission.waiter != nil && t.admission.waitsAt == ep {
-		return true
-	}
-	d.stopWaiting(t)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	t.admission.waiter, t.admission.waitsAt = ep.waiters.Join(t.req.Route.Priority, ep.record.Slots), ep
-	return t.admission.waiter != nil
-}
-
-// stopWaiting ends the wait of a request for room.
-func (d *Dispatcher) stopWaiting(t *requestState) {
-	if t.admission.waiter == nil {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	t.admission.waitsAt.waiters.Leave(t.admission.waiter)
-	t.admission.waiter = nil
-}
-
 // recordAdmission records the outcome of a send for later admissions.
 func (d *Dispatcher) recordAdmission(t *requestState, ep *endpoint, outcome sendOutcome, took time.Duration, err error) {
 	reset := errors.Is(err, syscall.ECONNRESET)
@@ -162,17 +113,17 @@
 	switch {
 	case reset, outcome.reason == TargetsFull && err == nil:
 		ep.limits.RecordFull(now, t.admission.target.Load, ep.record.Slots, reset)
-		t.admission.refusedAt, t.admission.decision = ep, admission.Decision{Cause: admission.Full}
+		t.admission.cause = admission.Full
 	case outcome.kind == served:
-		d.sharedService(t.req.Service).RecordResponse(now, t.req.Route.Priority, t.admission.target, took, now-t.req.Arrived)
-		d.reportShedding(t.req.Service, now)
+		t.admission.shared.RecordResponse(t.req.Route.Priority, t.admission.target, took, now-t.req.Arrived)
+		d.reportShedding(t, now)
 	}
 }
 
 // reportShedding logs when less urgent requests of a service begin or cease to yield their
 // queue room. d.mu must be held.
-func (d *Dispatcher) reportShedding(service string, now time.Duration) {
-	shared := d.sharedService(service)
+func (d *Dispatcher) reportShedding(t *requestState, now time.Duration) {
+	service, shared := t.req.Service, t.admission.shared
 	shedding, changed := shared.UpdateShedding(now)
 	switch {
 	case !changed:
@@ -187,6 +138,8 @@
 const (
 	retryAfterNoOwner = 250 * time.Millisecond
 	retryAfterFull    = 150 * time.Millisecond
+	// retryAfterRoom is for targets that refused a request although they have a free slot.
+	retryAfterRoom = 40 * time.Millisecond
 	// retryAfterStopping only spreads the callers, as the other daemons can serve them at once.
 	retryAfterStopping = 20 * time.Millisecond
 )
@@ -197,9 +150,9 @@
 func (d *Dispatcher) retryAfter(t *requestState, r Reason) time.Duration {
 	delay := retryAfterFull
 	switch r {
-	case TargetsFull:
-		if after := d.returnAfter(t); after > 0 {
-			return after
+	case TargetsFull, RetryBudgetExhausted:
+		if d.recordNotAdmitted(t, r) {
+			delay = retryAfterRoom
 		}
 	case NoOwner, KeyNotHeld, NoTarget:
 		delay = retryAfterNoOwner
@@ -210,30 +163,25 @@
 	return max(delay, t.pausedUntil-clock.Now()) + jitter
 }
 
-// returnAfter records the refusal of a request for which its target had no room. For a shared
-// service it returns the delay after which the request is likely to be served, otherwise 0.
-func (d *Dispatcher) returnAfter(t *requestState) time.Duration {
-	ep, decision := t.admission.refusedAt, t.admission.decision
-	if ep == nil {
-		return 0
+// recordNotAdmitted records that a request of a shared service was refused. It returns true if
+// the target refused the request although it is known to have a free slot: targets in trouble refuse a part of their requests whatever their load.
+func (d *Dispatcher) recordNotAdmitted(t *requestState, r Reason) bool {
+	if t.admission.shared == nil {
+		return false
 	}
 	priority := t.req.Route.Priority
-	if d.config.ObserveNotAdmitted != nil {
-		d.config.ObserveNotAdmitted(t.req.Service, priority, decision.Cause.String())
+	if d.config.ObserveNotAdmitted != nil && r == TargetsFull {
+		d.config.ObserveNotAdmitted(t.req.Service, priority, t.admission.cause.String())
+	}
+	if t.sends > 0 && t.last.Reason == TargetsFull && t.admission.target.Load < t.admission.target.Slots {
+		return true
 	}
 	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	shared := d.sharedService(t.req.Service)
-	if shared == nil {
-		return 0
-	}
-	shared.RecordRefusal(now, priority)
-	d.reportShedding(t.req.Service, now)
-	target := d.admissionTarget(t, ep, now)
-	// This daemon's part of the requests at the target is its part of the room there.
-	place := target.ServiceTime * time.Duration(max(target.Load, 1)) / time.Duration(max(target.Slots, 1)*max(ep.estimate.Running, 1))
-	return ep.promises.ReturnAfter(now, t.admissionRequest(now), target, decision.Fits, place, rand.Float64())
+	t.admission.shared.RecordRefusal(now, priority)
+	d.reportShedding(t, now)
+	return false
 }
 
 // slotPollInterval limits one wait for a slot, because slots freed by the requests of other
--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/admission"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/balance"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/state/target"
@@ -26,7 +27,6 @@
 		// The owner may be full after all, by requests that this daemon does not know of yet.
 		wait(ctx, nil, min(refusalBackoff<<(t.sends-2), time.Duration(refusalBackoffShare*float64(t.req.Deadline-clock.Now()))))
 	}
-	defer d.stopWaiting(t)
 	for {
 		if ctx.Err() != nil {
 			return nil, &Refusal{Reason: CallerDisconnected}
@@ -41,7 +41,7 @@
 		if d.outlivesDaemon(t.req, now) {
 			return nil, &Refusal{Reason: Stopping}
 		}
-		t.admission.refusedAt = nil
+		t.admission.cause = admission.Admitted
 		var ep *endpoint
 		var reason Reason
 		if d.isKeyed(t.req.Service) {
@@ -52,7 +52,7 @@
 		if reason == "" {
 			return ep, nil
 		}
-		if reason == TargetsFull && (d.awaitSlot(ctx, t) || d.awaitRoom(ctx, t)) {
+		if reason == TargetsFull && d.awaitSlot(ctx, t) {
 			continue
 		}
 		now = clock.Now()
--- a/internal/edge/dispatch/choose_test.go
+++ b/internal/edge/dispatch/choose_test.go
@@ -81,7 +81,7 @@
 // objective. If such requests are refused early, as many requests are served, and callers
 // can retry the refused requests.
 func TestAdmitLimitsQueueByObjective(t *testing.T) {
-	d := newTestDispatcher("", false)
+	d := New(Config{})
 	now := clock.Now()
 	admitted := func(load int, objective time.Duration) bool {
 		ep := &endpoint{record: target.Record{Slots: 2}, limit: 100}
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -149,8 +149,8 @@
 	// RefreshTable is called when owners of keys repeatedly do not hold them, with the revision
 	// of the service's range table. It must not block; nil does nothing.
 	RefreshTable func(service string, revision int64)
-	// ObserveNotAdmitted is called for each request that is refused because its target has no
-	// room for it; nil does nothing.
+	// ObserveNotAdmitted is called for each request of a service that routes of different
+	// priority share that is refused because its target has no room; nil does nothing.
 	ObserveNotAdmitted func(service string, priority int, cause string)
 	// ObserveServiceTime is called with each measured service time.
 	ObserveServiceTime func(target peers.TargetHash, took time.Duration)
--- a/internal/edge/dispatch/endpoint.go
+++ b/internal/edge/dispatch/endpoint.go
@@ -43,8 +43,6 @@
 	pausedUntil time.Duration
 	hash        peers.TargetHash
 	limits      admission.Limit
-	waiters     admission.Waiters
-	promises    admission.Promises
 }
 
 // endpoint returns the endpoint of a target, and creates it if it is missing or the
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -140,7 +140,8 @@
 	m.observeDuration(seriesKey{name: "request_time", label1: service}, map[string]string{"service": service}, took)
 }
 
-// ObserveNotAdmitted records a request that was refused because its target had no room for it.
+// ObserveNotAdmitted records a request that was refused because its target had no room, at a
+// service that routes of different priority share.
 func (m *Metrics) ObserveNotAdmitted(service string, priority int, cause string) {
 	label := strconv.Itoa(priority)
 	m.incCounter(seriesKey{"not_admitted", service, label, cause}, map[string]string{"service": service, "priority": label, "cause": cause})
@@ -183,8 +184,8 @@
 	Slots, Connections int
 	// Suspect is the number of targets that are avoided after failures.
 	Suspect int
-	// AdmissionLevel is from 0 to 1 how far less urgent requests yield to more urgent ones
-	// that miss their objectives.
+	// AdmissionLevel is from 0 to 1 how far less urgent requests yield queue room to more
+	// urgent ones.
 	AdmissionLevel float64
 }
 
