--- a/internal/coordination/admission/admission_test.go
+++ b/internal/coordination/admission/admission_test.go
@@ -32,9 +32,9 @@
 		for load := range 4 * slots {
 			for priority := range 5 {
 				for _, objective := range []time.Duration{0, 250 * time.Millisecond, time.Second} {
-					for _, expected := range []time.Duration{10, 150, 199, 200, 201, 500, 800, 801, 2000} {
+					for _, expected := range []int{10, 150, 199, 200, 201, 500, 800, 801, 2000} {
 						r := Request{Priority: priority, Objective: objective, Left: 900 * time.Millisecond, Held: 40 * time.Millisecond}
-						target := Target{Slots: slots, Load: load, Expected: expected * time.Millisecond, ServiceTime: 100 * time.Millisecond, Limit: &Limit{}}
+						target := Target{Slots: slots, Load: load, Expected: time.Duration(expected) * time.Millisecond, ServiceTime: 100 * time.Millisecond, Limit: &Limit{}}
 						d := service.Decide(time.Second, r, target)
 						if got := d == Admitted; got != before(r, target) {
 							t.Fatalf("%+v at %+v: %v, before admitted %v", r, target, d, !got)
