--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -121,6 +120,8 @@
 	// long the request was expected to take there.
 	Load, Slots  int
 	ExpectedTime time.Duration
+	// Admission is why admission refused the request at that target; empty if it did not.
+	Admission string
 }
 
 // Refusal describes a request that ended without a usable response from a target.
@@ -155,6 +156,9 @@
 	// RefreshTable is called when owners of keys repeatedly do not hold them, with the revision
 	// of the service's range table. It must not block; nil does nothing.
 	RefreshTable func(service string, revision int64)
+	// ObserveNotAdmitted is called for each request of a service that routes of different
+	// priority share that is refused because its target has no room; nil does nothing.
+	ObserveNotAdmitted func(service string, priority int, cause string)
 	// ObserveServiceTime is called with each measured service time.
 	ObserveServiceTime func(target peers.TargetHash, took time.Duration)
 	// ObserveProbe is called after each probe of a target's load; nil does nothing.
@@ -190,8 +194,9 @@
 	slotFreed chan struct{}
 	probes    probing.Service
 	// probed is whether the targets were probed when that was last decided.
-	probed bool
-	hedges *hedgeState // nil until a request can be hedged
+	probed    bool
+	hedges    *hedgeState // nil until a request can be hedged
+	admission serviceAdmission
 }
 
 // SetRetryBudget changes the limit of retries. A change resets the retry budgets and
@@ -233,6 +238,7 @@
 	// those that the last choice left out; 0 if there was none.
 	pausedUntil time.Duration
 	cold        coldChoice
+	admission   admissionState
 }
 
 // Do sends the request until a target's response can be returned or no further send
@@ -243,6 +249,7 @@
 		d.config.ObserveKey(req.Service, req.Key)
 	}
 	t := &requestState{req: req, triedTargets: make(map[string]bool), window: d.window.ForRequest()}
+	d.recordArrival(t)
 	for {
 		ep, refusal := d.choose(ctx, t)
 		if refusal != nil {
@@ -282,7 +289,7 @@
 	r.Sends = t.sends
 	r.Inputs = t.inputs
 	if !r.MayHaveRun && r.RetryAfter == 0 {
-		r.RetryAfter = d.retryAfter(r.Reason, t.pausedUntil)
+		r.RetryAfter = d.retryAfter(t, r.Reason)
 	}
 	return nil, r
 }
@@ -298,29 +305,6 @@
 		"status", t.failedResponse.Status, "sends", t.sends, "may_have_run", true, "not_sent_again", cause)
 }
 
-// Minimum delays after which refused callers are asked to retry.
-const (
-	retryAfterNoOwner = 250 * time.Millisecond
-	retryAfterFull    = 150 * time.Millisecond
-	// retryAfterStopping only spreads the callers, as the other daemons can serve them at once.
-	retryAfterStopping = 20 * time.Millisecond
-)
-
-// retryAfter returns the delay after which a refused request is likely to be served. A
-// caller of a target that asked for a pause is told the rest of it. Jitter keeps callers from
-// retrying at the same time.
-func (d *Dispatcher) retryAfter(r Reason, pausedUntil time.Duration) time.Duration {
-	delay := retryAfterFull
-	switch r {
-	case NoOwner, KeyNotHeld, NoTarget:
-		delay = retryAfterNoOwner
-	case Stopping:
-		delay = retryAfterStopping
-	}
-	jitter := time.Duration(rand.Float64() * float64(delay) / 2)
-	return max(delay, pausedUntil-clock.Now()) + jitter
-}
-
 // send is one send of a request to a target.
 type send struct {
 	ep      *endpoint
@@ -398,6 +382,7 @@
 	d.recordOutcome(s.ep, outcome, s.took, s.load, report.Slowdown)
 	d.recordResponseReport(s.ep, report, reported, outcome)
 	d.recordSignals(t, s.ep, s.resp, outcome)
+	d.recordAdmission(t, s.ep, outcome, s.took, s.err)
 	d.config.ObserveSend(t.req.Service, outcome.String(), s.took)
 	return d.handleOutcome(t, s.ep, s.resp, outcome, s.took, s.err)
 }
--- a/internal/edge/dispatch/endpoint.go
+++ b/internal/edge/dispatch/endpoint.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/admission"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/balance"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/probing"
 	"github.com/jackdawloom/jackdawloom/internal/edge/metrics"
@@ -44,7 +45,8 @@
 	hash        peers.TargetHash
 	cold        coldState
 	// probe is guarded by Dispatcher.mu.
-	probe probing.Target
+	probe  probing.Target
+	limits admission.Limit
 }
 
 // endpoint returns the endpoint of a target, and creates it if it is missing or the
@@ -196,7 +198,7 @@
 	defer d.mu.Unlock()
 	out := make(map[string]metrics.ServiceGauges)
 	for name, s := range d.services {
-		out[name] = metrics.ServiceGauges{RetryBudgetLeft: s.budget.Remaining(now, daemons)}
+		out[name] = metrics.ServiceGauges{RetryBudgetLeft: s.budget.Remaining(now, daemons), AdmissionLevel: s.admission.shared.Level(now)}
 	}
 	for _, ep := range d.endpoints {
 		g := out[ep.record.Service]
--- a/internal/edge/dispatch/explain.go
+++ b/internal/edge/dispatch/explain.go
@@ -54,6 +54,9 @@
 		req:          &Request{Route: r, Service: service, Key: key, HasKey: hasKey, Arrived: now, Deadline: now + timeout},
 		triedTargets: make(map[string]bool),
 	}
+	d.mu.Lock()
+	t.admission.shared = d.sharedService(service)
+	d.mu.Unlock()
 	out := Explanation{Keyed: d.isKeyed(service)}
 	records := v.Targets.Service(service)
 	if out.Keyed {
@@ -68,7 +71,7 @@
 	}
 	out.Refused = d.explainRefusal(v, t, &out)
 	if out.Refused != "" {
-		out.RetryAfter = d.retryAfter(out.Refused, t.pausedUntil)
+		out.RetryAfter = retryDelay(out.Refused, false, t.pausedUntil)
 	}
 	return out
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -150,6 +150,7 @@
 		ObserveHedge: func(service string, event dispatch.HedgeEvent, reason hedging.Reason) {
 			o.Metrics.CountHedge(service, string(event), string(reason))
 		},
+		ObserveNotAdmitted: o.Metrics.ObserveNotAdmitted,
 		ObserveKey:         func(service string, key uint16) { d.statsExchange.RecordKey(service, key) },
 		ObserveServiceTime: func(t peers.TargetHash, took time.Duration) { d.statsExchange.RecordServiceTime(t, took) },
 	})
--- a/internal/edge/metrics/metrics.go
+++ b/internal/edge/metrics/metrics.go
@@ -140,6 +140,13 @@
 	m.observeDuration(seriesKey{name: "request_time", label1: service}, map[string]string{"service": service}, took)
 }
 
+// ObserveNotAdmitted records a request that was refused because its target had no room, at a
+// service that routes of different priority share.
+func (m *Metrics) ObserveNotAdmitted(service string, priority int, cause string) {
+	label := strconv.Itoa(priority)
+	m.incCounter(seriesKey{"not_admitted", service, label, cause}, map[string]string{"service": service, "priority": label, "cause": cause})
+}
+
 // ObserveSend records a send to a target with its outcome and duration.
 func (m *Metrics) ObserveSend(service, outcome string, took time.Duration) {
 	m.incCounter(seriesKey{name: "sends", label1: service, label2: outcome}, map[string]string{"service": service, "outcome": outcome})
@@ -195,6 +202,9 @@
 	Suspect int
 	// Cold is the number of targets that are known as cold and tolerate a limited rate.
 	Cold int
+	// AdmissionLevel is from 0 to 1 how far less urgent requests yield queue room to more
+	// urgent ones.
+	AdmissionLevel float64
 }
 
 // SetGauges records the gauge values.
@@ -221,6 +231,7 @@
 		scope.Gauge("target_connections").Update(float64(s.Connections))
 		scope.Gauge("targets_suspect").Update(float64(s.Suspect))
 		scope.Gauge("targets_cold").Update(float64(s.Cold))
+		scope.Gauge("admission_level").Update(s.AdmissionLevel)
 	}
 }
 
