Ask the owner of a key for its load before a request is refused

Change: if the owner of a key has no free slot by what is known, and its last report is older than 25 ms, it is probed within the bounds of probing, and the request waits at most 5 ms.

--- a/internal/coordination/probing/probing.go
+++ b/internal/coordination/probing/probing.go
@@ -187,3 +187,10 @@
 func shuffle(indexes []int) {
 	rand.Shuffle(len(indexes), func(i, j int) { indexes[i], indexes[j] = indexes[j], indexes[i] })
 }
+
+// OwnerNeedsProbe reports whether the owner of a key is probed before a request is decided on: it has
+// no free slot by what is known, and that is too old. The load that daemons tell each other is older
+// than most requests take, so that requests are refused at owners that have room.
+func OwnerNeedsProbe(now time.Duration, c Candidate) bool {
+	return c.Estimate.Load() >= c.Estimate.Slots && c.Target.Available(now) && !c.hasRecentReport(now)
+}
--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -45,7 +45,8 @@
 		var ep *endpoint
 		var reason Reason
 		if d.isKeyed(t.req.Service) {
-			ep, reason = d.chooseOwner(v, t)
+			d.probeOwner(ctx, t)
+			ep, reason = d.chooseOwner(d.config.Views.Current(), t)
 		} else {
 			d.probe(ctx, t)
 			ep, reason = d.chooseAny(d.config.Views.Current(), t)
@@ -118,11 +119,11 @@
 	t.inputs.TableRev = table.Rev
 	span := table.Lookup(t.req.Key)
 	t.fence = span.Fence
-	record, known := v.Targets.Get(span.Owner)
-	if known && record.State == target.Draining && v.AllEvacuated(t.req.Service) {
+	record, usable := ownerRecord(v, t.req)
+	switch {
+	case !usable && record.State == target.Draining && v.AllEvacuated(t.req.Service):
 		return nil, NoTarget
-	}
-	if !span.Owned() || !known || record.Incarnation() != span.Incarnation() || record.State == target.Draining {
+	case !usable:
 		return nil, NoOwner
 	}
 	d.mu.Lock()
--- a/internal/edge/dispatch/dispatch_test.go
+++ b/internal/edge/dispatch/dispatch_test.go
@@ -43,8 +43,13 @@
 // newTestDispatcher returns a dispatcher for a keyed service with one target of two
 // slots, which owns all keys.
 func newTestDispatcher(address string, sheds bool) *Dispatcher {
+	return newOwnerDispatcher(address, route.Service{Name: "s", MaxConnections: 100, ShedsLoad: sheds, Keyed: true})
+}
+
+// newOwnerDispatcher returns a dispatcher for a keyed service whose only target owns all keys.
+func newOwnerDispatcher(address string, service route.Service) *Dispatcher {
 	docs := singleTargetDocs{
-		service: route.Service{Name: "s", MaxConnections: 100, ShedsLoad: sheds, Keyed: true},
+		service: service,
 		record:  target.Record{ID: "t", Service: "s", Address: address, Slots: 2, Epoch: 1},
 	}
 	log := slog.New(slog.DiscardHandler)
