Give cold owners what daemons admit, and no more after a start

Cause: after the return of a cold domain the refusals were for full warm targets (2,900 a second) and hardly any for cold ones: the coordinator gave cold targets 3.8 requests a second while daemons admit 6. And a daemon that had just started admitted its first request to every cold owner: TestColdOwner saw 18 requests in a second of 15.5, once in four runs.

Change: the coordinator's maximum is the rate that daemons admit, in weights that include the evenly distributed part, and an empty cold target gets most of its room in one move. In its first second a daemon sends nothing to cold owners, and its estimate of the demand counts only the time for which it has counted requests.

--- a/internal/coordination/coldstart/coldstart.go
+++ b/internal/coordination/coldstart/coldstart.go
@@ -70,9 +70,24 @@
 	return cmp.Or(cmp.Compare(a, b), cmp.Compare(nameA, nameB))
 }
 
-// OwnerShare is the part of the tolerated rate up to which daemons admit requests to a cold owner
-// of keys: their sends vary by chance.
-const OwnerShare = 0.8
+const (
+	// ownerShare is the part of the rate up to which daemons admit requests to a cold owner of
+	// keys: their sends vary by chance.
+	ownerShare = 0.8
+	// maxOverage bounds the overage: targets may fail well above the tolerated rate, whatever
+	// operators allow.
+	maxOverage = 1.5
+)
+
+// Overage returns the factor by which all daemons together may exceed the tolerated rate, from
+// what the operators allow. It is at least 1.
+func Overage(allowed float64) float64 { return min(max(allowed, 1), maxOverage) }
+
+// OwnerRate returns the requests per second that daemons admit at most to a cold owner that
+// tolerates the given rate.
+func OwnerRate(rate, allowedOverage float64) float64 {
+	return ownerShare * rate * Overage(allowedOverage)
+}
 
 // Classes is the number of priorities that are told apart. Lower priorities count as the last.
 const Classes = 4
@@ -84,10 +99,9 @@
 type Demand [Classes]float64
 
 // Admission returns the fraction of the requests of a class that may be sent so that the sends
-// of all classes together stay within OwnerShare of the tolerated rate. Requests of a class are admitted only as far as
+// of all classes together stay within the rate, see OwnerRate. Requests of a class are admitted only as far as
 // higher classes leave room.
 func (d Demand) Admission(class int, rate float64) float64 {
-	rate *= OwnerShare
 	for _, higher := range d[:class] {
 		rate -= higher
 	}
@@ -122,18 +136,24 @@
 	// time would make the demand for a quiet owner too uncertain, a longer one would tell of a
 	// key that becomes busy too late.
 	recentBuckets = 5
+	// minEstimateWindow is the shortest time that requests are taken to have arrived in.
+	minEstimateWindow = 500 * time.Millisecond
 )
 
 // Counter counts a daemon's requests for one target by class over the last seconds.
 type Counter struct {
 	counts [buckets][Classes]int
-	last   int64 // number of the current bucket
+	last   int64         // number of the current bucket
+	since  time.Duration // time of the first request
 }
 
 // Add counts a request.
 func (c *Counter) Add(now time.Duration, class int) {
 	c.advance(now)
 	c.counts[c.last%buckets][class]++
+	if c.since == 0 {
+		c.since = now
+	}
 }
 
 // advance clears the buckets that have passed.
@@ -178,7 +198,7 @@
 // each daemon has; the one just counted stands for itself only, or else a single request would
 // make the demand look as large as the fleet.
 func (c *Counter) Estimate(now time.Duration, class, daemons int) Demand {
-	const window = float64(buckets) * float64(bucket) / float64(time.Second)
+	window := min(max(now-c.since, minEstimateWindow), buckets*bucket).Seconds()
 	var out Demand
 	for i, n := range c.sum(now, buckets) {
 		if i == class {
--- a/internal/coordination/ownership/limit.go
+++ b/internal/coordination/ownership/limit.go
@@ -6,8 +6,15 @@
 // it, so its load is moved away earlier.
 const limitedSigma = 1
 
-// maxWeight returns the weight that corresponds to the target's maximum rate.
-func (t Target) maxWeight() float64 { return t.MaxRate * float64(loadWindow) / float64(time.Second) }
+// limitedRoomShare is the part of its room that an empty target with a maximum rate gets in one
+// move. Such a target is empty after it has started, and its room is small.
+const limitedRoomShare = 0.8
+
+// maxWeight returns the weight that corresponds to the target's maximum rate, with the weight that
+// is distributed evenly.
+func (t Target) maxWeight() float64 {
+	return t.MaxRate * float64(loadWindow) / float64(time.Second) * (1 + uniformShare)
+}
 
 // exceeds reports whether the weight is above the target's maximum rate.
 func (t Target) exceeds(weight float64) bool { return t.MaxRate > 0 && weight > t.maxWeight() }
--- a/internal/coordination/ownership/plan.go
+++ b/internal/coordination/ownership/plan.go
@@ -262,6 +262,9 @@
 	want := min(room, w.byTarget[high.Incarnation.ID]-w.fairShare(high))
 	if toEmptyTarget {
 		want = room / 2
+		if low.MaxRate > 0 {
+			want = limitedRoomShare * room
+		}
 	}
 	p := e.densestRun(w, high.Incarnation, want)
 	if p.span == nil {
--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/coldstart"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/ownership"
 	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
@@ -74,6 +75,8 @@
 	TargetStats   TargetStats
 	// Grants configures the ownership engine of each service.
 	Grants ownership.Config
+	// ColdOverage is that of dispatch.Config.
+	ColdOverage float64
 	// LeaseTTL bounds how long there is no coordinator after the coordinator has failed;
 	// zero means two seconds.
 	LeaseTTL time.Duration
@@ -359,7 +362,7 @@
 			t.Capacity *= min(max(float64(sum)/float64(n)/float64(s), minSpeedFactor), maxSpeedFactor)
 		}
 		if coldRate > 0 && r.ColdUntil > now {
-			t.MaxRate = coldRate
+			t.MaxRate = coldstart.OwnerRate(coldRate, c.config.ColdOverage)
 		}
 		out = append(out, t)
 	}
--- a/internal/edge/dispatch/cold.go
+++ b/internal/edge/dispatch/cold.go
@@ -29,9 +29,9 @@
 	// recentUseTime is the time after a target was last a candidate as a warm one within which
 	// the daemons may have sent to it at any rate.
 	recentUseTime = 2 * time.Second
-	// maxColdOverage bounds the overage: targets may fail well above the tolerated rate, whatever
-	// operators allow.
-	maxColdOverage = 1.5
+	// ownerStartDelay is how long after its start a daemon sends nothing to cold owners: it does
+	// not know the demand, and many daemons may start at once.
+	ownerStartDelay = time.Second
 	// coldRetryDelay is the shortest delay after which a caller that a cold owner has no room
 	// for is asked to retry.
 	coldRetryDelay = 150 * time.Millisecond
@@ -102,7 +102,7 @@
 // updateCold takes over the limits of the service.
 func (ep *endpoint) updateCold(s route.Service, overage float64) {
 	c := &ep.cold
-	c.rate, c.overage, c.keyed = s.ColdRate, min(max(overage, 1), maxColdOverage), s.Keyed
+	c.rate, c.overage, c.keyed = s.ColdRate, coldstart.Overage(overage), s.Keyed
 	if c.rate <= 0 || c.counter != nil {
 		return
 	}
@@ -207,7 +207,10 @@
 	if until <= now || t.cold.admitted {
 		return ""
 	}
-	fraction := ep.estimateDemand(now, class, daemons).Admission(class, c.rate*c.overage)
+	fraction := ep.estimateDemand(now, class, daemons).Admission(class, coldstart.OwnerRate(c.rate, c.overage))
+	if now-d.started < ownerStartDelay {
+		fraction = 0
+	}
 	if coldstart.HasRoom(ep.estimate.Load(), ep.record.Slots) && rand.Float64() < fraction {
 		t.cold.admitted = true
 		return ""
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -66,7 +66,7 @@
 	LeaseTTL, GrantTimeout time.Duration
 	// RetryBudget bounds the retries of all daemons together.
 	RetryBudget budget.Bound
-	// ColdOverage is passed to dispatch.Config.
+	// ColdOverage is passed to dispatch.Config and coordinator.Config.
 	ColdOverage float64
 }
 
@@ -153,7 +153,7 @@
 	})
 	d.coord = coordinator.New(coordinator.Config{
 		Store: relay, SendHandover: relay.SendHandover, Self: d.self, Views: d.views, GrantProtocol: o.GrantProtocol, TargetStats: d.dispatcher,
-		Grants: o.Settings.Grants, LeaseTTL: o.Settings.LeaseTTL, GrantTimeout: o.Settings.GrantTimeout,
+		Grants: o.Settings.Grants, ColdOverage: o.Settings.ColdOverage, LeaseTTL: o.Settings.LeaseTTL, GrantTimeout: o.Settings.GrantTimeout,
 		CapacityDeficit: d.capacityDeficit, Bodies: responseBodies, Log: o.Log,
 	})
 	d.handler = &front.Handler{Names: o.HeaderNames, Views: d.views, Dispatcher: d.dispatcher, Bodies: requestBodies, Log: o.Log, ObserveRequest: func(r front.Result) {
