--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -87,16 +87,18 @@
 		d.log.Error("announcement could not be encoded; this daemon will not be announced", "error", err)
 		return
 	}
-	writtenIn := int64(0) // era of the store
+	checkedIn := int64(0) // era of the store
 	for written := false; ; {
-		if era := d.views.Current().Era; !written || d.unannounced() || era > writtenIn && !d.announcedAs(value) {
-			writtenIn = era
+		era := d.views.Current().Era
+		rose := era > checkedIn
+		checkedIn = era
+		if !written || d.unannounced() || rose && !d.announcedAs(value) {
 			_, err := d.options.Store.Commit(ctx, topo.Txn{Puts: []topo.Put{{Key: view.DaemonKey(d.self.Name), Value: value}}})
 			if written = err == nil; !written && ctx.Err() == nil {
 				d.log.Warn("announcement could not be written to the store; trying again", "error", err)
 			}
 		}
-		if !d.awaitAnnouncementCheck(ctx, writtenIn, ticker.C) {
+		if !d.awaitAnnouncementCheck(ctx, checkedIn, ticker.C) {
 			d.withdraw(d.self.Name, "it stops")
 			return
 		}
