Learn limits only from early resets, and name reserved room only where it decides

Cause: connections are reset for other reasons too, after the target has begun a request; a limit learned from these would leave slots idle. Test: TestOnlyEarlyResetsAreOfFullTargets.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -104,10 +104,13 @@
 // decideQueue decides for a request of a shared service that has to queue.
 func (s *Service) decideQueue(now time.Duration, r Request, t Target) Cause {
 	likely, next := s.prediction.latency(t, 0), s.prediction.latency(t, 1)
-	limit, cause := time.Duration(TimeShare(r.Priority)*float64(r.Left)), Full
+	limit := time.Duration(TimeShare(r.Priority) * float64(r.Left))
 	if own := s.class(r.Priority); own != nil && own.Objective > 0 {
 		limit = min(limit, own.queueLimit()-r.Held)
 	}
+	if likely > limit {
+		return Full
+	}
 	for i := range s.classes {
 		c := &s.classes[i]
 		if c.Priority >= r.Priority {
@@ -120,12 +123,9 @@
 		// The room is kept in so far as more urgent requests are refused more often, and as one
 		// of them is likely to arrive before this one has left.
 		needed := s.yield(now, c, r.Priority) * (1 - math.Exp(-c.rate(now)*t.ArrivalShare*likely.Seconds()))
-		if allowed := limit - time.Duration(needed*float64(max(limit-kept+next-likely, 0))); allowed < limit {
-			limit, cause = allowed, Reserved
+		if likely > limit-time.Duration(needed*float64(max(limit-kept+next-likely, 0))) {
+			return Reserved
 		}
 	}
-	if likely <= limit {
-		return Admitted
-	}
-	return cause
+	return Admitted
 }
--- a/internal/edge/dispatch/admit.go
+++ b/internal/edge/dispatch/admit.go
@@ -104,9 +104,14 @@
 	return ep, ""
 }
 
+// fullResetShare is the part of the service time within which a reset means that the target was
+// full: it resets then before it begins a request.
+const fullResetShare = 0.25
+
 // recordAdmission records the outcome of a send for later admissions.
 func (d *Dispatcher) recordAdmission(t *requestState, ep *endpoint, outcome sendOutcome, took time.Duration, err error) {
-	reset := errors.Is(err, syscall.ECONNRESET)
+	serviceTime := t.admission.target.ServiceTime
+	reset := errors.Is(err, syscall.ECONNRESET) && took < time.Duration(fullResetShare*float64(serviceTime))
 	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/edge/dispatch/admit_test.go
+++ b/internal/edge/dispatch/admit_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/jackdawloom/jackdawloom/internal/coordination/admission"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/state/route"
+	"github.com/jackdawloom/jackdawloom/internal/state/target"
 	"github.com/jackdawloom/jackdawloom/internal/topo"
 	"github.com/jackdawloom/jackdawloom/internal/topo/mirror"
 )
@@ -93,3 +95,24 @@
 		t.Error("a service without routes sheds")
 	}
 }
+
+// Guards against a limit learned from connections that were reset for another reason than a
+// full target, which would leave slots idle.
+func TestOnlyEarlyResetsAreOfFullTargets(t *testing.T) {
+	d := newTestDispatcher("", false)
+	for took, want := range map[time.Duration]bool{2 * time.Millisecond: true, 80 * time.Millisecond: false} {
+		ep := &endpoint{record: target.Record{Slots: 2}}
+		ep.estimate.Slots, ep.estimate.RunningElsewhere = 2, 4
+		ep.estimate.SetServiceTime(100 * time.Millisecond)
+		now := clock.Now()
+		state := &requestState{req: &Request{Route: &route.Route{}, Arrived: now, Deadline: now + time.Second}}
+		if _, reason := d.admit(state, ep); reason != "" {
+			t.Fatal(reason)
+		}
+		ep.estimate.Running--
+		d.recordAdmission(state, ep, sendOutcome{unknown, ConnectionLost}, took, syscall.ECONNRESET)
+		if _, reason := d.admit(state, ep); (reason == TargetsFull) != want {
+			t.Errorf("after a reset within %v: %q at the same load, want full %v", took, reason, want)
+		}
+	}
+}
