--- a/internal/edge/dispatch/admit_test.go
+++ b/internal/edge/dispatch/admit_test.go
@@ -101,7 +101,7 @@
 func TestOnlyEarlyResetsAreOfFullTargets(t *testing.T) {
 	d := newTestDispatcher("", false)
 	for took, want := range map[time.Duration]bool{2 * time.Millisecond: true, 80 * time.Millisecond: false} {
-		ep := &endpoint{record: target.Record{Slots: 2}}
+		ep := &endpoint{record: target.Record{Slots: 2}, limit: 100}
 		ep.estimate.Slots, ep.estimate.RunningElsewhere = 2, 4
 		ep.estimate.SetServiceTime(100 * time.Millisecond)
 		now := clock.Now()
