Test that daemons behind hubs follow a restored store

Covers copies that go through two levels of hubs, and a primary hub that keeps the copy of the earlier era for 700 ms.

--- a/internal/edge/peers/feed_test.go
+++ b/internal/edge/peers/feed_test.go
@@ -67,7 +67,9 @@
 		if c.stall != nil {
 			c.stall.wait()
 		}
-		if e := c.state.entry(); e.ModRev > after {
+		if e := c.state.entry(); topo.EraOf(e.ModRev) > topo.EraOf(after) {
+			return nil, topo.Progress{}, topo.ErrCompacted
+		} else if e.ModRev > after {
 			return []topo.Event{{Entry: e}}, topo.Progress{Rev: e.ModRev}, nil
 		}
 		if time.Now().After(end) {
@@ -233,6 +235,36 @@
 	f.await(t, f.state.change(), inForce)
 }
 
+// restore brings the store back from a copy with a lower revision.
+func (s *sharedState) restore() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev = topo.Position(topo.EraOf(s.rev)+1, topo.RevOf(s.rev)-2)
+	return s.rev
+}
+
+// Guards against daemons behind hubs that do not follow a store that came back from a copy, and
+// against an earlier copy of a hub that replaces the one of a higher era.
+func TestRestoredStoreIsFollowedThroughHubs(t *testing.T) {
+	f := startFeeds(t, 9, 3)
+	for range 3 {
+		f.await(t, f.state.change(), 5*time.Second)
+	}
+	f.await(t, f.state.restore(), inForce)
+	f.await(t, f.state.change(), inForce)
+	f.stalls[0].begin(700 * time.Millisecond) // the primary hub keeps the copy of the earlier era
+	rev := f.state.restore()
+	f.await(t, rev, inForce+time.Second)
+	for range 20 {
+		time.Sleep(20 * time.Millisecond)
+		for i, m := range f.mirrors {
+			if got := m.Status().Rev; got < rev {
+				t.Errorf("daemon %d went back to position %d from %d", i, got, rev)
+			}
+		}
+	}
+}
+
 // Guards against a daemon that starts while the store is down and refuses all callers until
 // the store returns, although other daemons have a copy.
 func TestStartsWithTheCopyOfASeed(t *testing.T) {
