Learn from each send of a request by the target that it went to

Cause: a hedged request has two sends, and what admission learned from the second was recorded with the load and service time of the first one's target.

Change: a send keeps the state of its target as it was known before.

--- a/internal/edge/dispatch/admit.go
+++ b/internal/edge/dispatch/admit.go
@@ -108,19 +108,29 @@
 // full: it resets then before it begins a request.
 const fullResetShare = 0.25
 
+// targetBefore returns the state of a target without the request that has just reserved capacity
+// there.
+func (d *Dispatcher) targetBefore(ep *endpoint, now time.Duration) admission.Target {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	target := d.admissionTarget(ep, now)
+	target.Load--
+	return target
+}
+
 // recordAdmission records the outcome of a send for later admissions.
-func (d *Dispatcher) recordAdmission(t *requestState, ep *endpoint, outcome sendOutcome, took time.Duration, err error) {
-	serviceTime := t.admission.target.ServiceTime
-	reset := errors.Is(err, syscall.ECONNRESET) && took < time.Duration(fullResetShare*float64(serviceTime))
+func (d *Dispatcher) recordAdmission(t *requestState, s *send, outcome sendOutcome) {
+	early := s.took < time.Duration(fullResetShare*float64(s.target.ServiceTime))
+	reset := early && errors.Is(s.err, syscall.ECONNRESET)
 	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
-	case reset, outcome.reason == TargetsFull && err == nil:
-		ep.limits.RecordFull(now, t.admission.target.Load, ep.record.Slots, reset)
+	case reset, outcome.reason == TargetsFull && s.err == nil:
+		s.ep.limits.RecordFull(now, s.target.Load, s.ep.record.Slots, reset)
 		t.admission.cause = admission.Full
 	case outcome.kind == served:
-		t.admission.shared.RecordResponse(t.req.Route.Priority, t.admission.target, took, now-t.req.Arrived)
+		t.admission.shared.RecordResponse(t.req.Route.Priority, s.target, s.took, now-t.req.Arrived)
 		d.reportShedding(t, now)
 	}
 }
--- a/internal/edge/dispatch/admit_test.go
+++ b/internal/edge/dispatch/admit_test.go
@@ -109,8 +109,9 @@
 		if _, reason := d.admit(state, ep); reason != "" {
 			t.Fatal(reason)
 		}
+		s := &send{ep: ep, target: d.targetBefore(ep, now), took: took, err: syscall.ECONNRESET}
 		ep.estimate.Running--
-		d.recordAdmission(state, ep, sendOutcome{unknown, ConnectionLost}, took, syscall.ECONNRESET)
+		d.recordAdmission(state, s, sendOutcome{unknown, ConnectionLost})
 		if _, reason := d.admit(state, ep); (reason == TargetsFull) != want {
 			t.Errorf("after a reset within %v: %q at the same load, want full %v", took, reason, want)
 		}
--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -274,11 +274,3 @@
 	defer d.mu.Unlock()
 	ep.estimate.Running--
 }
-
-// loadBefore returns the target's load without the request that has just reserved capacity
-// there.
-func (d *Dispatcher) loadBefore(ep *endpoint) int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return ep.estimate.Load() - 1
-}
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/admission"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/hedging"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/probing"
@@ -311,9 +312,9 @@
 	ctx     context.Context //nolint:containedctx // ends the send
 	cancel  context.CancelFunc
 	started time.Duration
-	// left is the remaining time at the start, and load the target's load without the request.
+	// left is the remaining time at the start, and target the target's state without the request.
 	left              time.Duration
-	load              int
+	target            admission.Target
 	hasAttemptTimeout bool
 	// superseded is set before a send is cancelled because another one has been answered.
 	superseded atomic.Bool
@@ -354,7 +355,7 @@
 	t.sends++
 	req.sends.Add(1)
 	t.triedTargets[ep.id] = true
-	s.load = d.loadBefore(ep)
+	s.target = d.targetBefore(ep, now)
 	return s
 }
 
@@ -379,10 +380,10 @@
 		outcome = sendOutcome{kind: unknown, reason: CallerDisconnected}
 	}
 	report, reported := d.responseReport(s.resp, outcome)
-	d.recordOutcome(s.ep, outcome, s.took, s.load, report.Slowdown)
+	d.recordOutcome(s.ep, outcome, s.took, s.target.Load, report.Slowdown)
 	d.recordResponseReport(s.ep, report, reported, outcome)
 	d.recordSignals(t, s.ep, s.resp, outcome)
-	d.recordAdmission(t, s.ep, outcome, s.took, s.err)
+	d.recordAdmission(t, s, outcome)
 	d.config.ObserveSend(t.req.Service, outcome.String(), s.took)
 	return d.handleOutcome(t, s.ep, s.resp, outcome, s.took, s.err)
 }
--- a/internal/edge/dispatch/hedge.go
+++ b/internal/edge/dispatch/hedge.go
@@ -260,7 +260,7 @@
 		outcome = sendOutcome{kind: superseded}
 	}
 	report, reported := d.responseReport(s.resp, outcome)
-	d.recordOutcome(s.ep, outcome, s.took, s.load, report.Slowdown)
+	d.recordOutcome(s.ep, outcome, s.took, s.target.Load, report.Slowdown)
 	d.recordResponseReport(s.ep, report, reported, outcome)
 	d.recordSignals(t, s.ep, s.resp, outcome)
 	d.config.ObserveSend(t.req.Service, outcome.String(), s.took)
