Show operators which failure domains are evacuated and what is left there

The gauges told only the sums over all evacuated domains, not since when each is evacuated nor whether the store still holds the request. jackdawctl evacuations lists them by domain; daemons serve the list at /v1/evacuations on the administrative and on the metrics address.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -65,7 +65,7 @@
 			validateCommand(), diffCommand(), applyCommand(), configCommand(),
 			instancesCommand(), targetsCommand(), ownerCommand(), drainCommand(), undrainCommand(),
 			burnCommand(), certsCommand(), loadCommand(), moveCommand(),
-			experimentCommand(), explainCommand(), routeCommand(),
+			experimentCommand(), explainCommand(), routeCommand(), evacuationsCommand(),
 		},
 	}
 }
--- a/internal/ctl/embedded_test.go
+++ b/internal/ctl/embedded_test.go
@@ -127,6 +127,8 @@
 		t.Fatalf("route after the move: %+v", where)
 	}
 	ctl("route", inShard5).want(t, ExitOK, "Sent to display/display-a")
+	ctl("evacuations").want(t, ExitOK, "No failure domain is evacuated.")
+	ctl("evacuations", "rack-1").want(t, ExitUsage)
 	ctl("route", "/no-such-path").want(t, ExitOK, "No route matches")
 	ctl("route", "--header", "no value", "/").want(t, ExitFailed, "NAME: VALUE")
 	ctl("move", "display", "32", "display-a").want(t, ExitFailed, "shard 32 of 32")
--- a/internal/edge/dispatch/evacuation_test.go
+++ b/internal/edge/dispatch/evacuation_test.go
@@ -75,7 +75,7 @@
 			t.Fatalf("refused %+v; the other domain has a target", refusal)
 		}
 	}
-	if n := views.Current().EvacuatedKeys(); n != ranges.KeyCount {
+	if n := views.Current().KeysIn(views.Current().EvacuatedDomains); n != ranges.KeyCount {
 		t.Errorf("%d keys counted in the evacuated domain, want all", n)
 	}
 	time.Sleep(limit)
--- a/internal/edge/explain.go
+++ b/internal/edge/explain.go
@@ -34,11 +34,13 @@
 	writeJSON(w, http.StatusOK, out)
 }
 
-// metricsHandler serves the metrics and, for daemons without an administrative address, ExplainRoute.
+// metricsHandler serves the metrics and, for daemons without an administrative
+// address, ExplainRoute and ShowEvacuations.
 func (d *Daemon) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", d.options.Metrics.Handler())
 	mux.HandleFunc("GET "+adminapi.PathRoute, d.ExplainRoute)
+	mux.HandleFunc("GET "+adminapi.PathEvacuations, d.ShowEvacuations)
 	return mux
 }
 
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -228,7 +228,7 @@
 	}
 	g.LogLinesDropped, g.LogLinesOmitted = d.options.LogCounts()
 	if len(v.EvacuatedDomains) > 0 {
-		g.EvacuatedKeys, g.EvacuatedRequests = v.EvacuatedKeys(), d.dispatcher.RunningIn(v.EvacuatedDomains)
+		g.EvacuatedKeys, g.EvacuatedRequests = v.KeysIn(v.EvacuatedDomains), d.dispatcher.RunningIn(v.EvacuatedDomains)
 	}
 	if v.Config != nil {
 		g.ConfigVersion = v.Config.Version
--- a/internal/edge/view/evacuation.go
+++ b/internal/edge/view/evacuation.go
@@ -1,6 +1,8 @@
 package view
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
@@ -36,6 +38,8 @@
 type evacuation struct {
 	// since is the earliest time at which it may have been requested.
 	since time.Duration
+	// learnedAt is when this daemon learned of the request.
+	learnedAt time.Duration
 	// missingSince is when a snapshot of the store did not contain the request; 0 if the last
 	// one did.
 	missingSince time.Duration
@@ -110,7 +114,7 @@
 		if !tr.evacuations.following {
 			since = now - tr.evacuations.limit // its age is not known
 		}
-		tr.evacuations.byDomain[domain] = evacuation{since: since}
+		tr.evacuations.byDomain[domain] = evacuation{since: since, learnedAt: now}
 		end := max(tr.evacuations.drainedAt(since)-now, 0)
 		tr.log.Info("failure domain evacuated", "domain", domain, "revision", e.ModRev, "until_last_send_ms", end.Milliseconds())
 		time.AfterFunc(end, tr.Expire)
@@ -157,13 +161,37 @@
 	return ended
 }
 
-// EvacuatedKeys returns the number of keys of all services whose owners are in evacuated failure
-// domains.
-func (v *View) EvacuatedKeys() int {
+// Evacuation is the evacuation of a failure domain as this daemon knows it.
+type Evacuation struct {
+	Domain string
+	// LearnedAt is when the daemon learned of the request; it may have been made earlier.
+	LearnedAt time.Duration
+	// DrainedAt is when the owners of keys in the domain get no more requests from the daemon.
+	DrainedAt time.Duration
+	// Missing states that the store does not contain the request any more.
+	Missing bool
+}
+
+// Evacuations returns the evacuations in force, ordered by domain.
+func (tr *Tracker) Evacuations() []Evacuation {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	out := make([]Evacuation, 0, len(tr.evacuations.byDomain))
+	for _, domain := range slices.Sorted(maps.Keys(tr.evacuations.byDomain)) {
+		e := tr.evacuations.byDomain[domain]
+		out = append(out, Evacuation{
+			Domain: domain, LearnedAt: e.learnedAt, DrainedAt: tr.evacuations.drainedAt(e.since), Missing: e.missingSince > 0,
+		})
+	}
+	return out
+}
+
+// KeysIn returns the number of keys of all services whose owners are in failure domains.
+func (v *View) KeysIn(domains map[string]bool) int {
 	n := 0
 	for _, table := range v.Tables {
 		for _, s := range table.Spans {
-			if r, known := v.Targets.Get(s.Owner); known && v.EvacuatedDomains[r.Domain] {
+			if r, known := v.Targets.Get(s.Owner); known && domains[r.Domain] {
 				n += s.Len()
 			}
 		}
--- a/internal/edge/view/evacuation_test.go
+++ b/internal/edge/view/evacuation_test.go
@@ -151,3 +151,28 @@
 		}
 	}
 }
+
+// Guards against telling operators that an evacuation is over, or that none is, while it is still in
+// force, and against an age that an older request would not have.
+func TestEvacuationsTold(t *testing.T) {
+	age := time.Second
+	tr := newDomainTracker(10*time.Second, &age)
+	if got := tr.Evacuations(); len(got) != 0 {
+		t.Errorf("%+v without a request", got)
+	}
+	before := clock.Now()
+	tr.Apply(mirror.Change{Entries: []topo.Entry{entry("evacuate/b", 2), entry("evacuate/a", 3)}})
+	got := tr.Evacuations()
+	if len(got) != 2 || got[0].Domain != "a" || got[1].Domain != "b" {
+		t.Fatalf("%+v, want domains a and b", got)
+	}
+	for _, e := range got {
+		if left := e.DrainedAt - before; e.LearnedAt < before || e.Missing || left < 8400*time.Millisecond || left > 8600*time.Millisecond {
+			t.Errorf("%+v at %v, want it known since then and owners to get requests for 8.5 s", e, before)
+		}
+	}
+	tr.Apply(mirror.Change{Snapshot: true, Entries: append([]topo.Entry{entry("evacuate/a", 3)}, domainEntries...)})
+	if got = tr.Evacuations(); len(got) != 2 || got[0].Missing || !got[1].Missing {
+		t.Errorf("%+v, want the request for b missing in the store", got)
+	}
+}
--- a/internal/native/admin/admin.go
+++ b/internal/native/admin/admin.go
@@ -36,6 +36,7 @@
 	CoordinatorTerm() (int64, bool)
 	Move(ctx context.Context, service string, from, to uint16, targetID string) error
 	ExplainRoute(w http.ResponseWriter, r *http.Request)
+	ShowEvacuations(w http.ResponseWriter, r *http.Request)
 }
 
 // Config holds the dependencies of the interface.
@@ -66,6 +67,7 @@
 	mux.Handle("PUT "+adminapi.PathConfig, newEndpointHandler(s.apply, decodeApply))
 	mux.Handle("GET "+adminapi.PathOwner, newEndpointHandler(s.owner, decodeOwner))
 	mux.HandleFunc("GET "+adminapi.PathRoute, c.Daemon.ExplainRoute)
+	mux.HandleFunc("GET "+adminapi.PathEvacuations, c.Daemon.ShowEvacuations)
 	mux.Handle("POST "+adminapi.PathMoves, newEndpointHandler(s.move, decodeMove))
 	mux.Handle("GET "+adminapi.PathServiceLevels, newEndpointHandler(s.serviceLevels, decodeEmpty))
 	mux.Handle("GET "+adminapi.PathBurn, newEndpointHandler(s.burn, decodeEmpty))
--- a/internal/protocol/adminapi/adminapi.go
+++ b/internal/protocol/adminapi/adminapi.go
@@ -23,6 +23,8 @@
 	PathBurn = "/v1/burn"
 	// PathRoute returns a RouteExplanation.
 	PathRoute = "/v1/route"
+	// PathEvacuations returns Evacuations.
+	PathEvacuations = "/v1/evacuations"
 )
 
 // State is the state of a daemon.
@@ -252,3 +254,28 @@
 	// LeftOut is why the target gets no request now; empty if it may get one.
 	LeftOut string `json:"left_out,omitempty"`
 }
+
+// Evacuations holds the evacuated failure domains that one daemon knows.
+type Evacuations struct {
+	Daemon string `json:"daemon"`
+	// CopyAgeMs is the age of the daemon's copy of the store, on which the answer is based.
+	CopyAgeMs int64        `json:"copy_age_ms"`
+	Domains   []Evacuation `json:"domains"`
+}
+
+// Evacuation is the evacuation of one failure domain.
+type Evacuation struct {
+	Domain string `json:"domain"`
+	// KnownForMs is how long the daemon has known of the request, which may be older.
+	KnownForMs int64 `json:"known_for_ms"`
+	// LastSendMs is how long the daemon may still send requests to the owners of keys there; 0 if
+	// it sends none.
+	LastSendMs int64 `json:"last_send_ms"`
+	// Missing states that the store does not contain the request any more. The evacuation ends
+	// unless the request is written again.
+	Missing bool `json:"missing"`
+	// Keys is the number of keys of all services that still belong to targets there.
+	Keys int `json:"keys"`
+	// Requests is the number of requests of this daemon that still run there.
+	Requests int `json:"requests"`
+}
