Keep no engine that still waits for unknown grants when the era rises

A coordinator of a new era that waits for the grants of its predecessors kept its engines at the next restoration. A predecessor may have kept engines too, be elected first in that era and grant by them. If a third restoration lost the table of that era, the first daemon would have granted keys by its older engine while these grants were in force: two owners, with three restorations in about 13 s. keepTerm now drops such engines, so that the daemon waits again.

TestCoordinatorThatWaitsKeepsNoState failed before (first grant 2.6 s after the restoration, 4.27 s required) and passes; the package passes with the race detector.

--- a/internal/coordination/ownership/restore.go
+++ b/internal/coordination/ownership/restore.go
@@ -27,6 +27,10 @@
 	return c.latestExpiry(0, maxCallTime, c.MaxGrantDuration)
 }
 
+// KnowsGrants reports whether the Engine knows all grants that may be in force, which one of NewAfterLoss
+// does not before they have expired.
+func (e *Engine) KnowsGrants(now time.Duration) bool { return now >= e.idleUntil }
+
 // RewriteAfterLoss makes the Engine write its table again, which the store may have lost, with a fence
 // above lowestFence. The Engine knows all grants, and keeps their state. It grants and releases
 // nothing until the table is written: only then is it certain that no other coordinator has
--- a/internal/edge/coordinator/restore.go
+++ b/internal/edge/coordinator/restore.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
@@ -54,12 +55,15 @@
 }
 
 // keepTerm ends the term because the store is known to be of a later era. The engines are kept if the
-// lease has not run out since it was renewed in the earlier era.
+// lease has not run out since it was renewed in the earlier era. An engine that still waits for grants
+// of earlier coordinators to expire is not: one of these may have kept its own engine, and would grant
+// keys by it.
 func (c *Coordinator) keepTerm() {
 	t, engines := c.term, c.engines
-	inForce := t.valid(clock.Now())
+	now := clock.Now()
 	c.dropTerm("store era rose")
-	if !inForce {
+	maps.DeleteFunc(engines, func(_ string, e *engine) bool { return !e.KnowsGrants(now) })
+	if !t.valid(now) || len(engines) == 0 {
 		return
 	}
 	c.restored.kept = &keptTerm{era: topo.EraOf(t.rev), engines: engines, until: t.expires + c.config.Grants.LongestGrant()}
--- a/internal/edge/coordinator/restore_test.go
+++ b/internal/edge/coordinator/restore_test.go
@@ -140,3 +140,28 @@
 		t.Errorf("%d grants although the grants of others are not known", got-grants)
 	}
 }
+
+// Guards against two owners of a key: a coordinator that still waits for unknown grants when the store is
+// restored knows no grants. Another daemon may have kept the state of an earlier term, and have granted
+// keys by it in an era whose tables the store has lost as well.
+func TestCoordinatorThatWaitsKeepsNoState(t *testing.T) {
+	older := ranges.Empty()
+	older.Assign(0, ranges.MaxKey, target.Incarnation{ID: "t1", Epoch: 1})
+	var wait time.Duration
+	f := startWith(t, func(f *fixture, c *Config) {
+		c.Grants.MaxGrantDuration = time.Second
+		wait = defaultLeaseTTL + c.Grants.LongestGrant()
+		f.restore(t, &older)
+	})
+	time.Sleep(1500 * time.Millisecond)
+	f.store.update(func() { f.store.down = true })
+	f.restore(t, &older) // another daemon is elected in this era
+	time.Sleep(200 * time.Millisecond)
+	f.restore(t, &older)
+	f.store.update(func() { f.store.down = false })
+	restored := time.Now()
+	f.await(t, "first grant", func() bool { return f.grants.Load() > 0 })
+	if took := time.Since(restored); took < wait-100*time.Millisecond {
+		t.Errorf("first grant %v after the last restoration, want none before %v", took, wait)
+	}
+}
