Believe a target that says after a restoration that it is ready

For two seconds after a restoration a target that was draining stayed so, even if it then wrote that it is ready, and nothing corrected that later: the target was not used until its next registration.

TestTargetIsReadyAgainAfterRestoration failed before and passes; the package passes with the race detector.

--- a/internal/edge/view/era.go
+++ b/internal/edge/view/era.go
@@ -70,10 +70,10 @@
 	return true
 }
 
-// keepState returns the record with the state that the same incarnation had before the store was
-// restored: a target that has begun to drain is not ready again.
+// keepState returns the record of a snapshot with the state that the same incarnation had before the
+// store was restored: a target that has begun to drain is ready again only if it writes that.
 func (tr *Tracker) keepState(r target.Record, previous registration, existed bool) target.Record {
-	if existed && clock.Now() < tr.restored.until && previous.record.Incarnation() == r.Incarnation() && r.State == target.Ready {
+	if existed && tr.restored.reading && clock.Now() < tr.restored.until && previous.record.Incarnation() == r.Incarnation() && r.State == target.Ready {
 		r.State = previous.record.State
 	}
 	return r
--- a/internal/edge/view/era_test.go
+++ b/internal/edge/view/era_test.go
@@ -130,3 +130,16 @@
 		check("d", topo.Position(2, 12))
 	}
 }
+
+// Guards against a target that is never used again because it was draining when the store was
+// restored and has said since that it is ready.
+func TestTargetIsReadyAgainAfterRestoration(t *testing.T) {
+	tr := restoredTracker(t, []topo.Entry{eraEntry("targets/t", "d", 1, 12)}, []topo.Entry{eraEntry("targets/t", "x", 2, 6)})
+	if r, _ := tr.Current().Targets.Get("t"); r.State != target.Draining {
+		t.Errorf("state %v by the registration of the copy, want it to be draining as before", r.State)
+	}
+	tr.Apply(mirror.Change{Entries: []topo.Entry{eraEntry("targets/t", "x", 2, 12)}})
+	if r, _ := tr.Current().Targets.Get("t"); r.State != target.Ready {
+		t.Errorf("state %v, want ready as it was written after the restoration", r.State)
+	}
+}
