Count demand for cold owners also by daemons that know them from others

A daemon that knew an owner as cold only from the messages of others did not tell its requests for it. Those that knew it from a response took the partial sum for the demand of all daemons, admitted too large a fraction of their own requests, and so together with the others up to about twice the rate.

TestDemandOfDaemonsThatKnowAColdOwnerFromOthers failed before and passes; the package passes with the race detector. The factor is an estimate, not measured.

--- a/internal/edge/dispatch/cold.go
+++ b/internal/edge/dispatch/cold.go
@@ -239,14 +239,15 @@
 }
 
 // addColdDemand adds to this daemon's loads that the target said in a response that it is cold, and
-// the requests for a cold owner. What the daemon has only from others is not passed on, or it would
-// never end. d.mu must be held.
+// the requests for a cold owner, also for one that only other daemons said is cold: the demand is that
+// of all daemons. That the target is cold is not passed on then, or it would never end. d.mu must be
+// held.
 func (ep *endpoint) addColdDemand(out peers.Loads, now time.Duration) {
 	c := &ep.cold
-	if c.rate <= 0 || ep.record.ColdUntil <= now {
+	if c.rate <= 0 || ep.coldUntil() <= now {
 		return
 	}
-	if ep.record.ColdReported {
+	if ep.record.ColdReported && ep.record.ColdUntil > now {
 		out[c.known] = 1
 	}
 	if !c.keyed {
--- a/internal/edge/dispatch/cold_test.go
+++ b/internal/edge/dispatch/cold_test.go
@@ -265,3 +265,25 @@
 		t.Errorf("still told after the cold time: %v", loads)
 	}
 }
+
+// Guards against daemons that learn too little of the demand for a cold owner: those that know
+// it as cold from others only have requests for its keys as well.
+func TestDemandOfDaemonsThatKnowAColdOwnerFromOthers(t *testing.T) {
+	f := newColdFleet(t, 1, true, 0, func(http.Header) {})
+	d := f.daemons[0]
+	if _, r := d.dispatchToCold(); r != nil {
+		t.Fatalf("refused %+v by a warm owner", r)
+	}
+	d.mu.Lock()
+	ep := d.endpoints[target.Incarnation{ID: "t", Epoch: 1}]
+	known, demand := ep.cold.known, ep.cold.demand[0]
+	d.mu.Unlock()
+	d.SetFleetLoads(peers.Loads{known: 1})
+	loads := d.RunningByTarget()
+	if loads[demand] != 1 {
+		t.Errorf("told %d requests for the cold owner, want 1", loads[demand])
+	}
+	if loads[known] != 0 {
+		t.Error("what another daemon said is passed on")
+	}
+}
