Keep targets drained in evacuations of unknown age when the bound is raised

A daemon that learns of an evacuation at its start took it for as old as the evacuation time of that moment. Settings with a longer time, applied by a reload, would have let it send to owners in the domain again.

TestEvacuationOfUnknownAgeStaysDrained failed before and passes; the package passes with the race detector.

--- a/internal/edge/view/evacuation.go
+++ b/internal/edge/view/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -18,6 +19,9 @@
 	evacuationMargin = 500 * time.Millisecond
 	// maxEvacuations bounds the evacuated failure domains, far above the number of domains.
 	maxEvacuations = 256
+	// unknownSince is used for requests whose age is not known: it is longer ago than any evacuation
+	// time, also one that is set later.
+	unknownSince = time.Duration(math.MinInt64 / 4)
 )
 
 // evacuations holds the failure domains whose evacuation the operators request in the store.
@@ -112,7 +116,7 @@
 		now := clock.Now()
 		since := tr.evacuations.currentAt
 		if !tr.evacuations.following {
-			since = now - tr.evacuations.limit // its age is not known
+			since = unknownSince
 		}
 		tr.evacuations.byDomain[domain] = evacuation{since: since, learnedAt: now}
 		end := max(tr.evacuations.drainedAt(since)-now, 0)
--- a/internal/edge/view/evacuation_test.go
+++ b/internal/edge/view/evacuation_test.go
@@ -176,3 +176,16 @@
 		t.Errorf("%+v, want the request for b missing in the store", got)
 	}
 }
+
+// Guards against sends to owners in a domain whose evacuation is of unknown age when the evacuation time
+// is raised.
+func TestEvacuationOfUnknownAgeStaysDrained(t *testing.T) {
+	tr := NewTracker(domainDocs{}, slog.New(slog.DiscardHandler), func() mirror.Status {
+		return mirror.Status{Up: true, CurrentAt: clock.Now()}
+	})
+	tr.SetEvacuationTime(time.Minute)
+	tr.Apply(mirror.Change{Snapshot: true, Entries: append([]topo.Entry{entry("evacuate/a", 2)}, domainEntries...)})
+	tr.SetEvacuationTime(time.Hour)
+	tr.Apply(mirror.Change{Entries: []topo.Entry{entry("targets/p-b", 3)}})
+	checkStates(t, tr, "with a longer evacuation time", map[string]target.State{"k-a": target.Draining})
+}
