Admit few requests to a cold target that has just become an owner

A replaced target was given a key that became busy at that moment; every daemon had counted no request for that target, took the demand for its own request only, and sent it.

Change: for 0.8 s after the change of owner the demand is taken for at least one request of each daemon per second.

--- a/internal/coordination/coldstart/coldstart.go
+++ b/internal/coordination/coldstart/coldstart.go
@@ -114,6 +114,14 @@
 	return rate / d[class]
 }
 
+// OfNewOwner returns the demand for a cold target that has just become the owner of a key. The
+// requests counted for the target say nothing of that key: it may be so busy that each daemon has a
+// request for it every second, some of which waited for the new owner.
+func (d Demand) OfNewOwner(class, daemons int) Demand {
+	d[class] = max(d[class], float64(daemons))
+	return d
+}
+
 // Total returns the demand of all classes.
 func (d Demand) Total() float64 {
 	sum := 0.0
--- a/internal/edge/dispatch/cold.go
+++ b/internal/edge/dispatch/cold.go
@@ -32,6 +32,10 @@
 	// ownerStartDelay is how long after its start a daemon sends nothing to cold owners: it does
 	// not know the demand, and many daemons may start at once.
 	ownerStartDelay = time.Second
+	// newOwnerTime is how long after a cold target has become the owner of a key the counted
+	// requests do not show the demand for that key: they are counted for half a second and known
+	// to all daemons after a fraction of that.
+	newOwnerTime = 800 * time.Millisecond
 	// coldRetryDelay is the shortest delay after which a caller that a cold owner has no room
 	// for is asked to retry.
 	coldRetryDelay = 150 * time.Millisecond
@@ -66,6 +70,10 @@
 	counter      *coldstart.Counter
 	fleetDemand  coldstart.Demand
 	fleetKnownAt time.Duration // when fleetDemand was received; 0 if never
+	// newestFence is the highest fence under which the target was known as an owner, and ownerAt
+	// when that became known.
+	newestFence uint64
+	ownerAt     time.Duration
 
 	// known is the hash under which daemons tell each other, among the loads, that they know the
 	// target as cold, and demand those of their requests for it, by class.
@@ -203,6 +211,9 @@
 	}
 	now := clock.Now()
 	class := coldstart.Class(t.req.Route.Priority)
+	if t.fence > c.newestFence {
+		c.newestFence, c.ownerAt = t.fence, now
+	}
 	if t.cold.target != ep.id || t.cold.send != t.sends+1 {
 		t.cold = coldChoice{target: ep.id, send: t.sends + 1}
 		c.counter.Add(now, class)
@@ -211,7 +222,11 @@
 	if until <= now || t.cold.admitted {
 		return ""
 	}
-	fraction := ep.estimateDemand(now, class, daemons).Admission(class, coldstart.OwnerRate(c.rate, c.overage))
+	demand := ep.estimateDemand(now, class, daemons)
+	if now-c.ownerAt < newOwnerTime {
+		demand = demand.OfNewOwner(class, daemons)
+	}
+	fraction := demand.Admission(class, coldstart.OwnerRate(c.rate, c.overage))
 	if now-d.started < ownerStartDelay {
 		fraction = 0
 	}
--- a/internal/edge/dispatch/cold_test.go
+++ b/internal/edge/dispatch/cold_test.go
@@ -233,6 +233,20 @@
 	}
 }
 
+// Guards against all daemons sending their request for a busy key at once when a cold target
+// becomes its owner: none of them has counted a request for that target yet.
+func TestColdTargetBecomesOwner(t *testing.T) {
+	f := newColdFleet(t, 60, true, testColdTime, func(http.Header) { time.Sleep(200 * time.Millisecond) })
+	var wg sync.WaitGroup
+	for _, d := range f.daemons {
+		wg.Go(func() { _, _ = d.dispatchToCold() })
+	}
+	wg.Wait()
+	if n := f.mostInOneSecond(); float64(n) > testColdBound {
+		t.Errorf("%d requests in a second at a cold target that has just become the owner, want at most %.1f", n, testColdBound)
+	}
+}
+
 // Guards against not noticing that a target says in a response that it is cold, and against
 // keeping that from the other daemons, or telling it for ever.
 func TestColdReportsReachOtherDaemons(t *testing.T) {
