Explain without using up load reports

Cause: an explanation selected a target in the same way as a request, which also counted the target's load report as used. After two explanations the next request waited for probes. It also considered the first targets of the service instead of the daemon's own window, and called a cold target paused.

Change: selecting a target is apart from counting the request there. Explanations use a window of the daemon and the reasons of requests.

--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -143,9 +143,20 @@
 	return d.admit(t, ep)
 }
 
+// chooseAny selects a target of a service without keys and counts the request there.
 func (d *Dispatcher) chooseAny(v *view.View, t *requestState) (*endpoint, Reason) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	ep, reason := d.selectAny(v, t)
+	if reason == "" {
+		ep.probe.RecordChosen()
+	}
+	return ep, reason
+}
+
+// selectAny selects a target of a service without keys and reserves capacity there. d.mu must be
+// held.
+func (d *Dispatcher) selectAny(v *view.View, t *requestState) (*endpoint, Reason) {
 	eps, inState := d.candidates(v, t, target.Ready)
 	t.inputs.ReadyTargets = inState
 	if inState == 0 {
@@ -161,11 +172,7 @@
 	}
 	switch {
 	case ep != nil:
-		admitted, reason := d.admit(t, ep)
-		if admitted != nil {
-			ep.probe.RecordChosen()
-		}
-		return admitted, reason
+		return d.admit(t, ep)
 	case t.pausedUntil > 0:
 		return nil, TargetPaused
 	default:
--- a/internal/edge/dispatch/explain.go
+++ b/internal/edge/dispatch/explain.go
@@ -52,7 +52,7 @@
 	now := clock.Now()
 	t := &requestState{
 		req:          &Request{Route: r, Service: service, Key: key, HasKey: hasKey, Arrived: now, Deadline: now + timeout},
-		triedTargets: make(map[string]bool),
+		triedTargets: make(map[string]bool), window: d.window.ForRequest(),
 	}
 	d.mu.Lock()
 	t.admission.shared = d.sharedService(service)
@@ -167,11 +167,13 @@
 
 // explainAny returns why no target of a service without keys would be chosen, or empty.
 func (d *Dispatcher) explainAny(v *view.View, t *requestState) Reason {
-	ep, reason := d.chooseAny(v, t)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ep, reason := d.selectAny(v, t)
 	if reason == "" {
-		d.releaseReservation(ep)
+		ep.estimate.Running-- // the capacity that selectAny has reserved
 	}
-	return reason
+	return t.cold.reason(reason)
 }
 
 // explainHedge returns when the request would be hedged, or 0.
--- a/internal/edge/dispatch/explain_test.go
+++ b/internal/edge/dispatch/explain_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/balance"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/probing"
 	"github.com/jackdawloom/jackdawloom/internal/state/route"
 )
 
@@ -49,3 +51,24 @@
 	checkIdle(t, keyed)
 	checkIdle(t, plain)
 }
+
+// Guards against an explanation that counts as a request for which a target's load report was used,
+// so that the next request waits for probes.
+func TestExplainUsesNoReport(t *testing.T) {
+	l := &loadTarget{requestReport: "0,0,4,100", probeReport: "0,0,4,100"}
+	d := newProbingDispatcher(t, map[string]*loadTarget{"t": l})
+	d.dispatchMany(t, 1)
+	rt := &route.Route{MaxAttempts: 1, Objective: time.Second}
+	d.changeTargets(func(ep *endpoint) {
+		ep.probe = probing.Target{}
+		ep.estimate.RecordReport(clock.Now(), balance.Report{Slowdown: 1})
+	})
+	for range 3 {
+		d.Explain(rt, "s", 0, false, time.Second)
+	}
+	var after probing.Target
+	d.changeTargets(func(ep *endpoint) { after = ep.probe })
+	if after != (probing.Target{}) || l.probes.Load() > 0 {
+		t.Errorf("probing state of the target %+v and %d probes after explanations, want no change", after, l.probes.Load())
+	}
+}
