Learn from a hedge by the state of its own target

Cause: the outcome of a hedge was recorded for admission with the load and service time of the first send's target. A target that refused a hedge although it was known to be idle got a learned limit as low as its slots, and predictions of a shared service mixed two targets.

Change: each send keeps what was known of its target.

Result: TestRefusedHedgeCountsTheLoadOfItsTarget fails without it and passes.

--- a/internal/edge/dispatch/admit.go
+++ b/internal/edge/dispatch/admit.go
@@ -26,7 +26,7 @@
 	shared *admission.Service
 	// cause is why the last choice or send found no room; admission.Admitted if it did.
 	cause admission.Cause
-	// target is the chosen target as it was known before the send.
+	// target is the last chosen target as it was known before the send.
 	target admission.Target
 }
 
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/admission"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/hedging"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/probing"
@@ -314,6 +315,7 @@
 	// left is the remaining time at the start, and load the target's load without the request.
 	left              time.Duration
 	load              int
+	target            admission.Target // as it was known before the send
 	hasAttemptTimeout bool
 	// superseded is set before a send is cancelled because another one has been answered.
 	superseded atomic.Bool
@@ -339,7 +341,7 @@
 func (d *Dispatcher) startSend(ctx context.Context, t *requestState, ep *endpoint) *send {
 	req := t.req
 	now := clock.Now()
-	s := &send{ep: ep, started: now, left: req.Deadline - now, ctx: ctx}
+	s := &send{ep: ep, started: now, left: req.Deadline - now, ctx: ctx, target: t.admission.target}
 	if !req.Route.Idempotent {
 		// The target may have started the request, so its response decides the outcome
 		// even if the caller disconnects.
@@ -382,6 +384,7 @@
 	d.recordOutcome(s.ep, outcome, s.took, s.load, report.Slowdown)
 	d.recordResponseReport(s.ep, report, reported, outcome)
 	d.recordSignals(t, s.ep, s.resp, outcome)
+	t.admission.target = s.target // a hedge has changed it
 	d.recordAdmission(t, s.ep, outcome, s.took, s.err)
 	d.config.ObserveSend(t.req.Service, outcome.String(), s.took)
 	return d.handleOutcome(t, s.ep, s.resp, outcome, s.took, s.err)
--- a/internal/edge/dispatch/hedge.go
+++ b/internal/edge/dispatch/hedge.go
@@ -195,6 +195,7 @@
 		return nil, hedging.NoBudget
 	}
 	state.policy.Take()
+	t.admission.target = d.admissionTarget(ep, now)
 	ep.estimate.Running++
 	return ep, hedging.Allowed
 }
--- a/internal/edge/dispatch/hedge_test.go
+++ b/internal/edge/dispatch/hedge_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/admission"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/hedging"
 	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
@@ -311,3 +312,38 @@
 	wg.Wait()
 	checkIdle(t, d)
 }
+
+// Guards against a limit learned for the target of a hedge from the load of the first target.
+func TestRefusedHedgeCountsTheLoadOfItsTarget(t *testing.T) {
+	r := &raceTargets{second: func(w http.ResponseWriter) {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}}
+	d, o := newHedgingDispatcher(t, r)
+	// The first target is the loaded one, as the other one is paused until the request has arrived.
+	d.changeTargets(func(ep *endpoint) {
+		if ep.id == "1" {
+			ep.estimate.RunningElsewhere = ep.record.Slots
+		} else {
+			ep.pausedUntil = clock.Now() + time.Minute
+		}
+	})
+	go func() {
+		waitUntil(t, func() bool { return r.arrived.Load() == 1 })
+		d.changeTargets(func(ep *endpoint) { ep.pausedUntil = 0 })
+	}()
+	rt := hedgedRoute
+	rt.Objective, rt.AttemptTimeout = 400*time.Millisecond, 600*time.Millisecond
+	_, refusal := d.dispatchRoute(&rt)
+	if refusal == nil || o.String() != "sent;failed;" {
+		t.Fatalf("refusal %+v, events %s, want a hedge that is refused", refusal, o)
+	}
+	now := clock.Now()
+	d.changeTargets(func(ep *endpoint) {
+		request := admission.Request{Left: time.Minute}
+		full := admission.Target{Slots: 4, Load: 3*4 - 1, Limit: &ep.limits}
+		if cause := (*admission.Service)(nil).Decide(now, request, full); cause != admission.Admitted {
+			t.Errorf("target %s has a learned limit: it refused with free slots", ep.id)
+		}
+	})
+}
