Count refusals for lack of room by their true cause

A request whose retry the budget did not allow counted as refused for lack of room also after an unreachable target, so that less urgent classes yielded queue room while a link was cut.

Change: such refusals have the cause "full"; a retry budget that is used up counts only after a target that was full.

Result: TestRefusalForLackOfRoomIsNotCalledAdmitted and TestUnreachableTargetsAreNotFull (shedding level 1 before) fail without it and pass.

--- a/internal/edge/dispatch/admit.go
+++ b/internal/edge/dispatch/admit.go
@@ -95,7 +95,10 @@
 	t.admission.target = target
 	t.admission.cause = t.admission.shared.Decide(now, t.admissionRequest(now), target)
 	mustQueue := ep.sheds && target.Load >= max(target.Slots, 1)
-	if t.admission.cause != admission.Admitted || mustQueue || ep.estimate.Running >= ep.limit {
+	if mustQueue || ep.estimate.Running >= ep.limit {
+		t.admission.cause = admission.Full
+	}
+	if t.admission.cause != admission.Admitted {
 		t.inputs.Load, t.inputs.Slots, t.inputs.ExpectedTime = target.Load, max(target.Slots, 1), target.Expected
 		t.inputs.Admission = t.admission.cause.String()
 		return nil, TargetsFull
@@ -119,6 +122,8 @@
 	case reset, outcome.reason == TargetsFull && err == nil:
 		ep.limits.RecordFull(now, t.admission.target.Load, ep.record.Slots, reset)
 		t.admission.cause = admission.Full
+	case outcome.reason == TargetsFull:
+		t.admission.cause = admission.Full // no connection is left
 	case outcome.kind == served:
 		t.admission.shared.RecordResponse(t.req.Route.Priority, t.admission.target, took, now-t.req.Arrived)
 		d.reportShedding(t, now)
@@ -152,7 +157,8 @@
 // retryAfter returns the delay after which a refused request is likely to be served, and records
 // the refusal.
 func (d *Dispatcher) retryAfter(t *requestState, r Reason) time.Duration {
-	hasRoom := (r == TargetsFull || r == RetryBudgetExhausted) && d.recordNotAdmitted(t, r)
+	lacksRoom := r == TargetsFull || r == RetryBudgetExhausted && t.last.Reason == TargetsFull
+	hasRoom := lacksRoom && d.recordNotAdmitted(t, r)
 	return retryDelay(r, hasRoom, t.pausedUntil)
 }
 
@@ -173,8 +179,9 @@
 	return max(delay, pausedUntil-clock.Now()) + jitter
 }
 
-// recordNotAdmitted records that a request of a shared service was refused. It returns true if
-// the target refused the request although it is known to have a free slot: targets in trouble refuse a part of their requests whatever their load.
+// recordNotAdmitted records that a request of a shared service was refused for lack of room. It
+// returns true if the target refused the request although it is known to have a free slot: targets
+// in trouble refuse a part of their requests whatever their load.
 func (d *Dispatcher) recordNotAdmitted(t *requestState, r Reason) bool {
 	if t.admission.shared == nil {
 		return false
--- a/internal/edge/dispatch/admit_test.go
+++ b/internal/edge/dispatch/admit_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/admission"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/state/route"
 	"github.com/jackdawloom/jackdawloom/internal/state/target"
@@ -116,3 +117,30 @@
 		}
 	}
 }
+
+// Guards against a refusal for lack of room that the log and the metrics call admitted.
+func TestRefusalForLackOfRoomIsNotCalledAdmitted(t *testing.T) {
+	d := newTestDispatcher("", true) // its target does not queue
+	d.changeTargets(func(ep *endpoint) { ep.estimate.RunningElsewhere = 2 })
+	if _, refusal := d.dispatch(&route.Route{MaxAttempts: 1}); refusal == nil || refusal.Reason != TargetsFull || refusal.Inputs.Admission != "full" {
+		t.Errorf("refusal %+v, want one of a full target", refusal)
+	}
+}
+
+// Guards against classes that yield room because more urgent requests failed for another reason than
+// a lack of room, as when a link is cut.
+func TestUnreachableTargetsAreNotFull(t *testing.T) {
+	d := newSharedDispatcher("127.0.0.1:1") // nothing listens there
+	d.SetRetryBudget(budget.Bound{Ratio: 0, Slack: 0, Window: time.Second})
+	for range 10 {
+		_, refusal := d.dispatch(&route.Route{Priority: 1, Objective: 400 * time.Millisecond, MaxAttempts: 2})
+		if refusal == nil || refusal.Reason != RetryBudgetExhausted {
+			t.Fatalf("refusal %+v, want %q", refusal, RetryBudgetExhausted)
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if level := d.sharedService("s").Level(clock.Now()); level > 0 {
+		t.Errorf("shedding level %v after failures that are no lack of room", level)
+	}
+}
--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -176,6 +176,7 @@
 	case t.pausedUntil > 0:
 		return nil, TargetPaused
 	default:
+		t.admission.cause = admission.Full
 		return nil, TargetsFull
 	}
 }
