Keep what is known of services when the retry budget changes

Cause: a change of the retry budget replaced the whole state of all services. Since it also holds probing, hedging and the classes of admission, a reload of the settings ended probing until the next load report, and forgot refusals and predictions.

Change: only the retry budgets are renewed. The average service time stays too.

Result: TestRetryBudgetChangeKeepsClasses fails without it and passes.

--- a/internal/edge/dispatch/admit_test.go
+++ b/internal/edge/dispatch/admit_test.go
@@ -144,3 +144,21 @@
 		t.Errorf("shedding level %v after failures that are no lack of room", level)
 	}
 }
+
+// Guards against a change of the retry budget that forgets what is known of a service's classes.
+func TestRetryBudgetChangeKeepsClasses(t *testing.T) {
+	d := newSharedDispatcher("")
+	state := func() (*admission.Service, time.Duration) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.sharedService("s"), d.serviceState("s").avgServiceTime
+	}
+	d.mu.Lock()
+	d.serviceState("s").avgServiceTime = 7 * time.Millisecond
+	d.mu.Unlock()
+	shared, average := state()
+	d.SetRetryBudget(budget.Bound{Ratio: 0.5, Slack: 1, Window: time.Second})
+	if s, a := state(); s != shared || a != average {
+		t.Errorf("state of the classes lost: %t, average service time %v, want %v", s != shared, a, average)
+	}
+}
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -200,8 +200,7 @@
 	admission serviceAdmission
 }
 
-// SetRetryBudget changes the limit of retries. A change resets the retry budgets and
-// average service times of all services.
+// SetRetryBudget changes the limit of retries. A change resets the retry budgets of all services.
 func (d *Dispatcher) SetRetryBudget(b budget.Bound) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -209,7 +208,9 @@
 		return
 	}
 	d.config.RetryBudget = b
-	clear(d.services)
+	for _, s := range d.services {
+		s.budget = budget.New(b, d.started)
+	}
 }
 
 // New returns a Dispatcher that has no connections yet.
