Explain cold targets, and forget no response times

Cause: an explanation named a cold target as the one that gets the request, though the owner of a key gets a part of them or none, and other targets only at the daemon's turn. It also created the response times of its route, and the 65th route of a service cleared those of all others, so that their hedges waited half of the objective again.

Change: candidates that are cold and get nothing now are left out as cold, with the time to return. Explanations create no response times, and a route too many replaces one other route's.

--- a/internal/edge/dispatch/cold.go
+++ b/internal/edge/dispatch/cold.go
@@ -211,20 +211,32 @@
 	if until <= now || t.cold.admitted {
 		return ""
 	}
-	fraction := ep.estimateDemand(now, class, daemons).Admission(class, coldstart.OwnerRate(c.rate, c.overage))
-	if now-d.started < ownerStartDelay {
-		fraction = 0
-	}
-	if coldstart.HasRoom(ep.estimate.Load(), ep.record.Slots) && rand.Float64() < fraction {
+	fraction, hasRoom := d.coldOwnerFraction(ep, now, class, daemons)
+	if hasRoom && rand.Float64() < fraction {
 		t.cold.admitted = true
 		return ""
 	}
-	retry := until - now
+	t.pausedUntil = ep.coldRetryAt(now, fraction)
+	return TargetCold
+}
+
+// coldOwnerFraction returns which fraction of a class's requests a cold owner gets, and whether it has
+// room for one. d.mu must be held.
+func (d *Dispatcher) coldOwnerFraction(ep *endpoint, now time.Duration, class, daemons int) (fraction float64, hasRoom bool) {
+	c := &ep.cold
+	if now-d.started >= ownerStartDelay {
+		fraction = ep.estimateDemand(now, class, daemons).Admission(class, coldstart.OwnerRate(c.rate, c.overage))
+	}
+	return fraction, coldstart.HasRoom(ep.estimate.Load(), ep.record.Slots)
+}
+
+// coldRetryAt returns when a request that a cold owner did not get is to be sent again.
+func (ep *endpoint) coldRetryAt(now time.Duration, fraction float64) time.Duration {
+	until := ep.coldUntil()
 	if fraction > 0 {
-		retry = min(retry, time.Duration(float64(coldRetryDelay)/fraction))
+		return min(until, now+time.Duration(float64(coldRetryDelay)/fraction))
 	}
-	t.pausedUntil = now + retry
-	return TargetCold
+	return until
 }
 
 // estimateDemand returns the demand of all daemons for a cold owner: the sum of what they say, or,
--- a/internal/edge/dispatch/explain.go
+++ b/internal/edge/dispatch/explain.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/coldstart"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/hedging"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/state/route"
 	"github.com/jackdawloom/jackdawloom/internal/state/target"
@@ -109,7 +111,7 @@
 				Suspect: e.Suspect(now), ServiceTime: e.ServiceTime(0),
 			},
 			Domain: r.Domain, State: r.State, Expected: e.ExpectedLatency(now, avgServiceTime),
-			ColdLeft: max(e.ColdUntil-now, 0), PausedLeft: max(ep.pausedUntil-now, 0), LeftOut: d.leftOut(t, ep, now),
+			ColdLeft: max(e.ColdUntil-now, 0), PausedLeft: max(ep.pausedUntil-now, 0), LeftOut: d.leftOut(v, t, ep, now),
 		})
 	}
 	slices.SortStableFunc(out, func(a, b Candidate) int {
@@ -129,15 +131,28 @@
 	}
 }
 
-// leftOut returns why a target would not get the request. d.mu must be held.
-func (d *Dispatcher) leftOut(t *requestState, ep *endpoint, now time.Duration) Reason {
+// leftOut returns why a target would not get the request, and sets until when if that is known. d.mu
+// must be held.
+func (d *Dispatcher) leftOut(v *view.View, t *requestState, ep *endpoint, now time.Duration) Reason {
 	switch {
 	case ep.record.State == target.Draining:
 		return NoTarget
 	case ep.replaced:
 		return TargetReplaced
 	case now < ep.pausedUntil:
+		t.pausedUntil = ep.pausedUntil
 		return TargetPaused
+	case ep.coldUntil() > now && !ep.cold.keyed:
+		if !d.mayUseCold(v, ep, now) {
+			return TargetCold
+		}
+	case ep.coldUntil() > now:
+		// Of a fraction between 0 and 1, chance decides.
+		fraction, hasRoom := d.coldOwnerFraction(ep, now, coldstart.Class(t.req.Route.Priority), len(v.Daemons))
+		if fraction == 0 || !hasRoom {
+			t.pausedUntil = ep.coldRetryAt(now, fraction)
+			return TargetCold
+		}
 	}
 	if _, reason := d.admit(t, ep); reason != "" {
 		return reason
@@ -148,6 +163,8 @@
 
 // explainRefusal returns why the request would be refused, or empty.
 func (d *Dispatcher) explainRefusal(v *view.View, t *requestState, out *Explanation) Reason {
+	ownerPausedUntil := t.pausedUntil
+	t.pausedUntil = 0
 	switch {
 	case d.outlivesDaemon(t.req, clock.Now()):
 		return Stopping
@@ -158,11 +175,8 @@
 	case out.Owner == "" || out.OwnerState == target.Draining:
 		return NoOwner
 	}
-	if reason := out.Candidates[0].LeftOut; reason != "" {
-		t.pausedUntil = clock.Now() + out.Candidates[0].PausedLeft
-		return reason
-	}
-	return ""
+	t.pausedUntil = ownerPausedUntil
+	return out.Candidates[0].LeftOut
 }
 
 // explainAny returns why no target of a service without keys would be chosen, or empty.
@@ -183,8 +197,11 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	h := d.hedgeState(t.req.Service)
-	delay, ok := h.latency(t.req.Route.Name, now).Delay(now, h.policy.Share(), t.req.Route.Objective, 0)
+	latency := d.hedgeState(t.req.Service).latencies[t.req.Route.Name]
+	if latency == nil {
+		latency = hedging.NewLatency(now)
+	}
+	delay, ok := latency.Delay(now, d.config.HedgeShare, t.req.Route.Objective, 0)
 	if !ok {
 		return 0
 	}
--- a/internal/edge/dispatch/explain_test.go
+++ b/internal/edge/dispatch/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -72,3 +73,39 @@
 		t.Errorf("probing state of the target %+v and %d probes after explanations, want no change", after, l.probes.Load())
 	}
 }
+
+// Guards against an explanation that sends a request to a cold target that would get none.
+func TestExplainLeavesOutColdTargets(t *testing.T) {
+	for _, keyed := range []bool{false, true} {
+		d := newColdFleet(t, 20, keyed, testColdTime, func(http.Header) {}).start(0) // knows no demand yet
+		e := d.Explain(&route.Route{MaxAttempts: 1}, "s", 7, keyed, time.Second)
+		if e.Refused != TargetCold || e.RetryAfter <= retryAfterFull || len(e.Candidates) != 1 || e.Candidates[0].LeftOut != TargetCold {
+			t.Errorf("keyed %t: %+v, want a refusal for a cold target", keyed, e)
+		}
+		if _, refusal := d.dispatchToCold(); refusal == nil || refusal.Reason != TargetCold {
+			t.Errorf("keyed %t: refusal %+v, want %q", keyed, refusal, TargetCold)
+		}
+	}
+}
+
+// Guards against an explanation that forgets the measured response times of routes, and against
+// forgetting all of them because of one route more.
+func TestResponseTimesAreKept(t *testing.T) {
+	d := newUnkeyedDispatcher(nil)
+	d.config.HedgeShare = 0.05
+	d.mu.Lock()
+	h := d.hedgeState("s")
+	for i := range maxHedgedRoutes {
+		h.latency(strconv.Itoa(i), 0)
+	}
+	d.mu.Unlock()
+	d.Explain(&route.Route{Name: "other", MaxAttempts: 2, Idempotent: true, Objective: time.Second}, "s", 0, false, time.Second)
+	if n := len(h.latencies); n != maxHedgedRoutes || h.latencies["other"] != nil {
+		t.Errorf("response times of %d routes after an explanation, want %d", n, maxHedgedRoutes)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if h.latency("other", 0); len(h.latencies) != maxHedgedRoutes || h.latencies["other"] == nil {
+		t.Errorf("response times of %d routes after one more, want %d", len(h.latencies), maxHedgedRoutes)
+	}
+}
--- a/internal/edge/dispatch/hedge.go
+++ b/internal/edge/dispatch/hedge.go
@@ -39,7 +39,10 @@
 	l := h.latencies[route]
 	if l == nil {
 		if len(h.latencies) >= maxHedgedRoutes {
-			clear(h.latencies) // routes of earlier configurations
+			for other := range h.latencies { // any; most are routes of earlier configurations
+				delete(h.latencies, other)
+				break
+			}
 		}
 		l = hedging.NewLatency(now)
 		h.latencies[route] = l
