Keep the idle connections of a hedge's target

Cause: the context of a hedge has ended when its result is recorded. On routes with an attempt timeout, each hedge whose connection was lost counted as timed out, and all idle connections to its target were closed.

Change: only an expired timeout closes them.

Result: TestLostHedgeKeepsIdleConnections fails without it and passes.

--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -375,7 +376,7 @@
 // whether the request may be sent again.
 func (d *Dispatcher) finishSend(ctx context.Context, t *requestState, s *send) (*upstream.Response, bool) {
 	outcome := d.classify(s.ep, s.resp, s.err)
-	if s.hasAttemptTimeout && outcome.reason == ConnectionLost && s.ctx.Err() != nil && ctx.Err() == nil {
+	if s.hasAttemptTimeout && outcome.reason == ConnectionLost && errors.Is(s.ctx.Err(), context.DeadlineExceeded) && ctx.Err() == nil {
 		s.ep.pool.CloseIdle()
 	}
 	if ctx.Err() != nil && outcome.reason == ConnectionLost {
--- a/internal/edge/dispatch/hedge_test.go
+++ b/internal/edge/dispatch/hedge_test.go
@@ -347,3 +347,30 @@
 		}
 	})
 }
+
+// Guards against closing the idle connections of a hedge's target where the connection of the hedge
+// was lost, as if the attempt timeout had ended it.
+func TestLostHedgeKeepsIdleConnections(t *testing.T) {
+	var arrived atomic.Int64
+	server := startTarget(t, &arrived, func(http.Header) int { return http.StatusOK })
+	d := newUnkeyedDispatcher(map[string]*httptest.Server{"1": server})
+	d.dispatchMany(t, 1)
+	now := clock.Now()
+	rt := &route.Route{MaxAttempts: 2, Idempotent: true, AttemptTimeout: time.Minute}
+	state := &requestState{req: &Request{Route: rt, Service: "s", Arrived: now, Deadline: now + time.Hour}, triedTargets: make(map[string]bool)}
+	ep, reason := d.chooseAny(d.config.Views.Current(), state)
+	if reason != "" {
+		t.Fatal(reason)
+	}
+	s := d.startSend(t.Context(), state, ep)
+	s.err = upstream.ErrOutcomeUnknown
+	s.cancel() // as at the end of a hedge
+	if resp, _ := d.finishSend(t.Context(), state, s); resp != nil || !ep.pool.HasIdleConn() {
+		t.Errorf("response %+v, idle connection kept: %t", resp, ep.pool.HasIdleConn())
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ep.estimate.Running != 0 {
+		t.Errorf("%d requests running", ep.estimate.Running)
+	}
+}
