Say that explanations are not counted as requests

Cause: the comment of Explain left open whether budgets and reports see an explanation.

Change: the comment says it.

Result: TestExplainUsesNoReport and TestExplainReservesNothing show it.

--- a/internal/edge/dispatch/explain.go
+++ b/internal/edge/dispatch/explain.go
@@ -47,8 +47,8 @@
 	LeftOut Reason
 }
 
-// Explain returns what would happen to a request that arrived now. It sends nothing and reserves
-// nothing. Without a key for a keyed service, all its targets are candidates.
+// Explain returns what would happen to a request that arrived now. It sends
+// nothing, reserves nothing and is not counted as a request. Without a key for a keyed service, all its targets are candidates.
 func (d *Dispatcher) Explain(r *route.Route, service string, key uint16, hasKey bool, timeout time.Duration) Explanation {
 	v := d.config.Views.Current()
 	now := clock.Now()
