--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -314,10 +314,9 @@
 	ctx     context.Context //nolint:containedctx // ends the send
 	cancel  context.CancelFunc
 	started time.Duration
-	// left is the remaining time at the start, and load the target's load without the request.
+	// left is the remaining time at the start, and target the target's state without the request.
 	left              time.Duration
-	load              int
-	target            admission.Target // as it was known before the send
+	target            admission.Target
 	hasAttemptTimeout bool
 	// superseded is set before a send is cancelled because another one has been answered.
 	superseded atomic.Bool
@@ -343,7 +342,7 @@
 func (d *Dispatcher) startSend(ctx context.Context, t *requestState, ep *endpoint) *send {
 	req := t.req
 	now := clock.Now()
-	s := &send{ep: ep, started: now, left: req.Deadline - now, ctx: ctx, target: t.admission.target}
+	s := &send{ep: ep, started: now, left: req.Deadline - now, ctx: ctx}
 	if !req.Route.Idempotent {
 		// The target may have started the request, so its response decides the outcome
 		// even if the caller disconnects.
@@ -358,7 +357,7 @@
 	t.sends++
 	req.sends.Add(1)
 	t.triedTargets[ep.id] = true
-	s.load = d.loadBefore(ep)
+	s.target = d.targetBefore(ep, now)
 	return s
 }
 
@@ -383,11 +382,11 @@
 		outcome = sendOutcome{kind: unknown, reason: CallerDisconnected}
 	}
 	report, reported := d.responseReport(s.resp, outcome)
-	d.recordOutcome(s.ep, outcome, s.took, s.load, report.Slowdown)
+	d.recordOutcome(s.ep, outcome, s.took, s.target.Load, report.Slowdown)
 	d.recordResponseReport(s.ep, report, reported, outcome)
 	d.recordSignals(t, s.ep, s.resp, outcome)
-	t.admission.target = s.target // a hedge has changed it
-	d.recordAdmission(t, s.ep, outcome, s.took, s.err)
+	t.admission.target = s.target // refusals depend on the last send
+	d.recordAdmission(t, s, outcome)
 	d.config.ObserveSend(t.req.Service, outcome.String(), s.took)
 	return d.handleOutcome(t, s.ep, s.resp, outcome, s.took, s.err)
 }
--- a/internal/edge/dispatch/hedge.go
+++ b/internal/edge/dispatch/hedge.go
@@ -198,7 +198,6 @@
 		return nil, hedging.NoBudget
 	}
 	state.policy.Take()
-	t.admission.target = d.admissionTarget(ep, now)
 	ep.estimate.Running++
 	return ep, hedging.Allowed
 }
@@ -264,7 +263,7 @@
 		outcome = sendOutcome{kind: superseded}
 	}
 	report, reported := d.responseReport(s.resp, outcome)
-	d.recordOutcome(s.ep, outcome, s.took, s.load, report.Slowdown)
+	d.recordOutcome(s.ep, outcome, s.took, s.target.Load, report.Slowdown)
 	d.recordResponseReport(s.ep, report, reported, outcome)
 	d.recordSignals(t, s.ep, s.resp, outcome)
 	d.config.ObserveSend(t.req.Service, outcome.String(), s.took)
