--- a/internal/edge/dispatch/admit.go
+++ b/internal/edge/dispatch/admit.go
@@ -26,7 +26,7 @@
 	shared *admission.Service
 	// cause is why the last choice or send found no room; admission.Admitted if it did.
 	cause admission.Cause
-	// target is the chosen target as it was known before the send.
+	// target is the last chosen target as it was known before the send.
 	target admission.Target
 }
 
@@ -95,7 +95,10 @@
 	t.admission.target = target
 	t.admission.cause = t.admission.shared.Decide(now, t.admissionRequest(now), target)
 	mustQueue := ep.sheds && target.Load >= max(target.Slots, 1)
-	if t.admission.cause != admission.Admitted || mustQueue || ep.estimate.Running >= ep.limit {
+	if mustQueue || ep.estimate.Running >= ep.limit {
+		t.admission.cause = admission.Full
+	}
+	if t.admission.cause != admission.Admitted {
 		t.inputs.Load, t.inputs.Slots, t.inputs.ExpectedTime = target.Load, max(target.Slots, 1), target.Expected
 		t.inputs.Admission = t.admission.cause.String()
 		return nil, TargetsFull
@@ -126,9 +129,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
-	case reset, outcome.reason == TargetsFull && s.err == nil:
+	case reset, outcome.reason == TargetsFull && s.err == nil && t.admission.shared != nil:
 		s.ep.limits.RecordFull(now, s.target.Load, s.ep.record.Slots, reset)
 		t.admission.cause = admission.Full
+	case outcome.reason == TargetsFull:
+		t.admission.cause = admission.Full // no connection is left
 	case outcome.kind == served:
 		t.admission.shared.RecordResponse(t.req.Route.Priority, s.target, s.took, now-t.req.Arrived)
 		d.reportShedding(t, now)
@@ -162,7 +167,8 @@
 // retryAfter returns the delay after which a refused request is likely to be served, and records
 // the refusal.
 func (d *Dispatcher) retryAfter(t *requestState, r Reason) time.Duration {
-	hasRoom := (r == TargetsFull || r == RetryBudgetExhausted) && d.recordNotAdmitted(t, r)
+	lacksRoom := r == TargetsFull || r == RetryBudgetExhausted && t.last.Reason == TargetsFull
+	hasRoom := lacksRoom && d.recordNotAdmitted(t, r)
 	return retryDelay(r, hasRoom, t.pausedUntil)
 }
 
@@ -183,8 +189,9 @@
 	return max(delay, pausedUntil-clock.Now()) + jitter
 }
 
-// recordNotAdmitted records that a request of a shared service was refused. It returns true if
-// the target refused the request although it is known to have a free slot: targets in trouble refuse a part of their requests whatever their load.
+// recordNotAdmitted records that a request of a shared service was refused for lack of room. It
+// returns true if the target refused the request although it is known to have a free slot: targets
+// in trouble refuse a part of their requests whatever their load.
 func (d *Dispatcher) recordNotAdmitted(t *requestState, r Reason) bool {
 	if t.admission.shared == nil {
 		return false
--- a/internal/edge/dispatch/dispatch.go
+++ b/internal/edge/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -200,8 +201,7 @@
 	admission serviceAdmission
 }
 
-// SetRetryBudget changes the limit of retries. A change resets the retry budgets and
-// average service times of all services.
+// SetRetryBudget changes the limit of retries. A change resets the retry budgets of all services.
 func (d *Dispatcher) SetRetryBudget(b budget.Bound) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -209,7 +209,9 @@
 		return
 	}
 	d.config.RetryBudget = b
-	clear(d.services)
+	for _, s := range d.services {
+		s.budget = budget.New(b, d.started)
+	}
 }
 
 // New returns a Dispatcher that has no connections yet.
@@ -373,7 +375,7 @@
 // whether the request may be sent again.
 func (d *Dispatcher) finishSend(ctx context.Context, t *requestState, s *send) (*upstream.Response, bool) {
 	outcome := d.classify(s.ep, s.resp, s.err)
-	if s.hasAttemptTimeout && outcome.reason == ConnectionLost && s.ctx.Err() != nil && ctx.Err() == nil {
+	if s.hasAttemptTimeout && outcome.reason == ConnectionLost && errors.Is(s.ctx.Err(), context.DeadlineExceeded) && ctx.Err() == nil {
 		s.ep.pool.CloseIdle()
 	}
 	if ctx.Err() != nil && outcome.reason == ConnectionLost {
@@ -383,6 +385,7 @@
 	d.recordOutcome(s.ep, outcome, s.took, s.target.Load, report.Slowdown)
 	d.recordResponseReport(s.ep, report, reported, outcome)
 	d.recordSignals(t, s.ep, s.resp, outcome)
+	t.admission.target = s.target // refusals depend on the last send
 	d.recordAdmission(t, s, outcome)
 	d.config.ObserveSend(t.req.Service, outcome.String(), s.took)
 	return d.handleOutcome(t, s.ep, s.resp, outcome, s.took, s.err)
--- a/internal/edge/dispatch/explain_test.go
+++ b/internal/edge/dispatch/explain_test.go
@@ -3,11 +3,14 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jackdawloom/jackdawloom/internal/clock"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/balance"
+	"github.com/jackdawloom/jackdawloom/internal/coordination/probing"
 	"github.com/jackdawloom/jackdawloom/internal/state/route"
 )
 
@@ -49,3 +52,60 @@
 	checkIdle(t, keyed)
 	checkIdle(t, plain)
 }
+
+// Guards against an explanation that counts as a request for which a target's load report was used,
+// so that the next request waits for probes.
+func TestExplainUsesNoReport(t *testing.T) {
+	l := &loadTarget{requestReport: "0,0,4,100", probeReport: "0,0,4,100"}
+	d := newProbingDispatcher(t, map[string]*loadTarget{"t": l})
+	d.dispatchMany(t, 1)
+	rt := &route.Route{MaxAttempts: 1, Objective: time.Second}
+	d.changeTargets(func(ep *endpoint) {
+		ep.probe = probing.Target{}
+		ep.estimate.RecordReport(clock.Now(), balance.Report{Slowdown: 1})
+	})
+	for range 3 {
+		d.Explain(rt, "s", 0, false, time.Second)
+	}
+	var after probing.Target
+	d.changeTargets(func(ep *endpoint) { after = ep.probe })
+	if after != (probing.Target{}) || l.probes.Load() > 0 {
+		t.Errorf("probing state of the target %+v and %d probes after explanations, want no change", after, l.probes.Load())
+	}
+}
+
+// Guards against an explanation that sends a request to a cold target that would get none.
+func TestExplainLeavesOutColdTargets(t *testing.T) {
+	for _, keyed := range []bool{false, true} {
+		d := newColdFleet(t, 20, keyed, testColdTime, func(http.Header) {}).start(0) // knows no demand yet
+		e := d.Explain(&route.Route{MaxAttempts: 1}, "s", 7, keyed, time.Second)
+		if e.Refused != TargetCold || e.RetryAfter <= retryAfterFull || len(e.Candidates) != 1 || e.Candidates[0].LeftOut != TargetCold {
+			t.Errorf("keyed %t: %+v, want a refusal for a cold target", keyed, e)
+		}
+		if _, refusal := d.dispatchToCold(); refusal == nil || refusal.Reason != TargetCold {
+			t.Errorf("keyed %t: refusal %+v, want %q", keyed, refusal, TargetCold)
+		}
+	}
+}
+
+// Guards against an explanation that forgets the measured response times of routes, and against
+// forgetting all of them because of one route more.
+func TestResponseTimesAreKept(t *testing.T) {
+	d := newUnkeyedDispatcher(nil)
+	d.config.HedgeShare = 0.05
+	d.mu.Lock()
+	h := d.hedgeState("s")
+	for i := range maxHedgedRoutes {
+		h.latency(strconv.Itoa(i), 0)
+	}
+	d.mu.Unlock()
+	d.Explain(&route.Route{Name: "other", MaxAttempts: 2, Idempotent: true, Objective: time.Second}, "s", 0, false, time.Second)
+	if n := len(h.latencies); n != maxHedgedRoutes || h.latencies["other"] != nil {
+		t.Errorf("response times of %d routes after an explanation, want %d", n, maxHedgedRoutes)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if h.latency("other", 0); len(h.latencies) != maxHedgedRoutes || h.latencies["other"] == nil {
+		t.Errorf("response times of %d routes after one more, want %d", len(h.latencies), maxHedgedRoutes)
+	}
+}
