Elect a coordinator sooner after repeated restorations

They wait once now. The lease's proof no longer includes the margin for grants in flight: a term was given up that was in force for another 50 ms. A daemon replaces the key of its own ended term if the copy shows it.

--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -253,7 +253,8 @@
 		return
 	}
 	may, first := c.mayCampaign(v)
-	rev, isVacant := c.election.vacant(v, first)
+	// The copy may show a lease of this run that has ended since.
+	rev, isVacant := c.election.vacant(v, c.restored.rose)
 	if !may || !isVacant {
 		return
 	}
--- a/internal/edge/coordinator/restore.go
+++ b/internal/edge/coordinator/restore.go
@@ -12,7 +12,8 @@
 
 // restoredElectionWait is how long other daemons leave the election to the coordinator that held the
 // lease when the store was restored. It knows all grants, and the others would have to wait longer
-// than this before they could grant anything.
+// than this before they could grant anything. They do not wait again if the era rises once more
+// before there is a coordinator.
 const restoredElectionWait = 3 * time.Second
 
 // eraEvidenceWait is how long a daemon that starts waits for the announcements of daemons that have seen
@@ -26,6 +27,10 @@
 	since time.Duration
 	rose  bool
 	known bool
+	// held is set if the last view showed a coordinator, and waitSince is when the era rose while one
+	// was shown.
+	held      bool
+	waitSince time.Duration
 	// kept is the state of the term that this daemon held when the era rose, or nil.
 	kept *keptTerm
 }
@@ -47,17 +52,24 @@
 	if !c.restored.known || v.Era > c.restored.era {
 		c.restored.rose = c.restored.known
 		c.restored.era, c.restored.since, c.restored.known = v.Era, clock.Now(), true
+		if c.restored.held {
+			c.restored.waitSince = c.restored.since
+		}
 	}
+	c.restored.held = v.Coordinator.Exists()
 	if c.term != nil && v.Era > topo.EraOf(c.term.rev) {
 		c.keepTerm()
 	}
 }
 
+// clockMargin is how much later than by the store's clock a lease may run out by the coordinator's.
+const clockMargin = 20 * time.Millisecond
+
 // keepTerm ends the term because the store is known to be of a later era. The engines are kept if the
 // lease has not run out since it was renewed in the earlier era.
 func (c *Coordinator) keepTerm() {
 	t, engines := c.term, c.engines
-	inForce := t.valid(clock.Now())
+	inForce := clock.Now() < t.expires-clockMargin
 	c.dropTerm("store era rose")
 	if !inForce {
 		return
@@ -74,7 +86,7 @@
 	if kept := c.restored.kept; kept != nil {
 		return v.Era > kept.era, true
 	}
-	return !c.restored.rose || clock.Now() >= c.restored.since+restoredElectionWait, false
+	return c.restored.waitSince == 0 || clock.Now() >= c.restored.waitSince+restoredElectionWait, false
 }
 
 // takeKept returns the engines of the kept term for a term that was just won.
