Announce the first era also if the store is first read after the announcement

A daemon that could not read the store in its first two seconds announced for ever that its first era is unknown. If a restoration then lost the first table of a service, its announcement was no evidence of that, and a coordinator that had just started could assign the keys before earlier grants had expired. The announcement is now written once more when the store has been read.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -70,7 +70,8 @@
 
 // announce keeps the daemon's announcement in the store until ctx ends and then removes
 // it. Store calls are charged for, so the announcement is written once, and again only
-// if it is missing, or another one has replaced it after the store was restored from a copy.
+// if it is missing, if another one has replaced it after the store was restored from a copy, or if the
+// store is read for the first time after the first announcement.
 func (d *Daemon) announce(ctx context.Context) {
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
@@ -79,19 +80,23 @@
 		RunID: d.self.RunID, Domain: d.options.Settings.Domain, PeerAddress: d.options.Settings.PeerAddress, Capacity: d.options.Settings.Capacity,
 		AdminAddress: d.options.Settings.AdminAddress,
 	}
-	if v := d.views.Current(); v.Synced {
-		a.FirstEra = v.Era + 1
-	}
-	value, err := cbor.Marshal(a)
-	if err != nil {
-		d.log.Error("announcement could not be encoded; this daemon will not be announced", "error", err)
-		return
-	}
+	var value []byte
 	checkedIn := int64(0) // era of the store
 	for written := false; ; {
-		era := d.views.Current().Era
-		rose := era > checkedIn
-		checkedIn = era
+		v := d.views.Current()
+		rose := v.Era > checkedIn
+		checkedIn = v.Era
+		if value == nil || a.FirstEra == 0 && v.Synced {
+			if v.Synced {
+				a.FirstEra = v.Era + 1
+			}
+			var err error
+			if value, err = cbor.Marshal(a); err != nil {
+				d.log.Error("announcement could not be encoded; this daemon will not be announced", "error", err)
+				return
+			}
+			written = false
+		}
 		if !written || d.unannounced() || rose && !d.announcedAs(value) {
 			_, err := d.options.Store.Commit(ctx, topo.Txn{Puts: []topo.Put{{Key: view.DaemonKey(d.self.Name), Value: value}}})
 			if written = err == nil; !written && ctx.Err() == nil {
