Forget the engines of an ended term once others could have granted keys

A daemon whose engines were kept at a restoration but that was not elected kept them, and its precedence in elections over all other daemons, until it won one.

TestKeptTermExpires failed before and passes with the race detector.

--- a/internal/edge/coordinator/restore.go
+++ b/internal/edge/coordinator/restore.go
@@ -76,7 +76,10 @@
 // whether it is the one for which the others wait.
 func (c *Coordinator) mayCampaign(v *view.View) (may, first bool) {
 	if kept := c.restored.kept; kept != nil {
-		return v.Era > kept.era, true
+		if clock.Now() < kept.until {
+			return v.Era > kept.era, true
+		}
+		c.restored.kept = nil
 	}
 	return !c.restored.rose || clock.Now() >= c.restored.since+restoredElectionWait, false
 }
--- a/internal/edge/coordinator/restore_test.go
+++ b/internal/edge/coordinator/restore_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/ownership"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
 	"github.com/jackdawloom/jackdawloom/internal/state/ranges"
@@ -165,3 +166,17 @@
 		t.Errorf("first grant %v after the last restoration, want none before %v", took, wait)
 	}
 }
+
+// Guards against a daemon that keeps the engines of an ended term, and precedence over all others in
+// elections, long after the engines have become useless.
+func TestKeptTermExpires(t *testing.T) {
+	c := New(Config{})
+	c.restored.kept = &keptTerm{era: 1, until: clock.Now() + time.Minute}
+	if may, first := c.mayCampaign(&view.View{Era: 2}); !may || !first {
+		t.Errorf("may campaign %v, first %v while the engines are valid", may, first)
+	}
+	c.restored.kept.until = clock.Now()
+	if may, first := c.mayCampaign(&view.View{Era: 2}); !may || first || c.restored.kept != nil {
+		t.Errorf("may campaign %v, first %v, kept %v after that", may, first, c.restored.kept)
+	}
+}
