Count the evacuation time only from copies of the store that are applied

The view's periodic work took the age of the mirror's copy also while a change of that copy was waiting to be applied. If that change was the request of an evacuation, the time counted from a read that showed it already, up to about 0.6 s after the store's response to the operator; the margin is 0.5 s. The mirror's status now tells up to when the copy has been applied. The fixtures of the tests of evacuations fill in the new field; no check has changed.

TestEvacuationTimeCountsFromWhatIsApplied failed before (0.6 s late) and passes, as do the packages topo, view and dispatch with the race detector.

--- a/internal/edge/dispatch/evacuation_test.go
+++ b/internal/edge/dispatch/evacuation_test.go
@@ -35,7 +35,9 @@
 func TestEvacuatedDomains(t *testing.T) {
 	const limit = 200 * time.Millisecond
 	log := slog.New(slog.DiscardHandler)
-	views := view.NewTracker(domainDocs{}, log, func() mirror.Status { return mirror.Status{Up: true, CurrentAt: clock.Now()} })
+	views := view.NewTracker(domainDocs{}, log, func() mirror.Status {
+		return mirror.Status{Up: true, CurrentAt: clock.Now(), AppliedAt: clock.Now()}
+	})
 	views.SetEvacuationTime(limit)
 	arrived := make(map[string]*atomic.Int64)
 	entries := []topo.Entry{{Key: "config", CreateRev: 1, ModRev: 1}, {Key: view.DaemonKey("d"), CreateRev: 1, ModRev: 1}}
--- a/internal/edge/view/evacuation_test.go
+++ b/internal/edge/view/evacuation_test.go
@@ -43,10 +43,15 @@
 	entry("config", 1), entry("targets/k-a", 1), entry("targets/k-b", 1), entry("targets/p-a", 1), entry("targets/p-b", 1),
 }
 
+// appliedStatus is the status of a mirror whose copy is from the given time and has been applied.
+func appliedStatus(at time.Duration) mirror.Status {
+	return mirror.Status{Up: true, CurrentAt: at, AppliedAt: at}
+}
+
 // newDomainTracker returns a tracker of two domains whose copy of the store has the given age.
 func newDomainTracker(limit time.Duration, age *time.Duration) *Tracker {
 	tr := NewTracker(domainDocs{}, slog.New(slog.DiscardHandler), func() mirror.Status {
-		return mirror.Status{Up: true, CurrentAt: clock.Now() - *age}
+		return appliedStatus(clock.Now() - *age)
 	})
 	tr.SetEvacuationTime(limit)
 	tr.Apply(mirror.Change{Snapshot: true, Entries: domainEntries})
@@ -125,7 +130,7 @@
 // start during the evacuation: they cannot know when it was requested.
 func TestEvacuationInFirstSnapshot(t *testing.T) {
 	tr := NewTracker(domainDocs{}, slog.New(slog.DiscardHandler), func() mirror.Status {
-		return mirror.Status{Up: true, CurrentAt: clock.Now()}
+		return appliedStatus(clock.Now())
 	})
 	tr.SetEvacuationTime(time.Minute)
 	tr.Apply(mirror.Change{Snapshot: true, Entries: append([]topo.Entry{entry("evacuate/a", 2)}, domainEntries...)})
@@ -181,7 +186,7 @@
 // is raised.
 func TestEvacuationOfUnknownAgeStaysDrained(t *testing.T) {
 	tr := NewTracker(domainDocs{}, slog.New(slog.DiscardHandler), func() mirror.Status {
-		return mirror.Status{Up: true, CurrentAt: clock.Now()}
+		return appliedStatus(clock.Now())
 	})
 	tr.SetEvacuationTime(time.Minute)
 	tr.Apply(mirror.Change{Snapshot: true, Entries: append([]topo.Entry{entry("evacuate/a", 2)}, domainEntries...)})
@@ -189,3 +194,20 @@
 	tr.Apply(mirror.Change{Entries: []topo.Entry{entry("targets/p-b", 3)}})
 	checkStates(t, tr, "with a longer evacuation time", map[string]target.State{"k-a": target.Draining})
 }
+
+// Guards against counting the evacuation time from a read of the store that shows the request already
+// but has not been applied when the view's periodic work runs.
+func TestEvacuationTimeCountsFromWhatIsApplied(t *testing.T) {
+	const readAt, limit = 600 * time.Millisecond, 10 * time.Second
+	now := clock.Now()
+	status := mirror.Status{Up: true, CurrentAt: now - readAt, AppliedAt: now - readAt}
+	tr := NewTracker(domainDocs{}, slog.New(slog.DiscardHandler), func() mirror.Status { return status })
+	tr.SetEvacuationTime(limit)
+	tr.Apply(mirror.Change{Snapshot: true, Entries: domainEntries})
+	status.CurrentAt = now // of the read that shows the request
+	tr.Expire()
+	tr.Apply(mirror.Change{Entries: []topo.Entry{entry("evacuate/a", 2)}})
+	if got, want := tr.Evacuations()[0].DrainedAt, now-readAt+limit-evacuationMargin; got != want {
+		t.Errorf("owners get requests until %v, want %v", got, want)
+	}
+}
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -164,7 +164,7 @@
 	if tr.leaving.drained(now) || tr.evacuations.drained(now) || changed {
 		tr.publish()
 	}
-	tr.evacuations.currentAt = tr.status().CurrentAt
+	tr.evacuations.currentAt = tr.status().AppliedAt
 }
 
 func (tr *Tracker) dropLapsed(now time.Duration) bool {
--- a/internal/topo/mirror/mirror.go
+++ b/internal/topo/mirror/mirror.go
@@ -59,6 +59,7 @@
 	rev          int64
 	changed      chan struct{} // closed at the next change
 	currentAt    time.Duration // latest time at which the copy is known to be current
+	appliedAt    time.Duration // the same of what apply has returned for
 	up           bool
 	upSince      time.Duration // time of the first successful call after the last failure or rise of the era
 }
@@ -86,6 +87,8 @@
 	// CurrentAt is the latest time at which the copy is known to have matched the
 	// store.
 	CurrentAt time.Duration
+	// AppliedAt is CurrentAt without a change that is still being applied.
+	AppliedAt time.Duration
 	// UpSince is the time of the first successful call after the last failure.
 	UpSince time.Duration
 	Rev     int64
@@ -95,7 +98,7 @@
 func (m *Mirror) Status() Status {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Status{Up: m.up, CurrentAt: m.currentAt, UpSince: m.upSince, Rev: m.rev}
+	return Status{Up: m.up, CurrentAt: m.currentAt, AppliedAt: m.appliedAt, UpSince: m.upSince, Rev: m.rev}
 }
 
 // Run keeps the copy up to date until ctx ends.
@@ -128,11 +131,14 @@
 		}
 		hasSnapshot, failures = true, 0
 		m.recordSuccess(clock.Now() - progress.Age)
-		if len(change.Entries) > 0 || change.Snapshot {
-			m.apply(change)
-			if !progress.Relayed {
-				sleep(ctx, CoalesceDelay)
-			}
+		if len(change.Entries) == 0 && !change.Snapshot {
+			m.recordApplied()
+			continue
+		}
+		m.apply(change)
+		m.recordApplied()
+		if !progress.Relayed {
+			sleep(ctx, CoalesceDelay)
 		}
 	}
 }
@@ -279,6 +285,13 @@
 	}
 }
 
+// recordApplied records that all changes that the copy contains have been applied.
+func (m *Mirror) recordApplied() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.appliedAt = m.currentAt
+}
+
 // recordFailure records a failed call, and logs it if the call before it succeeded.
 func (m *Mirror) recordFailure(ctx context.Context, err error) {
 	m.mu.Lock()
--- a/internal/topo/mirror/mirror_test.go
+++ b/internal/topo/mirror/mirror_test.go
@@ -400,3 +400,27 @@
 		}
 	})
 }
+
+// Guards against a status that tells that a change is applied while apply still runs.
+func TestStatusOfAChangeBeingApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFeed()
+		f.set("a", "1")
+		ctx, stop := context.WithCancel(t.Context())
+		var m *Mirror
+		m = New(f, "", slog.New(slog.DiscardHandler), func(Change) {
+			if s := m.Status(); s.AppliedAt >= s.CurrentAt {
+				t.Errorf("applied up to %v while the copy of %v is being applied", s.AppliedAt, s.CurrentAt)
+			}
+		})
+		go m.Run(ctx)
+		time.Sleep(2 * time.Second)
+		f.set("a", "2")
+		time.Sleep(2 * time.Second)
+		if s := m.Status(); s.AppliedAt != s.CurrentAt {
+			t.Errorf("applied up to %v, want %v", s.AppliedAt, s.CurrentAt)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
