Take the cold time of a target as registered after an evacuation

Cause: after an evacuation targets count as cold until they register; the estimate kept the later of both times, so that a target that said it is warm was avoided for the rest.

Change: the estimate follows the record.

Result: tests of the daemon's packages and the adapter pass.

--- a/internal/edge/dispatch/cold.go
+++ b/internal/edge/dispatch/cold.go
@@ -114,7 +114,7 @@
 	if c.rate <= 0 {
 		return
 	}
-	ep.estimate.ColdUntil = max(ep.estimate.ColdUntil, ep.coldUntil())
+	ep.estimate.ColdUntil = ep.coldUntil()
 	if c.counter != nil {
 		return
 	}
