--- a/internal/edge/dispatch/choose.go
+++ b/internal/edge/dispatch/choose.go
@@ -42,19 +42,11 @@
 			return nil, &Refusal{Reason: Stopping}
 		}
 		t.admission.cause = admission.Admitted
-		var ep *endpoint
-		var reason Reason
-		if d.isKeyed(t.req.Service) {
-			d.probeOwner(ctx, t)
-			ep, reason = d.chooseOwner(d.config.Views.Current(), t)
-		} else {
-			d.probe(ctx, t)
-			ep, reason = d.chooseAny(d.config.Views.Current(), t)
+		ep, reason := d.chooseNow(ctx, t)
+		if reason == "" && d.takeColdTurn(ep) {
+			return ep, nil
 		}
 		if reason == "" {
-			if d.takeColdTurn(ep) {
-				return ep, nil
-			}
 			d.releaseReservation(ep)
 			continue
 		}
@@ -74,6 +66,17 @@
 	}
 }
 
+// chooseNow selects a target that can be used now, after probes if they can improve the choice, or
+// returns why there is none.
+func (d *Dispatcher) chooseNow(ctx context.Context, t *requestState) (*endpoint, Reason) {
+	if d.isKeyed(t.req.Service) {
+		d.probeOwner(ctx, t)
+		return d.chooseOwner(d.config.Views.Current(), t)
+	}
+	d.probe(ctx, t)
+	return d.chooseAny(d.config.Views.Current(), t)
+}
+
 const (
 	// refusalBackoff is the delay before the third send to an owner that refused as full; it
 	// doubles with each further send, up to refusalBackoffShare of the remaining time.
