Judge late grants by when they were built and until when they could be sent

Cause: awaitGrantStop counted grants when the target's handler ran. On a machine with a load average of 18 TestResumesWithSameLeaseAfterStoreOutage once counted "4 grants after the lease may have expired".

Change: each grant that arrives must have been built before the lease's end, and must be bound to the lease (NotAfter set, and not beyond the lease's margin). Package upstream checks NotAfter after the dial (TestRequestIsNotSentTooLate). No grant may arrive once the calls that began before the lease's end have ended. The count of arrivals thus begins one call timeout later; what it no longer sees is a grant that was built in time, bound to the lease and still sent late by package upstream.

--- a/internal/edge/coordinator/coordinator_test.go
+++ b/internal/edge/coordinator/coordinator_test.go
@@ -7,12 +7,14 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/ownership"
 	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
@@ -135,8 +137,40 @@
 }
 
 // fakeProtocol builds requests for a plain HTTP server and records the duration of the
-// last grant.
-type fakeProtocol struct{ grantDuration *atomic.Int64 }
+// last grant and the requests of all grants.
+type fakeProtocol struct {
+	grantDuration *atomic.Int64
+	built         *builtGrants
+}
+
+// grantNumber is the header field that tells which request of a grant has arrived.
+const grantNumber = "Grant-Number"
+
+// builtGrants are the requests of all grants, and when they were built.
+type builtGrants struct {
+	mu       sync.Mutex
+	requests []*upstream.Request
+	times    []time.Duration
+}
+
+func (b *builtGrants) add(r *upstream.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r.Header.Set(grantNumber, strconv.Itoa(len(b.requests)))
+	b.requests, b.times = append(b.requests, r), append(b.times, clock.Now())
+}
+
+// arrived returns when the request that has arrived was built, and the time from which it was not
+// to be sent, or 0 if it might have been sent at any time.
+func (b *builtGrants) arrived(h http.Header) (built, lastSend time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n, err := strconv.Atoi(h.Get(grantNumber))
+	if err != nil || n < 0 || n >= len(b.requests) {
+		return clock.Now(), 0
+	}
+	return b.times[n], b.requests[n].NotAfter
+}
 
 var headerNames = &upstream.HeaderNames{RequestID: "Id", TimeLeft: "Left", ExpectTarget: "Expect-Target", NotRun: "Not-Run", Stamp: "Stamp"}
 
@@ -146,7 +180,11 @@
 
 func (c fakeProtocol) GrantRequest(g ownership.Grant) (*upstream.Request, error) {
 	c.grantDuration.Store(int64(g.Duration))
-	return newRequest("/grant")
+	r, err := newRequest("/grant")
+	if err == nil {
+		c.built.add(r)
+	}
+	return r, err
 }
 
 func (fakeProtocol) ReleaseRequest(ownership.Release) (*upstream.Request, error) {
@@ -171,6 +209,10 @@
 	views        *view.Tracker
 	link         *partition.Link // path to the target
 	grants       atomic.Int64
+	built        builtGrants
+	unbounded    atomic.Int64 // number of grants that might have been sent at any time
+	lastSend     atomic.Int64 // latest time until which a grant that arrived might have been sent
+	lastBuilt    atomic.Int64 // latest time at which a grant that arrived was built, which is before it was sent
 	grantDelay   atomic.Int64 // time that the target takes to answer a grant
 	lastDuration atomic.Int64 // duration of the last grant
 	statsReads   atomic.Int64 // number of reads of the targets' service times
@@ -191,6 +233,7 @@
 	f := &fixture{}
 	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/grant" {
+			f.noteGrant(f.built.arrived(r.Header))
 			f.grants.Add(1)
 			time.Sleep(time.Duration(f.grantDelay.Load()))
 		}
@@ -210,7 +253,7 @@
 	}})
 	f.store = &pausableStore{views: f.views, rev: 1, entries: make(map[string]topo.Entry)}
 	config := Config{
-		Store: f.store, Self: Identity{Name: "d1", RunID: "run"}, Views: f.views, GrantProtocol: fakeProtocol{&f.lastDuration}, TargetStats: emptyStats{&f.statsReads},
+		Store: f.store, Self: Identity{Name: "d1", RunID: "run"}, Views: f.views, GrantProtocol: fakeProtocol{&f.lastDuration, &f.built}, TargetStats: emptyStats{&f.statsReads},
 		Grants: ownership.Config{MaxGrantDuration: 10 * time.Second}, CapacityDeficit: func() float64 { return 0 }, Log: log,
 		SendHandover: func(_ context.Context, h peers.Handover) { f.handover = h },
 	}
@@ -233,15 +276,49 @@
 	}
 }
 
-// awaitGrantStop waits until the lease has expired by the coordinator's clock, checks
-// that no more grants are sent, and returns the number of grants until then.
+// noteGrant records the times of a grant that has arrived, as builtGrants.arrived returns them.
+func (f *fixture) noteGrant(built, lastSend time.Duration) {
+	if lastSend == 0 {
+		f.unbounded.Add(1)
+	}
+	raise(&f.lastSend, lastSend)
+	raise(&f.lastBuilt, built)
+}
+
+// raise sets a time to a later one.
+func raise(to *atomic.Int64, at time.Duration) {
+	for old := to.Load(); int64(at) > old && !to.CompareAndSwap(old, int64(at)); old = to.Load() {
+	}
+}
+
+// awaitGrantStop waits until the lease of a store that has just gone down has expired, checks
+// that no more grants are sent, and returns the number of grants until then. A busy machine may
+// count a grant late that was sent in time. So each grant that arrives must have been built before
+// the lease's end and be bound to it, which package upstream checks when it sends, and none may
+// arrive once the calls that began before the lease's end have ended.
 func (f *fixture) awaitGrantStop(t *testing.T) int64 {
 	t.Helper()
+	leaseEnd := clock.Now() + defaultLeaseTTL
 	time.Sleep(defaultLeaseTTL)
+	inTime := f.grants.Load()
+	time.Sleep(defaultGrantTimeout)
 	before := f.grants.Load()
 	time.Sleep(2 * ownership.DefaultRenewInterval)
-	if after := f.grants.Load(); after != before {
-		t.Fatalf("%d grants after the lease may have expired", after-before)
+	after := f.grants.Load()
+	if after != before {
+		t.Errorf("%d grants after the lease may have expired, %d of them after all calls had ended", after-inTime, after-before)
+	}
+	if n := f.unbounded.Load(); n > 0 {
+		t.Errorf("%d grants were not bound to the lease", n)
+	}
+	if late := time.Duration(f.lastSend.Load()) - (leaseEnd - leaseMargin); late > 0 {
+		t.Errorf("grants could be sent until %v after the last time under the lease", late)
+	}
+	if late := time.Duration(f.lastBuilt.Load()) - leaseEnd; late >= 0 {
+		t.Errorf("a grant was sent %v after the lease may have expired, or later", late)
+	}
+	if t.Failed() {
+		t.FailNow()
 	}
 	return before
 }
