--- a/internal/topo/mirror/mirror_test.go
+++ b/internal/topo/mirror/mirror_test.go
@@ -413,7 +413,11 @@
 				t.Errorf("applied up to %v while the copy of %v is being applied", s.AppliedAt, s.CurrentAt)
 			}
 		})
-		go m.Run(ctx)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			m.Run(ctx)
+		}()
 		time.Sleep(2 * time.Second)
 		f.set("a", "2")
 		time.Sleep(2 * time.Second)
@@ -421,6 +425,6 @@
 			t.Errorf("applied up to %v, want %v", s.AppliedAt, s.CurrentAt)
 		}
 		stop()
-		synctest.Wait()
+		<-done
 	})
 }
