Add a review case of a revision counter that passes 10^13

A position of the store is era x 10^13 + revision, so a higher revision of era 0 counts as one of era 1, and every further answer as one of an earlier era. The stand-ins no longer start a daemon after the end of a trial.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -12,12 +12,12 @@
 
 var errNotReady = errors.New("the daemons do not become ready")
 
-var cases = map[string]func(*trial) (int, error){"odd-entry": oddEntry, "restored-endpoint": restoredEndpoint, "restored-start": restoredStart}
+var cases = map[string]func(*trial) (int, error){"odd-entry": oddEntry, "counter": counter, "restored-endpoint": restoredEndpoint, "restored-start": restoredStart}
 
 // writeConfig writes a configuration in which bookings go to the given service.
 func (t *trial) writeConfig(version int, bookings string) {
 	t.st.write("op/config", fmt.Appendf(nil, `{"version":"r%d","routes":{"columns":["name","hostname","prefix","kind","timeout-ms","target-latency-ms","priority","backends","max-attempts","service"],`+
-		`"rows":[["r-read","read.example","/read/","safe",1500,600,2,null,2,"reads"],["r-book","book.example","/book/","unsafe",2000,800,1,null,2,%q]]},`+
+		`"rows":[["r-read","read.example","/read/","safe",1500,600,2,null,2,"reads"],["r-book","book.example","/book/","unsafe",2000,800,1,null,2,%q],["r-notice","notice.example","/notice/","unsafe",2000,800,0,null,2,"notices"]]},`+
 		`"services":{"columns":["name","health-path","max-connections","protocol","tls","sharded","warmup-s","grants"],`+
 		`"rows":[["reads","/health",110,"h1",false,true,5.0,"direct"],["books","/health",110,"h1",false,null,null,null],["notices","/health",110,"h1",false,null,null,null]]},`+
 		`"limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-ms":3000,"idle-timeout-ms":15000}}`, version, bookings))
@@ -119,8 +119,8 @@
 	return held, nil
 }
 
-// restoredEndpoint: two endpoints leave in order. Their entries are removed, and they serve on for a while.
-// Then the store comes back from a copy that still has the entries.
+// restoredEndpoint: two endpoints of each of two services leave in order. Their entries are removed, and
+// they serve on for a while. Then the store comes back from a copy that still has the entries.
 func restoredEndpoint(t *trial) (int, error) {
 	t.writeConfig(1, "books")
 	if _, err := t.endpoints("reads", 14, true, 60*time.Millisecond); err != nil {
@@ -130,6 +130,10 @@
 	if err != nil {
 		return notRun, err
 	}
+	notices, err := t.endpoints("notices", 9, false, 800*time.Millisecond)
+	if err != nil {
+		return notRun, err
+	}
 	if err := t.fl.startAll(); err != nil {
 		return notRun, err
 	}
@@ -139,14 +143,16 @@
 	time.Sleep(4 * time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	t.cl.press(ctx, t.fl, 24, "POST", "book.example", "/book/1", false, 2*time.Second)
+	t.cl.press(ctx, t.fl, 22, "POST", "book.example", "/book/1", false, 2*time.Second)
+	t.cl.press(ctx, t.fl, 22, "PUT", "notice.example", "/notice/1", false, 2*time.Second)
 	t.cl.press(ctx, t.fl, 40, "GET", "read.example", "/read/1", true, 1500*time.Millisecond)
 	time.Sleep(6 * time.Second)
 	t.st.takeCopy()
 	t.rec.log("copy of the store taken")
 	time.Sleep(time.Second)
-	go books[0].leave(leaveServe)
-	go books[1].leave(leaveServe)
+	for _, e := range []*endpoint{books[0], books[1], notices[0], notices[1]} {
+		go e.leave(leaveServe)
+	}
 	time.Sleep(3 * time.Second)
 	if t.trouble {
 		t.st.goAway()
@@ -164,7 +170,7 @@
 }
 
 // leaveServe is how long an endpoint serves on after its entry was removed.
-const leaveServe = 7650 * time.Millisecond
+const leaveServe = 7800 * time.Millisecond
 
 // contactTime is contact-ms.
 const contactTime = 3 * time.Second
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -22,8 +23,9 @@
 	name, ip, front, ready, settings string
 	log                              *os.File
 
-	mu  sync.Mutex
-	cmd *exec.Cmd
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	closed bool // the trial has ended
 }
 
 // fleet is the daemons of one trial.
@@ -101,7 +103,7 @@
 			"fault-tolerance": map[string]any{"machines": 1, "zones": 0, "regions": 0},
 			"bounds": map[string]any{"seed-lag-s": 3, "reuse-after-s": 2, "contact-ms": 3000, "ack-ms": 4000, "catch-up-s": 4, "drain-ms": 2000,
 				"grace-s": 6, "loss-slack-ms": 200, "config-apply-ms": 2000, "rollback-slack-ms": 250, "max-skew-ms": 5000, "retry-budget-ratio": 0.2,
-				"budget-window-s": 10, "retry-budget-slack": 58, "recovery-s": 15, "max-hold-ms": 10000, "thaw-ms": 300},
+				"budget-window-s": 10, "retry-budget-slack": 56, "recovery-s": 15, "max-hold-ms": 10000, "thaw-ms": 300},
 			"grants": "direct",
 			"platform": map[string]any{"address": storeAddress, "form": "kv", "writes-per-s": 400, "reads-per-s": 2000, "history-s": 20,
 				"value-bytes": 1 << 20, "min-ttl-ms": 1000},
@@ -134,10 +136,15 @@
 	return nil
 }
 
+var errEnded = errors.New("the trial has ended")
+
 // start starts a daemon with the command of the deploy file.
 func (f *fleet) start(d *daemon) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.closed {
+		return errEnded
+	}
 	d.cmd = exec.Command(f.binary, "edge", "--hedge-share", "0.05")
 	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "JACKDAWLOOM_BOOT=" + d.settings}
 	d.cmd.Stdout, d.cmd.Stderr = d.log, d.log
@@ -177,6 +184,9 @@
 
 func (f *fleet) close() {
 	for _, d := range f.daemons {
+		d.mu.Lock()
+		d.closed = true
+		d.mu.Unlock()
 		f.kill(d)
 		_ = d.log.Close()
 	}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -99,6 +99,26 @@
 	leases         map[int64]lease
 }
 
+// startAt sets the revision of a store that is still empty.
+func (s *store) startAt(rev int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev, s.compacted = rev, rev
+}
+
+// await waits until the revision is at least rev, and reports whether that is so in the end.
+func (s *store) await(rev int64, limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		s.mu.Lock()
+		now := s.rev
+		s.mu.Unlock()
+		if now >= rev {
+			return true
+		}
+	}
+	return false
+}
+
 // takeCopy keeps a copy of the present state.
 func (s *store) takeCopy() {
 	s.mu.Lock()
