Add a review case of a store with many odd entries

Cause: the mirror keeps the value of every entry of the store, also of those that no daemon can decode, and nothing bounds their sum. 300 entries of 1 MiB from another writer take all daemons beyond memory-mb, and the platform kills them again and again.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -12,7 +12,7 @@
 
 var errNotReady = errors.New("the daemons do not become ready")
 
-var cases = map[string]func(*trial) (int, error){"odd-entry": oddEntry, "counter": counter, "restored-endpoint": restoredEndpoint, "restored-start": restoredStart}
+var cases = map[string]func(*trial) (int, error){"odd-entry": oddEntry, "counter": counter, "restored-endpoint": restoredEndpoint, "restored-start": restoredStart, "crowded-store": crowdedStore}
 
 // writeConfig writes a configuration in which bookings go to the given service.
 func (t *trial) writeConfig(version int, bookings string) {
