Log what a coordinator knows of earlier eras when it assigns keys

The logs show that another coordinator assigned all keys 2.5 s after its election, but not whether it had been told of an earlier era, had ignored that, or had waited for too short a time.

Change: "assigning keys" names the era of the store, for how long the daemon has known it, and whether the daemon itself or an announced one saw an earlier era.

--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -348,7 +348,8 @@
 	e.Engine = c.newOwnership(v, name, table, now)
 	e.ApplyGrantExpiries(c.received.remaining(name, now), now)
 	c.engines[name] = e
-	c.config.Log.Info("assigning keys", "service", name, "term", c.term.rev, "table_revision", e.tableRev, "spans", len(table.Spans))
+	c.config.Log.Info("assigning keys", "service", name, "term", c.term.rev, "table_revision", e.tableRev, "spans", len(table.Spans),
+		"era", v.Era, "era_age_ms", (now - c.restored.since).Milliseconds(), "saw_earlier_era", c.restored.rose, "fleet_saw_earlier_era", c.fleetSawEarlierEra(v))
 	return e
 }
 
--- a/internal/edge/coordinator/restore.go
+++ b/internal/edge/coordinator/restore.go
@@ -140,10 +140,15 @@
 	case t != nil:
 		return !t.WrittenIn(era)
 	default:
-		return c.restored.rose || c.config.FleetSawEarlierEra != nil && c.config.FleetSawEarlierEra(v)
+		return c.restored.rose || c.fleetSawEarlierEra(v)
 	}
 }
 
+// fleetSawEarlierEra reports whether another daemon has announced that it saw an earlier era.
+func (c *Coordinator) fleetSawEarlierEra(v *view.View) bool {
+	return c.config.FleetSawEarlierEra != nil && c.config.FleetSawEarlierEra(v)
+}
+
 // newOwnership returns the ownership engine for a table of the view, which is empty if there is none.
 func (c *Coordinator) newOwnership(v *view.View, service string, table ranges.Table, now time.Duration) *ownership.Engine {
 	era := topo.EraOf(c.term.rev)
