Take a missing range table for a lost one unless the fleet is new

Seen: all daemons restart while the store comes back from a copy of before the first range table.

Cause: in an era above 0, a service without a table counted as new unless the coordinator or an announced daemon remembered an earlier era. Restarted processes remember nothing, and the announcements are lost with the table (or removed by a planned stop), so the new coordinator assigned all keys 2.5 s after its election, while grants of up to 10 s were in force.

Change: such a service counts as one whose table was lost, unless the fleet is known to have granted nothing in an earlier era. Only a daemon of the first start of the whole system knows that, as the settings tell (bootstrap), if it read the store within 2 s of its own start. Announcements tell the same, so a coordinator of the first start hears of daemons that started later. The coordinator then waits as it does for an older table: lease and longest grant, from when it first saw the era.

Why it works: the lease of a former coordinator has ended 2 s after the new process has read the store in the new era, and its last grant has expired one longest grant later, whatever the store shows.

--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -87,6 +87,10 @@
 	CapacityDeficit func() float64
 	// SendHandover tells possible successors when the grants of this coordinator expire.
 	SendHandover func(context.Context, peers.Handover)
+	// FirstEra returns the earliest era of the store in which the fleet may have granted keys, as far as
+	// this daemon knows. It is called once, with the era of the first copy of the store that was read.
+	// Nil means era 0.
+	FirstEra func(era int64) int64
 	// FleetSawEarlierEra reports whether a daemon of the fleet has seen an earlier era of the store
 	// than that of the view. It may be nil.
 	FleetSawEarlierEra func(*view.View) bool
@@ -349,7 +353,7 @@
 	e.ApplyGrantExpiries(c.received.remaining(name, now), now)
 	c.engines[name] = e
 	c.config.Log.Info("assigning keys", "service", name, "term", c.term.rev, "table_revision", e.tableRev, "spans", len(table.Spans),
-		"era", v.Era, "era_age_ms", (now - c.restored.since).Milliseconds(), "saw_earlier_era", c.restored.rose, "fleet_saw_earlier_era", c.fleetSawEarlierEra(v))
+		"era", v.Era, "era_age_ms", (now - c.restored.since).Milliseconds(), "first_era", c.restored.first, "saw_earlier_era", c.restored.rose, "fleet_saw_earlier_era", c.fleetSawEarlierEra(v))
 	return e
 }
 
--- a/internal/edge/coordinator/restore.go
+++ b/internal/edge/coordinator/restore.go
@@ -24,6 +24,8 @@
 // eraState is what a daemon knows about the era of the store.
 type eraState struct {
 	era int64
+	// first is the earliest era in which, as far as this daemon knows, the fleet may have granted keys.
+	first int64
 	// since is when this daemon first saw the era, and rose is set if it saw an earlier one before.
 	since time.Duration
 	rose  bool
@@ -50,6 +52,9 @@
 	if !v.Synced {
 		return
 	}
+	if !c.restored.known && c.config.FirstEra != nil {
+		c.restored.first = c.config.FirstEra(v.Era)
+	}
 	if !c.restored.known || v.Era > c.restored.era {
 		c.restored.rose = c.restored.known
 		c.restored.era, c.restored.since, c.restored.known = v.Era, clock.Now(), true
@@ -131,7 +136,8 @@
 	return v.Era == 0 || v.Tables[service] != nil || now >= c.restored.since+eraEvidenceWait
 }
 
-// tablesLost reports whether tables may have been lost that were written after the one of the view.
+// tablesLost reports whether tables may have been lost that were written after the one of the view. That a
+// service has no table does not show that it never had one: the copy may be from before its first table.
 func (c *Coordinator) tablesLost(v *view.View, service string, era int64) bool {
 	t := v.Tables[service]
 	switch {
@@ -140,7 +146,7 @@
 	case t != nil:
 		return !t.WrittenIn(era)
 	default:
-		return c.restored.rose || c.fleetSawEarlierEra(v)
+		return c.restored.first < era || c.fleetSawEarlierEra(v)
 	}
 }
 
@@ -156,6 +162,8 @@
 	if c.tablesLost(v, service, era) {
 		// Another coordinator had its lease until the era rose, at the latest.
 		until = max(c.restored.since+c.config.LeaseTTL+c.config.Grants.LongestGrant(), now)
+	}
+	if until > now {
 		c.config.Log.Warn("range tables may be lost; assigning keys when the grants of earlier coordinators have expired",
 			"service", service, "era", era, "wait_ms", (until - now).Milliseconds())
 	}
--- a/internal/edge/coordinator/restore_test.go
+++ b/internal/edge/coordinator/restore_test.go
@@ -100,18 +100,41 @@
 	}
 }
 
+// sameEra is the FirstEra of a daemon that starts with the fleet.
+func sameEra(era int64) int64 { return era }
+
+// Guards against keys without an owner for the longest grant after the fleet's first start on a store that
+// was restored before.
+func TestFirstStartWaitsForNoGrants(t *testing.T) {
+	f := startWith(t, func(f *fixture, c *Config) {
+		c.FirstEra = sameEra
+		f.restore(t, nil)
+	})
+	f.await(t, "first grant", func() bool { return f.grants.Load() > 0 })
+}
+
 // Guards against two owners of a key: a coordinator that does not know the grants of the earlier one,
 // because that was killed when the store was restored, must not grant until they have expired. That
 // also holds for a daemon that has started since, with a table of the copy or without one.
 func TestSuccessorWaitsForUnknownGrants(t *testing.T) {
 	older := ranges.Empty()
 	older.Assign(0, ranges.MaxKey, target.Incarnation{ID: "t1", Epoch: 1})
-	for name, table := range map[string]*ranges.Table{"older table": &older, "no table": nil} {
+	for name, c := range map[string]struct {
+		table    *ranges.Table
+		fleetSaw bool
+		firstEra func(int64) int64
+	}{
+		"older table":                              {table: &older, firstEra: sameEra},
+		"no table, an announced daemon tells":      {fleetSaw: true, firstEra: sameEra},
+		"no table, all daemons have started again": {firstEra: func(int64) int64 { return 0 }},
+		"no table, nothing is known of the start":  {},
+	} {
 		t.Run(name, func(t *testing.T) {
+			table, fleetSaw, firstEra := c.table, c.fleetSaw, c.firstEra
 			var wait time.Duration
 			f := startWith(t, func(f *fixture, c *Config) {
 				c.Grants.MaxGrantDuration = time.Second
-				c.FleetSawEarlierEra = func(*view.View) bool { return true }
+				c.FleetSawEarlierEra, c.FirstEra = func(*view.View) bool { return fleetSaw }, firstEra
 				wait = defaultLeaseTTL + c.Grants.LongestGrant()
 				f.restore(t, table)
 			})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/budget"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/hedging"
 	"github.com/jackdawloom/jackdawloom/internal/coordination/ownership"
@@ -48,6 +49,8 @@
 	// Capacity is the instance's weight when work is shared in the fleet. The instance
 	// with the highest capacity in a failure domain is the domain's hub.
 	Capacity float64
+	// FirstStart is set if the whole fleet starts for the first time, so that no key was granted before.
+	FirstStart bool
 	// GracePeriod is the time between the stop signal and forced termination.
 	GracePeriod time.Duration
 	// DrainTime is the time after which a target that said that it is leaving gets no more
@@ -97,6 +100,7 @@
 type Daemon struct {
 	options       Options
 	self          coordinator.Identity
+	createdAt     time.Duration
 	log           *slog.Logger
 	views         *view.Tracker
 	mirror        *mirror.Mirror
@@ -122,7 +126,7 @@
 
 // New returns a daemon that does nothing until Run is called.
 func New(o Options) *Daemon {
-	d := &Daemon{options: o, log: o.Log, self: coordinator.Identity{Name: o.Settings.Name, RunID: rand.Text()}}
+	d := &Daemon{options: o, log: o.Log, createdAt: clock.Now(), self: coordinator.Identity{Name: o.Settings.Name, RunID: rand.Text()}}
 	d.views = view.NewTracker(o.Documents, o.Log, func() mirror.Status { return d.mirror.Status() })
 	if o.Settings.DrainTime > 0 {
 		d.views.SetDrainTime(o.Settings.DrainTime)
@@ -163,7 +167,7 @@
 	d.coord = coordinator.New(coordinator.Config{
 		Store: relay, SendHandover: relay.SendHandover, Self: d.self, Views: d.views, GrantProtocol: o.GrantProtocol, TargetStats: d.dispatcher,
 		Grants: o.Settings.Grants, ColdOverage: o.Settings.ColdOverage, LeaseTTL: o.Settings.LeaseTTL, GrantTimeout: o.Settings.GrantTimeout,
-		CapacityDeficit: d.capacityDeficit, Bodies: responseBodies, Log: o.Log, FleetSawEarlierEra: fleetSawEarlierEra,
+		CapacityDeficit: d.capacityDeficit, Bodies: responseBodies, Log: o.Log, FirstEra: d.firstEra, FleetSawEarlierEra: fleetSawEarlierEra,
 	})
 	d.handler = &front.Handler{Names: o.HeaderNames, Views: d.views, Dispatcher: d.dispatcher, Bodies: requestBodies, Log: o.Log, ObserveRequest: func(r front.Result) {
 		o.Metrics.ObserveRequest(r.Service, r.Status, string(r.Reason), r.Took)
@@ -229,6 +233,7 @@
 	fixed := d.options.Settings
 	fixed.GracePeriod, fixed.DrainTime, fixed.EvacuationTime, fixed.RetryBudget = s.GracePeriod, s.DrainTime, s.EvacuationTime, s.RetryBudget
 	s.HedgeShare = fixed.HedgeShare // not in the settings file
+	s.FirstStart = fixed.FirstStart // describes the start only
 	d.log.Info("settings in force", "grace_ms", s.GracePeriod.Milliseconds(), "repeat_ratio", s.RetryBudget.Ratio,
 		"repeat_slack", s.RetryBudget.Slack, "restart_needed", !reflect.DeepEqual(fixed, s))
 }
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/jackdawloom/jackdawloom/internal/clock"
 	"github.com/jackdawloom/jackdawloom/internal/edge/coordinator"
 	"github.com/jackdawloom/jackdawloom/internal/edge/peers"
 	"github.com/jackdawloom/jackdawloom/internal/edge/view"
@@ -25,7 +26,7 @@
 	Capacity float64 `cbor:"4,keyasint"`
 	// AdminAddress is the address for operators; empty if there is none.
 	AdminAddress string `cbor:"5,keyasint,omitempty"`
-	// FirstEra is the era of the store in which the process started, plus one; 0 if not known.
+	// FirstEra is the result of Daemon.firstEra plus one; 0 if the store has not been read.
 	FirstEra int64 `cbor:"6,keyasint,omitempty"`
 }
 
@@ -88,7 +89,7 @@
 		checkedIn = v.Era
 		if value == nil || a.FirstEra == 0 && v.Synced {
 			if v.Synced {
-				a.FirstEra = v.Era + 1
+				a.FirstEra = d.firstEra(v.Era) + 1
 			}
 			var err error
 			if value, err = cbor.Marshal(a); err != nil {
@@ -145,7 +146,21 @@
 	}
 }
 
-// fleetSawEarlierEra reports whether an announced daemon has seen an earlier era than that of the view.
+// maxFirstRead is how long after its start a daemon of the fleet's first start may read the store for
+// the first time, and still be certain that the others have granted no keys in an era that it missed.
+const maxFirstRead = 2 * time.Second
+
+// firstEra returns the earliest era of the store in which the fleet may have granted keys, as far as this
+// daemon knows when it has just read the store for the first time, in the given era.
+func (d *Daemon) firstEra(era int64) int64 {
+	if d.options.Settings.FirstStart && clock.Now()-d.createdAt <= maxFirstRead {
+		return era
+	}
+	return 0
+}
+
+// fleetSawEarlierEra reports whether an announced daemon has seen an earlier era than that of the view, or
+// has started when the fleet may have.
 func fleetSawEarlierEra(v *view.View) bool {
 	for _, e := range v.Daemons {
 		if a, _, err := decodeAnnouncement(e.Value); err == nil && a.FirstEra > 0 && a.FirstEra <= v.Era {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return errors.Join(err, callers.Close(), readiness.close())
 	}
-	d.log.Info("daemon started", "name", d.self.Name, "run", d.self.RunID, "domain", d.options.Settings.Domain, "callers", callers.Addr().String())
+	d.log.Info("daemon started", "name", d.self.Name, "run", d.self.RunID, "domain", d.options.Settings.Domain, "callers", callers.Addr().String(), "first_start", d.options.Settings.FirstStart)
 
 	tasksCtx, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTasks()
