--- a/internal/topo/mirror/mirror.go
+++ b/internal/topo/mirror/mirror.go
@@ -120,7 +120,7 @@
 		}
 		switch {
 		case errors.Is(err, topo.ErrCompacted):
-			m.log.Warn("store discarded its history; reading everything again", "revision", m.Status().Rev)
+			m.log.Warn("store discarded its history; reading everything again", "revision", m.Status().Rev, "error", err)
 			hasSnapshot = false
 			continue
 		case err != nil:
