Review: a late copy of a rejection makes a request run twice

A connection to an endpoint remembers the ID of its last request only (internal/transport/upstream, popIdle). A request that was rejected goes to the same endpoint again, as that owns its key. If it gets the connection of its first send, after another request was on it, a late second copy of the rejection counts as the answer while the request runs: it is sent once more or refused as not run.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -16,7 +16,7 @@
 	held     = 0
 	broken   = 1
 	notRun   = 2
-	maxTrial = 110 * time.Second
+	maxTrial = 115 * time.Second
 )
 
 const fleetSize = 8
@@ -31,7 +31,7 @@
 	trouble bool
 }
 
-var cases = map[string]func(*trial) (int, error){"incomplete-entry": incompleteEntry}
+var cases = map[string]func(*trial) (int, error){"incomplete-entry": incompleteEntry, "late-copies": lateCopies}
 
 func main() {
 	name := flag.String("case", "", "the `NAME` of the case")
