Close an idle connection and take its place in one step

A request that no idle connection can carry closes the oldest idle one if all connections of the pool are open. Closing and reserving were two steps. A concurrent send could reserve in between, so that the request was refused with "no connection to target available" while other idle connections were left. The dispatcher then took the target for full.

Until now this needed requests without an ID, or repeated ones.

TestConcurrentRequestsReplaceIdleConnections fails without the change in 5 of 5 runs and passes with it.

--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -85,7 +85,7 @@
 		}
 		p.discard(c)
 	}
-	if !p.reserve() && (!p.closeOldestIdle() || !p.reserve()) {
+	if !p.reserve() {
 		return nil, ErrPoolExhausted
 	}
 	c, err := dial(ctx, p.address, p.bodies)
@@ -115,30 +115,27 @@
 	return nil
 }
 
-// closeOldestIdle makes room for a connection if there are only idle ones that cannot carry the
-// request.
-func (p *Pool) closeOldestIdle() bool {
+// reserve takes one of the connections that the limit permits. If all are open, it closes the idle
+// one that was not used for longest, since the idle ones cannot carry the request. Both happen in
+// one step, or a concurrent send could take the connection that was closed for this one.
+func (p *Pool) reserve() bool {
 	p.mu.Lock()
-	if len(p.idle) == 0 {
-		p.mu.Unlock()
-		return false
+	var oldest *conn
+	if !p.closed && p.open >= p.limit && len(p.idle) > 0 {
+		oldest = p.idle[0]
+		p.idle = slices.Delete(p.idle, 0, 1)
+		p.open--
+	}
+	reserved := !p.closed && p.open < p.limit
+	if reserved {
+		p.open++
+		p.dialed++
 	}
-	c := p.idle[0]
-	p.idle = slices.Delete(p.idle, 0, 1)
 	p.mu.Unlock()
-	p.discard(c)
-	return true
-}
-
-func (p *Pool) reserve() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.open >= p.limit || p.closed {
-		return false
+	if oldest != nil {
+		oldest.close()
 	}
-	p.open++
-	p.dialed++
-	return true
+	return reserved
 }
 
 func (p *Pool) release() {
--- a/internal/transport/upstream/pool_test.go
+++ b/internal/transport/upstream/pool_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -243,3 +244,38 @@
 		t.Errorf("canceled: %v, want Canceled", err)
 	}
 }
+
+// Guards against refusing a request because a concurrent one took the connection that was closed to
+// make room for it: the target then counted as full.
+func TestConcurrentRequestsReplaceIdleConnections(t *testing.T) {
+	const connections = 3
+	p := serveTarget(t, echo)
+	p.SetLimit(connections)
+	for round := range 2000 {
+		fillPool(t, p, connections)
+		var wg sync.WaitGroup
+		for range connections {
+			wg.Go(func() {
+				if _, err := send(t, p, "", 5*time.Second); errors.Is(err, ErrPoolExhausted) {
+					t.Errorf("round %d: %v, though idle connections could be closed", round, err)
+				}
+			})
+		}
+		wg.Wait()
+	}
+}
+
+// fillPool opens connections until n are open. They are idle.
+func fillPool(t *testing.T, p *Pool, n int) {
+	t.Helper()
+	for open, _ := p.Counts(); open < n; open, _ = p.Counts() {
+		p.mu.Lock()
+		p.open++
+		p.mu.Unlock()
+		c, err := dial(t.Context(), p.address, p.bodies)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.putIdle(c)
+	}
+}
