Never send a request twice on a connection to a target

Cause: a late second copy of a rejection has the ID of the request. When the request is sent again on the connection of its first send, the copy is taken for the response while the request runs. A connection that carried the request just before was left out, but it remembered its last ID only, so it was used again once it had carried another request in between.

So the copy came on the connection of the run, behind another request. That rules out a rejection that was false, and a copy that came on another connection.

A request never gets a connection that has its ID. The target echoes the caller's ID only, so nothing else on the wire can tell the two sends apart.

TestRepeatedRequestAvoidsEachEarlierConnection fails before: "send 3, of request 1: Status:503, want status 200". TestEachResponseBelongsToItsSend, a property over repeated requests and copies of any earlier responses, fails before as well, and passes at 3,000 cases.

--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -77,7 +77,7 @@
 	out         *bufio.Writer
 	used        bool          // a response has been read
 	returnsIDs  bool          // a response carried the ID of its request
-	lastID      string        // ID of the last request
+	sent        sentIDs       // IDs of the requests that were sent
 	idleTimeout time.Duration // how long the connection may stay idle before it is not reused
 	idleSince   time.Duration
 	written     bool // a byte of the current request may have been written to the socket
@@ -171,7 +171,8 @@
 // send writes the request and reads the complete response. keep tells whether the connection
 // may be used for another request.
 func (c *conn) send(ctx context.Context, req *Request) (response *Response, keep bool, err error) {
-	c.written, c.lastID = false, req.ID
+	c.written = false
+	c.sent.add(req.ID, clock.Now(), req.TimeLeft)
 	if deadline, ok := ctx.Deadline(); ok {
 		if err := c.net.SetDeadline(deadline); err != nil {
 			return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -211,7 +212,7 @@
 		}
 	}
 	c.used = true
-	keep = pending.isDone() && !resp.Close && !c.hasUnread() && c.net.SetDeadline(time.Time{}) == nil
+	keep = pending.isDone() && !resp.Close && !c.hasUnread() && !c.sent.isFull(clock.Now()) && c.net.SetDeadline(time.Time{}) == nil
 	c.updateIdleTimeout(resp.Header)
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body.Bytes(), Trailer: resp.Trailer, body: body}, keep, nil
 }
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -96,10 +96,10 @@
 	return c, nil
 }
 
-// popIdle removes and returns the most recently used idle connection that did not carry the
-// request before. A late copy of the response to the earlier send has the same ID, so on that
-// connection it would be taken for the response to this send. There is no connection for a
-// request without an ID, because any late copy would be taken for its response.
+// popIdle removes and returns the most recently used idle connection on which the request was never
+// sent, with other requests in between or without. A late copy of the response to the earlier send
+// has the same ID, so on that connection it would be taken for the response to this send. There is
+// no connection for a request without an ID, because any late copy would be taken for its response.
 func (p *Pool) popIdle(id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -107,7 +107,7 @@
 		return nil
 	}
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if c := p.idle[i]; c.lastID != id {
+		if c := p.idle[i]; !c.sent.contains(id) {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			return c
 		}
