Send each release on a connection of its own

Keys could go to another target while their owner was still at work on them, or still held them: the coordinator took a late second copy of the response to a grant for the response to a release.

Calls to targets carry a new ID each, but the ID tells a copy apart only if the target returns it. A target without IDs then got the benefit of the doubt for any response on the connection.

A release now has a connection of its own, which is closed after the response, so no copy of another response can arrive on it, and no copy of its own on others.

Open: a copy taken for the response to a grant. The coordinator then believes that the grant is confirmed, which counts against the target until the grant expires, but a grant that the target applies seconds later may arrive after its release.

--- a/internal/edge/coordinator/coordinator.go
+++ b/internal/edge/coordinator/coordinator.go
@@ -442,6 +442,9 @@
 		handover := ""
 		req, err := c.config.GrantProtocol.ReleaseRequest(r)
 		if err == nil {
+			// The response means that no work on the keys is left. Many targets return no ID to
+			// grants and releases, so a late copy of the response to a grant would mean the same.
+			req.OwnConnection = true
 			result, handover, err = c.call(ctx, endpoint, req, releaseTimeout)
 		}
 		c.config.Log.Info("release ended", "service", service, "target", r.Span.Owner, "from", r.Span.From, "to", r.Span.To,
--- a/internal/edge/coordinator/coordinator_test.go
+++ b/internal/edge/coordinator/coordinator_test.go
@@ -229,9 +229,16 @@
 
 // startWith starts a coordinator after prepare has changed its settings and its store.
 func startWith(t *testing.T, prepare func(*fixture, *Config)) *fixture {
+	t.Helper()
+	return startWithTarget(t, func(http.ResponseWriter, *http.Request) {}, prepare)
+}
+
+// startWithTarget is startWith with a target that serves each call by the given function.
+func startWithTarget(t *testing.T, serve http.HandlerFunc, prepare func(*fixture, *Config)) *fixture {
 	t.Helper()
 	f := &fixture{}
-	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		serve(w, r)
 		if r.URL.Path == "/grant" {
 			f.noteGrant(f.built.arrived(r.Header))
 			f.grants.Add(1)
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -46,12 +46,12 @@
 // reach the target, and ErrOutcomeUnknown if it may have. It wraps the context's error too if that
 // ended the send.
 func (p *Pool) Send(ctx context.Context, req *Request) (*Response, error) {
-	c, err := p.acquire(ctx, req.ID)
+	c, err := p.acquire(ctx, req)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	resp, keep, err := c.send(ctx, req)
-	if keep && err == nil {
+	if keep && err == nil && !req.OwnConnection {
 		p.putIdle(c)
 	} else {
 		p.discard(c)
@@ -74,9 +74,9 @@
 
 // acquire returns a reusable idle connection, or a new one if there is none and the limit
 // permits it.
-func (p *Pool) acquire(ctx context.Context, id string) (*conn, error) {
-	for {
-		c := p.popIdle(id)
+func (p *Pool) acquire(ctx context.Context, req *Request) (*conn, error) {
+	for !req.OwnConnection {
+		c := p.popIdle(req.ID)
 		if c == nil {
 			break
 		}
--- a/internal/transport/upstream/request.go
+++ b/internal/transport/upstream/request.go
@@ -59,7 +59,11 @@
 	// returned IDs to other requests. A late copy of the response to a request of this kind may
 	// then be taken for the response, so it must do no harm.
 	EchoNever bool
-	Method    string
+	// OwnConnection sends the request on a new connection, which is closed after the response. No
+	// late copy of another response can be taken for the response, whether the target returns IDs
+	// or not.
+	OwnConnection bool
+	Method        string
 	// URI is the path and the query as sent by the caller, which go on byte for byte.
 	URI    string
 	Host   string
