Keep a target whose entry another writer has overwritten

An entry of another writer under a target's key took the target out of service until its next heartbeat. An owner of keys lost them each time, and the keys went to others.

Such an entry names no target, but the target's last registration now holds for the two seconds in which targets write their entries again, provided that the target had stated its service for as long. A removed entry still ends the target at once.

A daemon that saw the other writer's entry first uses the target for neither, and believes what stands for 5 s.

Without the change, TestOverwrittenRegistrationHoldsUntilItCanBeWrittenAgain, TestChangedServiceOfIncarnationIsNotBelieved and TestEntriesOfOtherWritersNameNoTarget fail.

--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -79,6 +79,7 @@
 
 	mu          sync.Mutex
 	targets     map[string]registration
+	services    map[target.Incarnation]statedService
 	leaving     leavingTargets
 	evacuations evacuations
 	restored    restoration
@@ -94,6 +95,8 @@
 	record   target.Record
 	rev      int64         // revision of the entry
 	lapsedAt time.Duration // 0 while registered
+	// contestedAt is when another writer's entry replaced the target's; 0 if none did.
+	contestedAt time.Duration
 }
 
 // draft holds the state, apart from the targets, that the next view is built from.
@@ -109,7 +112,7 @@
 // store's mirror.
 func NewTracker(docs Documents, log *slog.Logger, status func() mirror.Status) *Tracker {
 	tr := &Tracker{
-		docs: docs, log: log, status: status, targets: make(map[string]registration), leaving: newLeavingTargets(), restored: newRestoration(),
+		docs: docs, log: log, status: status, targets: make(map[string]registration), services: make(map[target.Incarnation]statedService), leaving: newLeavingTargets(), restored: newRestoration(),
 		evacuations: newEvacuations(), draft: draft{tables: make(map[string]*Table), daemons: make(map[string]topo.Entry)},
 	}
 	tr.current.Store(&View{Targets: target.NewSet(nil)})
@@ -150,8 +153,8 @@
 	tr.publish()
 }
 
-// Expire removes the targets whose registration lapsed and that did not register again
-// within reregistrationWindow, ends the evacuations that are missing in the store for as long,
+// Expire removes the targets whose registration lapsed or was overwritten and that did not register
+// again within reregistrationWindow, ends the evacuations that are missing in the store for as long,
 // and withdraws the targets that have been leaving for the drain
 // time, or longer than the evacuation time in an evacuated failure domain.
 func (tr *Tracker) Expire() {
@@ -159,6 +162,7 @@
 	defer tr.mu.Unlock()
 	now := clock.Now()
 	changed := tr.dropLapsed(now)
+	changed = tr.dropContested(now) || changed
 	changed = tr.endMissingEvacuations(now) || changed
 	changed = tr.acceptDoubted(now) || changed
 	if tr.leaving.drained(now) || tr.evacuations.drained(now) || changed {
@@ -257,14 +261,14 @@
 		return
 	}
 	r, err := tr.docs.DecodeTarget(e.Key, e.Value)
-	if err != nil {
-		tr.log.Warn("target's registration could not be decoded; not using the target", "key", e.Key, "revision", e.ModRev, "error", err)
-		if existed {
-			delete(tr.targets, id)
-		}
+	if err == nil && tr.doubt(id, r, e) {
 		return
 	}
-	if tr.doubt(id, r, e) {
+	if err == nil {
+		err = tr.checkService(r)
+	}
+	if err != nil {
+		tr.applyContested(id, e, err)
 		return
 	}
 	r = tr.keepState(r, previous, existed)
