--- a/internal/topo/mirror/mirror.go
+++ b/internal/topo/mirror/mirror.go
@@ -189,16 +189,23 @@
 		return Change{}, topo.Progress{}, fmt.Errorf("%w: revision %d is below %d", topo.ErrBadReply, progress.Rev, m.rev)
 	}
 	var change Change
+	relevant := false
 	for _, e := range events {
-		if e.Entry.ModRev <= m.entries[e.Entry.Key].ModRev {
+		known := m.entries[e.Entry.Key].ModRev
+		if e.Entry.ModRev < known || e.Entry.ModRev <= m.rev {
 			continue
 		}
-		m.entries[e.Entry.Key] = e.Entry
+		// A snapshot of several pages may already have the change. Readers that are ahead of its first
+		// page need it nevertheless.
 		m.appendHistory(e.Entry)
-		change.Entries = append(change.Entries, e.Entry)
+		relevant = true
+		if e.Entry.ModRev > known {
+			m.entries[e.Entry.Key] = e.Entry
+			change.Entries = append(change.Entries, e.Entry)
+		}
 	}
 	m.rev = progress.Rev
-	if len(change.Entries) > 0 {
+	if relevant {
 		m.notifyReaders()
 	}
 	return change, progress, nil
--- a/internal/topo/mirror/mirror_test.go
+++ b/internal/topo/mirror/mirror_test.go
@@ -428,3 +428,33 @@
 		<-done
 	})
 }
+
+// pagedFeed is a feed whose snapshot has an entry that changed while its pages were read.
+type pagedFeed struct{ *fakeFeed }
+
+func (f pagedFeed) Snapshot(ctx context.Context, prefix string) ([]topo.Entry, topo.Progress, error) {
+	first := f.rev
+	f.set("x", "new")
+	entries, _, err := f.fakeFeed.Snapshot(ctx, prefix)
+	return entries, topo.Progress{Rev: first}, err
+}
+
+// Guards against a change that a hub read with a later page of a snapshot and never passes on: a
+// daemon that was ahead of the first page missed it until the entry changed again.
+func TestChangesOfLaterPagesArePassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() { cancel(); time.Sleep(time.Second) }() // synctest requires all goroutines to exit
+		feed := pagedFeed{newFakeFeed()}
+		feed.set("x", "old")
+		feed.set("y", "known to the reader")
+		ahead := feed.rev
+		m := New(feed, "", slog.New(slog.DiscardHandler), func(Change) {})
+		go m.Run(ctx)
+		time.Sleep(time.Second)
+		changes, rev, err := m.Since(ctx, ahead, 0)
+		if err != nil || len(changes) != 1 || string(changes[0].Value) != "new" || rev != changes[0].ModRev {
+			t.Errorf("changes since %d: %+v at %d, %v, want that of x", ahead, changes, rev, err)
+		}
+	})
+}
