Bound what a target gets before it has answered a grant

A target is proven once it has answered a grant of this coordinator. Until then its capacity counts as that of the largest proven target at most, and it gets one move at a time. A service whose targets are all unproven, as at the start, is shared out as before.

A target that answers gets its share as before (TestTargetThatAnsweredGetsItsShare).

--- a/internal/coordination/ownership/engine.go
+++ b/internal/coordination/ownership/engine.go
@@ -147,6 +147,8 @@
 	pendingHandovers map[keyRange]string // handover data for the owners in the pending table
 	plannedAt        time.Duration       // time of the last load balancing
 	nextWriteAt      time.Duration       // no table is returned before this time
+	// answered holds the targets that have answered a grant.
+	answered map[target.Incarnation]bool
 	// failures counts the consecutive grants that a target did not answer. unresponsive
 	// is when a target last lost its keys because of such failures.
 	failures      map[target.Incarnation]failureStreak
@@ -207,7 +209,7 @@
 		config: c.withDefaults(), targets: make(map[string]Target),
 		movedAway: make(map[string]time.Duration),
 		load:      keyLoads{decayedAt: now}, pendingHandovers: make(map[keyRange]string),
-		failures: make(map[target.Incarnation]failureStreak), unresponsive: make(map[target.Incarnation]time.Duration),
+		answered: make(map[target.Incarnation]bool), failures: make(map[target.Incarnation]failureStreak), unresponsive: make(map[target.Incarnation]time.Duration),
 	}
 	e.adopt(table, now)
 	return e
@@ -250,6 +252,7 @@
 		e.targets[t.Incarnation.ID] = t
 		e.capacities[t.Incarnation.ID] = t.Capacity
 	}
+	e.forgetAnswers()
 }
 
 // ExtendGrants switches between grants of the maximum and of the normal duration. The
@@ -272,6 +275,7 @@
 // Tick returns the actions that are due at time now.
 func (e *Engine) Tick(now time.Duration) Actions {
 	e.decayLoad(now)
+	e.limitUnproven()
 	e.limitCapacities()
 	switch {
 	case now < e.idleUntil: // a table written now would tell other coordinators that all grants are known
--- a/internal/coordination/ownership/plan.go
+++ b/internal/coordination/ownership/plan.go
@@ -318,7 +318,8 @@
 }
 
 // mostAndLeastLoaded returns the targets with the most and the least load per capacity.
-// The targets in skipped cannot be the most loaded one.
+// The targets in skipped cannot be the most loaded one, and targets that await their proof not the
+// least loaded one.
 func (e *Engine) mostAndLeastLoaded(w *weights, skipped map[string]bool) (high, low Target, found bool) {
 	most, least := -1.0, math.Inf(1)
 	for _, id := range e.targetIDs() {
@@ -330,11 +331,11 @@
 		if u > most && !skipped[id] {
 			most, high = u, t
 		}
-		if u < least {
+		if u < least && !e.awaitsProof(t) {
 			least, low = u, t
 		}
 	}
-	return high, low, most >= 0 && high.Incarnation != low.Incarnation
+	return high, low, most >= 0 && !math.IsInf(least, 1) && high.Incarnation != low.Incarnation
 }
 
 // targetIDs returns the IDs of the targets in ascending order.
