--- a/internal/transport/upstream/repeat_test.go
+++ b/internal/transport/upstream/repeat_test.go
@@ -207,3 +207,48 @@
 		}
 	}
 }
+
+// Guards against a copy in two parts, of which the second arrives when the next request has been
+// written, and against more copies than are read for one request: neither may count as the response.
+func TestCopiesInPartsAndInSeries(t *testing.T) {
+	wrong, unknown, own := 0, 0, 0
+	for _, status := range []int{http.StatusOK, http.StatusMisdirectedRequest, http.StatusServiceUnavailable} {
+		earlier := orderedResponse(status, "1", "copy", fieldOrders[0])
+		for _, copies := range []int{1, 2, maxReadResponses, 3 * maxReadResponses} {
+			series := strings.Repeat(earlier, copies)
+			for _, first := range []int{0, 1, 20, len(earlier) - 1, len(earlier), len(series)} {
+				p := serveTarget(t, func(_ int, c net.Conn, in *bufio.Reader) {
+					rest := series
+					for n := 1; ; n++ {
+						r, err := http.ReadRequest(in)
+						if err != nil {
+							return
+						}
+						id := r.Header.Get("Id")
+						if n == 1 {
+							_, _ = io.WriteString(c, responseText(id, "own "+id)+series[:first])
+							rest = series[first:]
+							continue
+						}
+						_, _ = io.WriteString(c, rest+responseText(id, "own "+id))
+						rest = ""
+					}
+				})
+				for _, id := range []string{"1", "2"} {
+					r, err := send(t, p, id, 5*time.Second)
+					switch {
+					case errors.Is(err, ErrOutcomeUnknown):
+						unknown++
+					case err != nil || string(r.Body) != "own "+id:
+						wrong++
+						t.Errorf("%d copies of status %d, %d bytes before the next request: response to request %s: %+v, %v", copies, status, first, id, r, err)
+					default:
+						own++
+					}
+				}
+				p.Close()
+			}
+		}
+	}
+	t.Logf("%d own, %d unknown, %d wrong", own, unknown, wrong)
+}
