--- a/internal/coordination/ownership/results.go
+++ b/internal/coordination/ownership/results.go
@@ -29,7 +29,7 @@
 	incarnation := g.Span.Incarnation()
 	if r == OK || r == Fenced {
 		e.failures[incarnation] = failureStreak{since: now}
-		e.noteAnswer(incarnation)
+		e.answered[incarnation] = true
 	} else {
 		f := e.failures[incarnation]
 		if f.count == 0 && f.since == 0 {
--- a/internal/coordination/ownership/newcomers.go
+++ b/internal/coordination/ownership/unproven.go
@@ -1,7 +1,5 @@
 package ownership
 
-import "github.com/jackdawloom/jackdawloom/internal/state/target"
-
 // A target is proven once it has answered a grant of this coordinator. Until then it may not exist
 // at all, whatever its registration says, and keys that move to it are served by nobody.
 
@@ -48,6 +46,3 @@
 		}
 	}
 }
-
-// noteAnswer records that a target has answered a grant.
-func (e *Engine) noteAnswer(incarnation target.Incarnation) { e.answered[incarnation] = true }
