Keep a target's pause while its registration is missing

The daemons had closed the target's connections meanwhile and with them forgotten the pause, and sent it requests, up to seven each.

A target that asked for a pause is kept until its end. TestPauseOutlastsMissingRegistration fails without the change (2 requests arrived) and passes with it.

--- a/internal/edge/dispatch/endpoint.go
+++ b/internal/edge/dispatch/endpoint.go
@@ -86,16 +86,18 @@
 }
 
 // CloseRemovedTargets closes the connections to targets that are no longer registered
-// and have no running requests of this daemon.
+// and have no running requests of this daemon. A target that asked for a pause is kept until its
+// end, because it may be registered again before.
 func (d *Dispatcher) CloseRemovedTargets() {
 	v := d.config.Views.Current()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for incarnation, ep := range d.endpoints {
 		if r, known := v.Targets.Get(incarnation.ID); known && r.Incarnation() == incarnation {
 			continue
 		}
-		if ep.estimate.Running > 0 {
+		if ep.estimate.Running > 0 || now < ep.pausedUntil {
 			continue
 		}
 		ep.pool.Close()
--- a/internal/edge/dispatch/signals_test.go
+++ b/internal/edge/dispatch/signals_test.go
@@ -202,3 +202,22 @@
 		t.Errorf("a request reached the owner %v after it said that it is leaving", after)
 	}
 }
+
+// Guards against forgetting a target's pause when its registration is missing for a moment, as another
+// writer's entry replaced it: requests reached the target within the pause.
+func TestPauseOutlastsMissingRegistration(t *testing.T) {
+	var arrived atomic.Int64
+	server := startTarget(t, &arrived, pause("5"))
+	d := newUnkeyedDispatcher(map[string]*httptest.Server{"t": server})
+	if _, refusal := d.dispatchUnkeyed(1); refusal == nil || refusal.Reason != TargetPaused {
+		t.Fatalf("first request: %+v, want a refusal because of the pause", refusal)
+	}
+	entry := topo.Entry{Key: "targets/t", ModRev: 2}
+	d.config.Views.Apply(mirror.Change{Entries: []topo.Entry{entry}})
+	d.CloseRemovedTargets()
+	entry.Value, entry.CreateRev, entry.ModRev = []byte(strings.TrimPrefix(server.URL, "http://")), 1, 3
+	d.config.Views.Apply(mirror.Change{Entries: []topo.Entry{entry}})
+	if _, refusal := d.dispatchUnkeyed(1); refusal == nil || refusal.Reason != TargetPaused || arrived.Load() != 1 {
+		t.Errorf("second request: %+v, %d requests arrived, want a refusal and one", refusal, arrived.Load())
+	}
+}
