Believe a target's other service once its entry has stood for 5 s

It did not believe the target's own entry after that, which is right for 5 s, and went on so for good, as it looked at the entry again only when it was written again. It refused the target's keys with "key has no owner" until the end. Targets of the platform write their entries about every second, so there it would have lasted 5 s.

An entry that states another service is now looked at again when it has stood for 5 s, unless it was replaced or removed. TestServiceIsBelievedOnceItStands without a second write fails before and passes now.

--- a/internal/edge/view/contested.go
+++ b/internal/edge/view/contested.go
@@ -28,6 +28,12 @@
 	otherSince time.Duration
 }
 
+// restatedEntry is the latest entry of a target's key, which states another service than before.
+type restatedEntry struct {
+	entry       topo.Entry
+	incarnation target.Incarnation
+}
+
 // established reports whether the service was stated for longer than another writer's entry stays in
 // the store.
 func (s statedService) established() bool { return s.lastAt-s.firstAt >= reregistrationWindow }
@@ -66,6 +72,20 @@
 	}
 }
 
+// believeStanding applies again the entries that state another service than before, once they have
+// stood in the store for serviceChangeDelay. It reports whether there were any.
+func (tr *Tracker) believeStanding(now time.Duration) bool {
+	changed := false
+	for key, c := range tr.restated {
+		if now-tr.services[c.incarnation].otherSince >= serviceChangeDelay {
+			tr.applyTarget(c.entry)
+			delete(tr.restated, key)
+			changed = true
+		}
+	}
+	return changed
+}
+
 // applyContested handles an entry under a target's key that is not one of the target. It names no
 // target. The target's last registration holds for the time that it has to write its entry again, so
 // that another writer takes no target out of service. A registration that may itself be from another
--- a/internal/edge/view/contested_test.go
+++ b/internal/edge/view/contested_test.go
@@ -118,17 +118,48 @@
 // Guards against a target that is never used again, as the first entry that a daemon saw of it was
 // another writer's.
 func TestServiceIsBelievedOnceItStands(t *testing.T) {
+	for _, again := range []bool{true, false} {
+		tr := newContestedTracker()
+		tr.write("b 1")
+		tr.letStand()
+		if again {
+			tr.write("b 1")
+		}
+		if tr.Expire(); tr.service() != "b" {
+			t.Errorf("service %q after %v of the same statement, written again %t, want b", tr.service(), serviceChangeDelay, again)
+		}
+	}
+	for _, value := range []string{"odd", "a 1", ""} {
+		tr := newContestedTracker()
+		tr.write("b 1")
+		tr.write(value)
+		tr.letStand()
+		if tr.Expire(); tr.service() == "b" {
+			t.Errorf("service b is believed although %q has replaced the entry", value)
+		}
+	}
+}
+
+// Guards against believing an entry that a snapshot no longer has.
+func TestRemovedEntryIsNotBelieved(t *testing.T) {
 	tr := newContestedTracker()
-	tr.write("b 1")
+	tr.setStated("a", 0)
+	tr.write("b 1") // the target is not in use then
+	tr.Apply(mirror.Change{Snapshot: true})
+	tr.letStand()
+	if tr.Expire(); tr.service() != "" {
+		t.Errorf("service %q of an entry that was removed", tr.service())
+	}
+}
+
+// letStand makes the last statement of another service appear serviceChangeDelay old.
+func (tr *contestedTracker) letStand() {
 	tr.mu.Lock()
+	defer tr.mu.Unlock()
 	i := target.Incarnation{ID: "t", Epoch: 1}
 	s := tr.services[i]
 	s.otherSince -= serviceChangeDelay
 	tr.services[i] = s
-	tr.mu.Unlock()
-	if tr.write("b 1"); tr.service() != "b" {
-		t.Errorf("service %q after %v of the same statement, want b", tr.service(), serviceChangeDelay)
-	}
 }
 
 // Guards against entries of other writers that change a target's service or outlast its removal, in
--- a/internal/edge/view/view.go
+++ b/internal/edge/view/view.go
@@ -80,6 +80,7 @@
 	mu          sync.Mutex
 	targets     map[string]registration
 	services    map[target.Incarnation]statedService
+	restated    map[string]restatedEntry // by key
 	leaving     leavingTargets
 	evacuations evacuations
 	restored    restoration
@@ -112,7 +113,7 @@
 // store's mirror.
 func NewTracker(docs Documents, log *slog.Logger, status func() mirror.Status) *Tracker {
 	tr := &Tracker{
-		docs: docs, log: log, status: status, targets: make(map[string]registration), services: make(map[target.Incarnation]statedService), leaving: newLeavingTargets(), restored: newRestoration(),
+		docs: docs, log: log, status: status, targets: make(map[string]registration), services: make(map[target.Incarnation]statedService), restated: make(map[string]restatedEntry), leaving: newLeavingTargets(), restored: newRestoration(),
 		evacuations: newEvacuations(), draft: draft{tables: make(map[string]*Table), daemons: make(map[string]topo.Entry)},
 	}
 	tr.current.Store(&View{Targets: target.NewSet(nil)})
@@ -163,6 +164,7 @@
 	now := clock.Now()
 	changed := tr.dropLapsed(now)
 	changed = tr.dropContested(now) || changed
+	changed = tr.believeStanding(now) || changed
 	changed = tr.endMissingEvacuations(now) || changed
 	changed = tr.acceptDoubted(now) || changed
 	if tr.leaving.drained(now) || tr.evacuations.drained(now) || changed {
@@ -199,6 +201,11 @@
 			tr.applyTarget(topo.Entry{Key: key})
 		}
 	}
+	for key := range tr.restated {
+		if !present[key] {
+			delete(tr.restated, key)
+		}
+	}
 	if !present[CoordinatorKey] {
 		tr.coordinator = topo.Entry{}
 	}
@@ -254,6 +261,7 @@
 	id := strings.TrimPrefix(e.Key, tr.docs.TargetsPrefix())
 	previous, existed := tr.targets[id]
 	delete(tr.restored.doubted, e.Key)
+	delete(tr.restated, e.Key)
 	if !e.Exists() {
 		if existed && previous.lapsedAt == 0 {
 			tr.handleLapse(id, previous)
@@ -265,7 +273,9 @@
 		return
 	}
 	if err == nil {
-		err = tr.checkService(r)
+		if err = tr.checkService(r); err != nil {
+			tr.restated[e.Key] = restatedEntry{e, r.Incarnation()}
+		}
 	}
 	if err != nil {
 		tr.applyContested(id, e, err)
